Build: add the build, the common module and the design

The common module holds errors with step and peer, hashes, JSON, metrics, decision log lines and seeded randomness. docs/design.md states the requirements, modules, messages and the effect of each part's failure.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+.PHONY: packages build test sanitize bench lint format demo clean
+
+JOBS ?= $(shell nproc)
+SOURCES = $(shell find Source -name '*.cc' -o -name '*.h')
+
+build: build/build.ninja
+	cmake --build build -j $(JOBS)
+
+build/build.ninja: CMakePresets.json CMakeLists.txt | packages
+	cmake --preset release
+
+# Installs the Debian packages of packages.txt that are missing.
+packages:
+	@Tools/install_packages.sh packages.txt
+
+test: build
+	ctest --test-dir build --output-on-failure -j $(JOBS)
+
+# Decision modules and their tests under address, undefined and thread sanitizers.
+sanitize: packages
+	cmake --preset asan && cmake --build build-asan -j $(JOBS)
+	ctest --test-dir build-asan --output-on-failure -j $(JOBS)
+
+bench: build
+	build/bin/daisyroad-bench
+
+lint: build
+	@clang-format --dry-run --Werror $(SOURCES)
+	@Tools/run_linter.sh build
+
+format:
+	@clang-format -i $(SOURCES)
+
+demo: build
+	Tools/demo.sh
+
+clean:
+	rm -rf build build-asan build-tsan
--- /dev/null
+++ b/Source/Core/Common/json.cc
@@ -0,0 +1,59 @@
+#include "Core/Common/json.h"
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <memory>
+
+namespace daisyroad {
+namespace {
+
+Error InvalidMember(const std::string& name, const char* expected) {
+  return Error{Errc::kInvalidArgument, "json.member", "",
+               "\"" + name + "\" must be " + expected};
+}
+
+}  // namespace
+
+Result<Json::Value> ParseJson(std::string_view text) {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["strictRoot"] = false;
+  builder["stackLimit"] = 64;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string errors;
+  try {
+    if (reader->parse(text.data(), text.data() + text.size(), &value,
+                      &errors)) {
+      return value;
+    }
+  } catch (const Json::Exception& exception) {
+    errors = exception.what();
+  }
+  return Error{Errc::kInvalidArgument, "json.parse", "", errors};
+}
+
+std::string WriteJson(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+Result<std::string> JsonString(const Json::Value& object,
+                               const std::string& name) {
+  if (!object.isObject() || !object[name].isString()) {
+    return InvalidMember(name, "a string");
+  }
+  return object[name].asString();
+}
+
+Result<std::int64_t> JsonInt(const Json::Value& object,
+                             const std::string& name) {
+  if (!object.isObject() || !object[name].isInt64()) {
+    return InvalidMember(name, "an integer");
+  }
+  return object[name].asInt64();
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Common/logging.cc
@@ -0,0 +1,63 @@
+#include "Core/Common/logging.h"
+
+#include <iostream>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace daisyroad {
+namespace {
+
+constexpr const char* kChannels[] = {
+    kDaemonLog, kControlLog,    kRoutingLog, kTasksLog,     kLimitsLog,
+    kFleetLog,  kMembershipLog, kStandInLog, kTransportLog,
+};
+
+// The library's own console output goes to standard output, which the programs
+// keep for their results; this callback writes standard error instead.
+class StandardErrorDispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) noexcept override {
+    if (data->dispatchAction() != el::base::DispatchAction::NormalLog) {
+      return;
+    }
+    try {
+      const std::string line =
+          data->logMessage()->logger()->logBuilder()->build(data->logMessage(),
+                                                            true);
+      std::cerr << line << std::flush;
+    } catch (...) {
+      // A log line that cannot be written must not end the process.
+    }
+  }
+};
+
+bool Enabled(LogLevel level, LogLevel minimum) {
+  return static_cast<int>(level) >= static_cast<int>(minimum);
+}
+
+}  // namespace
+
+void InitializeLogging(LogLevel minimum) {
+  el::Configurations configuration;
+  configuration.setToDefault();
+  configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+  configuration.setGlobally(
+      el::ConfigurationType::Format,
+      "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %logger %msg");
+  configuration.set(el::Level::Debug, el::ConfigurationType::Enabled,
+                    Enabled(LogLevel::kDebug, minimum) ? "true" : "false");
+  configuration.set(el::Level::Info, el::ConfigurationType::Enabled,
+                    Enabled(LogLevel::kInfo, minimum) ? "true" : "false");
+  configuration.set(el::Level::Warning, el::ConfigurationType::Enabled,
+                    Enabled(LogLevel::kWarning, minimum) ? "true" : "false");
+  el::Loggers::setDefaultConfigurations(configuration, true);
+  for (const char* channel : kChannels) {
+    el::Loggers::getLogger(channel);
+    el::Loggers::reconfigureLogger(channel, configuration);
+  }
+  el::Helpers::installLogDispatchCallback<StandardErrorDispatch>(
+      "StandardErrorDispatch");
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Common/logging.h
@@ -0,0 +1,30 @@
+#ifndef SOURCE_CORE_COMMON_LOGGING_H_
+#define SOURCE_CORE_COMMON_LOGGING_H_
+
+#include <easylogging++.h>
+
+#include <string>
+
+namespace daisyroad {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+// Names of the log channels, one per subsystem; use as
+// CLOG(INFO, kRoutingLog) << ...
+inline constexpr char kDaemonLog[] = "daemon";
+inline constexpr char kControlLog[] = "control";
+inline constexpr char kRoutingLog[] = "routing";
+inline constexpr char kTasksLog[] = "tasks";
+inline constexpr char kLimitsLog[] = "limits";
+inline constexpr char kMembershipLog[] = "membership";
+inline constexpr char kFleetLog[] = "fleet";
+inline constexpr char kTransportLog[] = "transport";
+inline constexpr char kStandInLog[] = "standin";
+
+// Registers the channels and writes to standard error, one line an event with
+// UTC time, level and channel. Call once, before the first log line.
+void InitializeLogging(LogLevel minimum);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_COMMON_LOGGING_H_
--- /dev/null
+++ b/Source/Core/Common/time.h
@@ -0,0 +1,17 @@
+#ifndef SOURCE_CORE_COMMON_TIME_H_
+#define SOURCE_CORE_COMMON_TIME_H_
+
+#include <chrono>
+
+namespace daisyroad {
+
+// Time of the local monotonic clock; never compared between machines.
+using MonotonicTime = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+using Milliseconds = std::chrono::milliseconds;
+// Wall clock, for people only; no decision depends on it.
+using WallTime = std::chrono::system_clock::time_point;
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_COMMON_TIME_H_
--- /dev/null
+++ b/Source/UnitTests/Common/common_test.cc
@@ -0,0 +1,67 @@
+#include <catch2/catch.hpp>
+
+#include "Core/Common/error.h"
+#include "Core/Common/hash.h"
+#include "Core/Common/json.h"
+#include "Core/Common/log_decision.h"
+#include "Core/Common/metrics_registry.h"
+
+namespace daisyroad {
+namespace {
+
+// Guards against errors that reach an operator without step or peer.
+TEST_CASE("An error names its step and peer") {
+  const Error error{Errc::kTimeout, "store.put", "127.0.0.1:8500",
+                    "no answer within 500 ms"};
+  CHECK(error.ToString() ==
+        "store.put at 127.0.0.1:8500: timeout: no answer within 500 ms");
+}
+
+// Guards against instances of different builds that disagree on placement.
+TEST_CASE("Hashes have fixed values") {
+  CHECK(Sha256Hex("") ==
+        "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855");
+  CHECK(StableHash("daisyroad") == StableHash("daisyroad"));
+  CHECK(StableHash("daisyroad", 1) != StableHash("daisyroad", 2));
+}
+
+// Guards against a membership change that moves keys between survivors.
+TEST_CASE("Rendezvous hashing moves only the keys of a removed candidate") {
+  const std::vector<std::string> all = {"a", "b", "c", "d"};
+  const std::vector<std::string> without_d = {"a", "b", "c"};
+  for (int i = 0; i < 200; ++i) {
+    const std::string key = "key-" + std::to_string(i);
+    const std::string before = all[RendezvousIndex(key, all)];
+    if (before != "d") {
+      CHECK(before == without_d[RendezvousIndex(key, without_d)]);
+    }
+  }
+}
+
+// Guards against lenient parsing that lets a misspelt or doubled field through.
+TEST_CASE("JSON parsing rejects malformed text") {
+  const std::string text =
+      GENERATE(as<std::string>{}, "", "{", "{\"a\":1,\"a\":2}", "{} x",
+               "{\"a\":1,}", "/* c */ {}", "[1", std::string(200, '['));
+  CHECK_FALSE(ParseJson(text).ok());
+}
+
+// Guards against log injection through caller-supplied text.
+TEST_CASE("A decision line escapes values") {
+  const std::string line =
+      LogDecision("route").Field("team", "a\nb").Field("n", 3).line();
+  CHECK(line == "decision=route team=\"a\\x0ab\" n=3");
+}
+
+// Guards against output that a Prometheus scraper rejects.
+TEST_CASE("Metrics render in the text exposition format") {
+  MetricsRegistry registry;
+  registry.Counter("tasks_total", "team=\"a\"") += 2;
+  registry.Gauge("up") = 1;
+  CHECK(registry.Render() ==
+        "# TYPE tasks_total counter\ntasks_total{team=\"a\"} 2\n"
+        "# TYPE up gauge\nup 1\n");
+}
+
+}  // namespace
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/UnitTests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/Tools/run_linter.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs clang-tidy on every source file of the compilation database of the given
+# build folder. Files that include RESTinio and the unit tests are left out:
+# their headers take clang-tidy minutes a file.
+set -euo pipefail
+
+build=$1
+files=()
+while read -r file; do
+  grep -q '<restinio/' "$file" || files+=("$file")
+done < <(git ls-files --cached --others --exclude-standard 'Source/*.cc' | grep -v '^Source/UnitTests/')
+printf '%s\n' "${files[@]}" | xargs -n 1 -P "$(nproc)" clang-tidy -p "$build" --quiet 2>/dev/null
