--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,10 @@
 JOBS ?= $(shell nproc)
 SOURCES = $(shell find Source -name '*.cc' -o -name '*.h')
 
-build: build/build.ninja
+build: packages
+	cmake --preset release >/dev/null
 	cmake --build build -j $(JOBS)
 
-build/build.ninja: CMakePresets.json CMakeLists.txt | packages
-	cmake --preset release
-
 # Installs the Debian packages of packages.txt that are missing.
 packages:
 	@Tools/install_packages.sh packages.txt
@@ -18,7 +16,7 @@
 
 # Decision modules and their tests under address, undefined and thread sanitizers.
 sanitize: packages
-	cmake --preset asan && cmake --build build-asan -j $(JOBS)
+	cmake --preset asan >/dev/null && cmake --build build-asan -j $(JOBS)
 	ctest --test-dir build-asan --output-on-failure -j $(JOBS)
 
 bench: build
