Transport: add HTTP server and client, JSON-RPC and the event loop

Only the server side of libjsonrpccpp is used: its client blocks the calling thread, so calls go out through the asynchronous libcurl client. Percent-decoding had to use RESTinio's relaxed traits; the default ones reject every path that holds a slash (the first test failed with 400).

--- /dev/null
+++ b/Source/Core/Transport/http_client.cc
@@ -0,0 +1,238 @@
+#include "Core/Transport/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <deque>
+#include <mutex>
+#include <string_view>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+namespace daisyroad {
+namespace {
+
+// Largest answer accepted; a larger one ends the exchange with an error.
+constexpr std::size_t kMaxAnswerBytes = 64U << 20;
+constexpr long kMaxIdleConnections = 512;
+
+struct Exchange {
+  HttpClientRequest request;
+  HttpClient::Callback callback;
+  HttpResponse response;
+  curl_slist* header_list = nullptr;
+  CURL* handle = nullptr;
+
+  ~Exchange() {
+    curl_slist_free_all(this->header_list);
+    if (this->handle != nullptr) {
+      curl_easy_cleanup(this->handle);
+    }
+  }
+};
+
+std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* context) {
+  Exchange* exchange = static_cast<Exchange*>(context);
+  if (exchange->response.body.size() + size * n > kMaxAnswerBytes) {
+    return 0;
+  }
+  exchange->response.body.append(data, size * n);
+  return size * n;
+}
+
+std::size_t OnHeader(char* data,
+                     std::size_t size,
+                     std::size_t n,
+                     void* context) {
+  Exchange* exchange = static_cast<Exchange*>(context);
+  const std::string_view line(data, size * n);
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return size * n;
+  }
+  std::string name(line.substr(0, colon));
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  std::string_view value = line.substr(colon + 1);
+  while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+    value.remove_prefix(1);
+  }
+  while (!value.empty() && (value.back() == '\r' || value.back() == '\n')) {
+    value.remove_suffix(1);
+  }
+  exchange->response.headers[name] = std::string(value);
+  return size * n;
+}
+
+Error ToError(CURLcode code, const Exchange& exchange) {
+  Errc errc = Errc::kProtocol;
+  long connects = 0;
+  curl_easy_getinfo(exchange.handle, CURLINFO_NUM_CONNECTS, &connects);
+  curl_off_t connect_time = 0;
+  curl_easy_getinfo(exchange.handle, CURLINFO_CONNECT_TIME_T, &connect_time);
+  curl_off_t pretransfer_time = 0;
+  curl_easy_getinfo(exchange.handle, CURLINFO_PRETRANSFER_TIME_T,
+                    &pretransfer_time);
+  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+      code == CURLE_URL_MALFORMAT) {
+    errc = Errc::kUnavailable;
+  } else if (code == CURLE_OPERATION_TIMEDOUT) {
+    // No connection yet means that nothing was sent.
+    errc = pretransfer_time == 0 && connect_time == 0 ? Errc::kUnavailable
+                                                      : Errc::kTimeout;
+  }
+  return Error{errc, "http." + exchange.request.method, exchange.request.url,
+               curl_easy_strerror(code)};
+}
+
+void Configure(Exchange* exchange) {
+  CURL* handle = exchange->handle;
+  const HttpClientRequest& request = exchange->request;
+  curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  if (request.method == "HEAD") {
+    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+  }
+  for (const std::pair<const std::string, std::string>& header :
+       request.headers) {
+    exchange->header_list = curl_slist_append(
+        exchange->header_list, (header.first + ": " + header.second).c_str());
+  }
+  // Without this libcurl waits up to one second for "100 Continue" on bodies
+  // above 1 KB.
+  exchange->header_list = curl_slist_append(exchange->header_list, "Expect:");
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, exchange->header_list);
+  if (!request.body.empty() || request.method == "POST" ||
+      request.method == "PUT") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+  }
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(request.connect_timeout.count()));
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(request.timeout.count()));
+  if (request.fresh_connection) {
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+  }
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, exchange);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, exchange);
+}
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  explicit Impl(Executor executor) : executor(std::move(executor)) {
+    static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(global);
+    this->multi = curl_multi_init();
+    curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+    this->thread = std::thread([this]() { this->Run(); });
+  }
+
+  ~Impl() {
+    this->stopping = true;
+    curl_multi_wakeup(this->multi);
+    this->thread.join();
+    for (const std::pair<CURL* const, std::unique_ptr<Exchange>>& entry :
+         this->active) {
+      curl_multi_remove_handle(this->multi, entry.first);
+    }
+    this->active.clear();
+    curl_multi_cleanup(this->multi);
+  }
+
+  void Enqueue(HttpClientRequest request, Callback callback) {
+    std::unique_ptr<Exchange> exchange = std::make_unique<Exchange>();
+    exchange->request = std::move(request);
+    exchange->callback = std::move(callback);
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->queue.push_back(std::move(exchange));
+    }
+    curl_multi_wakeup(this->multi);
+  }
+
+ private:
+  void Run() {
+    while (!this->stopping) {
+      this->StartQueued();
+      int running = 0;
+      curl_multi_perform(this->multi, &running);
+      this->FinishDone();
+      curl_multi_poll(this->multi, nullptr, 0, 1000, nullptr);
+    }
+  }
+
+  void StartQueued() {
+    std::deque<std::unique_ptr<Exchange>> batch;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      batch.swap(this->queue);
+    }
+    for (std::unique_ptr<Exchange>& exchange : batch) {
+      exchange->handle = curl_easy_init();
+      Configure(exchange.get());
+      CURL* const handle = exchange->handle;
+      this->active[handle] = std::move(exchange);
+      curl_multi_add_handle(this->multi, handle);
+    }
+  }
+
+  void FinishDone() {
+    int remaining = 0;
+    while (CURLMsg* message = curl_multi_info_read(this->multi, &remaining)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      const CURLcode code = message->data.result;
+      CURL* const handle = message->easy_handle;
+      std::unique_ptr<Exchange> exchange = std::move(this->active[handle]);
+      this->active.erase(handle);
+      this->Complete(code, exchange.get());
+      curl_multi_remove_handle(this->multi, handle);
+    }
+  }
+
+  void Complete(CURLcode code, Exchange* exchange) {
+    long status = 0;
+    curl_easy_getinfo(exchange->handle, CURLINFO_RESPONSE_CODE, &status);
+    exchange->response.status = static_cast<int>(status);
+    Result<HttpResponse> result =
+        code == CURLE_OK ? Result<HttpResponse>(std::move(exchange->response))
+                         : Result<HttpResponse>(ToError(code, *exchange));
+    this->executor([callback = std::move(exchange->callback),
+                    result = std::move(result)]() { callback(result); });
+  }
+
+  Executor executor;
+  CURLM* multi = nullptr;
+  std::atomic<bool> stopping = false;
+  std::mutex mutex;
+  std::deque<std::unique_ptr<Exchange>> queue;
+  std::unordered_map<CURL*, std::unique_ptr<Exchange>> active;
+  std::thread thread;
+};
+
+HttpClient::HttpClient(Executor executor)
+    : impl(std::make_unique<Impl>(std::move(executor))) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Send(HttpClientRequest request, Callback callback) {
+  this->impl->Enqueue(std::move(request), std::move(callback));
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Transport/http_message.h
@@ -0,0 +1,43 @@
+#ifndef SOURCE_CORE_TRANSPORT_HTTP_MESSAGE_H_
+#define SOURCE_CORE_TRANSPORT_HTTP_MESSAGE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "Core/Common/result.h"
+
+namespace daisyroad {
+
+// Header names are lower case.
+using HttpHeaders = std::map<std::string, std::string>;
+
+struct HttpRequest {
+  std::string method;
+  std::string path;                          // decoded, without the query
+  std::map<std::string, std::string> query;  // decoded
+  HttpHeaders headers;
+  std::string body;
+  std::string peer;  // address and port of the client
+
+  // Empty if absent; `name` in lower case.
+  std::string Header(const std::string& name) const;
+  std::string Query(const std::string& name) const;
+};
+
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+
+  std::string Header(const std::string& name) const;
+};
+
+// Answers one request. May be called from any thread; calls after the first
+// are ignored.
+using HttpResponder = std::function<void(HttpResponse)>;
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_TRANSPORT_HTTP_MESSAGE_H_
--- /dev/null
+++ b/Source/Core/Transport/http_server.cc
@@ -0,0 +1,169 @@
+#include "Core/Transport/http_server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <restinio/all.hpp>
+#include <utility>
+
+namespace daisyroad {
+namespace {
+
+struct ServerTraits : public restinio::default_traits_t {
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+using RunningServer = restinio::running_server_handle_t<ServerTraits>;
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+std::string MethodName(const restinio::http_method_id_t& method) {
+  return method.c_str();
+}
+
+// Returns false if the query or the path is not valid percent-encoding.
+bool ReadTarget(const restinio::request_t& source, HttpRequest* request) {
+  try {
+    request->path = restinio::utils::unescape_percent_encoding<
+        restinio::utils::relaxed_unescape_traits>(source.header().path());
+    const restinio::query_string_params_t parameters =
+        restinio::parse_query<restinio::parse_query_traits::relaxed>(
+            source.header().query());
+    for (const restinio::query_string_params_t::parameters_container_t::
+             value_type& parameter : parameters) {
+      request->query[std::string(parameter.first)] =
+          std::string(parameter.second);
+    }
+  } catch (const std::exception&) {
+    return false;
+  }
+  return true;
+}
+
+HttpRequest ReadRequest(const restinio::request_t& source) {
+  HttpRequest request;
+  request.method = MethodName(source.header().method());
+  source.header().for_each_field(
+      [&request](const restinio::http_header_field_t& field) {
+        request.headers[LowerCase(field.name())] = field.value();
+      });
+  request.body = source.body();
+  request.peer = source.remote_endpoint().address().to_string() + ":" +
+                 std::to_string(source.remote_endpoint().port());
+  return request;
+}
+
+void Answer(const restinio::request_handle_t& request,
+            const HttpResponse& response) {
+  restinio::response_builder_t<restinio::restinio_controlled_output_t> builder =
+      request->create_response(restinio::http_status_line_t(
+          restinio::http_status_code_t(
+              static_cast<std::uint16_t>(response.status)),
+          response.status < 400 ? "OK" : "Error"));
+  for (const std::pair<const std::string, std::string>& header :
+       response.headers) {
+    builder.append_header(header.first, header.second);
+  }
+  builder.set_body(response.body);
+  builder.done();
+}
+
+HttpResponse PlainResponse(int status, const std::string& text) {
+  HttpResponse response;
+  response.status = status;
+  response.headers["content-type"] = "text/plain";
+  response.body = text;
+  return response;
+}
+
+restinio::request_handling_status_t Dispatch(
+    const HttpHandler& handler,
+    const restinio::request_handle_t& source) {
+  HttpRequest request = ReadRequest(*source);
+  if (!ReadTarget(*source, &request)) {
+    Answer(source, PlainResponse(400, "malformed request target\n"));
+    return restinio::request_accepted();
+  }
+  const std::shared_ptr<std::atomic<bool>> answered =
+      std::make_shared<std::atomic<bool>>(false);
+  handler(std::move(request), [source, answered](const HttpResponse& response) {
+    if (!answered->exchange(true)) {
+      Answer(source, response);
+    }
+  });
+  return restinio::request_accepted();
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  RunningServer server;
+  std::uint16_t port = 0;
+};
+
+HttpServer::HttpServer() : impl(std::make_unique<Impl>()) {}
+
+HttpServer::~HttpServer() {
+  this->Stop();
+}
+
+Status HttpServer::Start(const HttpServerOptions& options,
+                         HttpHandler handler) {
+  const std::shared_ptr<const HttpHandler> shared_handler =
+      std::make_shared<const HttpHandler>(std::move(handler));
+  std::uint16_t* const bound_port = &this->impl->port;
+  try {
+    this->impl->server = restinio::run_async<ServerTraits>(
+        restinio::own_io_context(),
+        restinio::server_settings_t<ServerTraits>()
+            .address(options.address)
+            .port(options.port)
+            .max_parallel_connections(options.max_connections)
+            .read_next_http_message_timelimit(options.request_read_timeout)
+            .write_http_response_timelimit(options.write_timeout)
+            .handle_request_timeout(options.handler_timeout)
+            .incoming_http_msg_limits(
+                restinio::incoming_http_msg_limits_t()
+                    .max_url_size(4096)
+                    .max_field_name_size(256)
+                    .max_field_value_size(8192)
+                    .max_field_count(100)
+                    .max_body_size(options.max_body_bytes))
+            .acceptor_post_bind_hook(
+                [bound_port](asio::ip::tcp::acceptor& acceptor) {
+                  *bound_port = acceptor.local_endpoint().port();
+                })
+            .request_handler(
+                [shared_handler](const restinio::request_handle_t& request) {
+                  return Dispatch(*shared_handler, request);
+                }),
+        std::max<std::size_t>(options.threads, 1));
+  } catch (const std::exception& exception) {
+    return Error{Errc::kUnavailable, "http.listen",
+                 options.address + ":" + std::to_string(options.port),
+                 exception.what()};
+  }
+  return OkStatus();
+}
+
+std::uint16_t HttpServer::port() const {
+  return this->impl->port;
+}
+
+void HttpServer::Stop() {
+  if (this->impl->server) {
+    this->impl->server->stop();
+    this->impl->server->wait();
+    this->impl->server.reset();
+  }
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Transport/http_server.h
@@ -0,0 +1,52 @@
+#ifndef SOURCE_CORE_TRANSPORT_HTTP_SERVER_H_
+#define SOURCE_CORE_TRANSPORT_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "Core/Common/result.h"
+#include "Core/Common/time.h"
+#include "Core/Transport/http_message.h"
+
+namespace daisyroad {
+
+struct HttpServerOptions {
+  std::string address = "127.0.0.1";
+  std::uint16_t port = 0;  // 0 lets the system choose
+  std::size_t threads = 1;
+  std::size_t max_connections = 4096;
+  std::size_t max_body_bytes = 1 << 20;
+  // A client that has not sent its whole request by then is disconnected.
+  Milliseconds request_read_timeout{5000};
+  Milliseconds write_timeout{10000};
+  // Longest time a handler may take to answer, long polls included.
+  Milliseconds handler_timeout{600000};
+};
+
+// HTTP/1.1 server on RESTinio. The handler runs on the server's threads and
+// must not block.
+class HttpServer {
+ public:
+  HttpServer();
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Fails if the address cannot be bound.
+  Status Start(const HttpServerOptions& options, HttpHandler handler);
+  // Port in use, also when the system chose it.
+  std::uint16_t port() const;
+  // Stops accepting and closes the connections; requests in progress lose
+  // their answers, so callers finish them first.
+  void Stop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_TRANSPORT_HTTP_SERVER_H_
--- /dev/null
+++ b/Source/UnitTests/Transport/transport_test.cc
@@ -0,0 +1,149 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "Core/Common/json.h"
+#include "Core/Transport/event_loop.h"
+#include "Core/Transport/http_client.h"
+#include "Core/Transport/http_server.h"
+#include "Core/Transport/rpc_client.h"
+#include "Core/Transport/rpc_server.h"
+
+namespace daisyroad {
+namespace {
+
+std::string Url(const HttpServer& server, const std::string& path) {
+  return "http://127.0.0.1:" + std::to_string(server.port()) + path;
+}
+
+// Sends one request and runs the loop until it is answered.
+Result<HttpResponse> Fetch(HttpClientRequest request) {
+  EventLoop loop;
+  HttpClient client(
+      [&loop](std::function<void()> function) { loop.Post(function); });
+  Result<HttpResponse> result = Error{Errc::kInternal, "test", "", ""};
+  client.Send(request, [&](const Result<HttpResponse>& response) {
+    result = response;
+    loop.Stop();
+  });
+  loop.Run();
+  return result;
+}
+
+// Guards against a request that loses its path, query, header or body.
+TEST_CASE("A request reaches the handler whole and its answer comes back") {
+  HttpServer server;
+  REQUIRE(
+      server
+          .Start(HttpServerOptions(),
+                 [](const HttpRequest& request, const HttpResponder& respond) {
+                   HttpResponse response;
+                   response.status = 201;
+                   response.headers["x-answer"] = request.Header("x-ask");
+                   response.body = request.method + " " + request.path + " " +
+                                   request.Query("a") + " " + request.body;
+                   respond(response);
+                 })
+          .ok());
+  HttpClientRequest request;
+  request.method = "PUT";
+  request.url = Url(server, "/x%20y?a=b%2Fc");
+  request.headers["X-Ask"] = "yes";
+  request.body = std::string(100000, 'z');
+  const Result<HttpResponse> response = Fetch(request);
+  REQUIRE(response.ok());
+  CHECK(response.value().status == 201);
+  CHECK(response.value().Header("x-answer") == "yes");
+  CHECK(response.value().body == "PUT /x y b/c " + request.body);
+}
+
+// Guards against an error that claims the request was not sent when it may
+// have been: only a failed connection may say kUnavailable.
+TEST_CASE("Errors tell whether the request may have been received") {
+  HttpServer server;
+  std::vector<HttpResponder> kept;
+  REQUIRE(server
+              .Start(HttpServerOptions(),
+                     [&kept](const HttpRequest&, const HttpResponder& respond) {
+                       kept.push_back(respond);
+                     })
+              .ok());
+  HttpClientRequest request;
+  request.url = Url(server, "/");
+  request.timeout = Milliseconds(200);
+  CHECK(Fetch(request).error().code == Errc::kTimeout);
+  server.Stop();
+  CHECK(Fetch(request).error().code == Errc::kUnavailable);
+}
+
+// Guards against a body above the limit that is taken or crashes the server.
+TEST_CASE("A body above the limit is not delivered") {
+  HttpServer server;
+  std::atomic<int> calls = 0;
+  HttpServerOptions options;
+  options.max_body_bytes = 1000;
+  REQUIRE(
+      server
+          .Start(options,
+                 [&calls](const HttpRequest&, const HttpResponder& respond) {
+                   ++calls;
+                   respond(HttpResponse());
+                 })
+          .ok());
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url = Url(server, "/");
+  request.body = std::string(1001, 'z');
+  const Result<HttpResponse> response = Fetch(request);
+  CHECK((!response.ok() || response.value().status >= 400));
+  CHECK(calls == 0);
+}
+
+// Guards against method errors and unknown methods that look like results.
+TEST_CASE("RPC carries results and errors") {
+  RpcServer rpc;
+  rpc.AddMethod("add", [](const Json::Value& params) {
+    if (!params["a"].isInt()) {
+      throw RpcFailure{-32602, "a must be an integer"};
+    }
+    Json::Value result;
+    result["sum"] = params["a"].asInt() + params["b"].asInt();
+    return result;
+  });
+  HttpServer server;
+  REQUIRE(server
+              .Start(HttpServerOptions(),
+                     [&rpc](const HttpRequest& request,
+                            const HttpResponder& respond) {
+                       respond(rpc.Handle(request));
+                     })
+              .ok());
+  EventLoop loop;
+  HttpClient http(
+      [&loop](std::function<void()> function) { loop.Post(function); });
+  RpcClient client(&http);
+  const std::string peer = "127.0.0.1:" + std::to_string(server.port());
+  std::vector<std::string> answers;
+  const RpcClient::Callback collect = [&](const Result<Json::Value>& result) {
+    answers.push_back(result.ok() ? WriteJson(result.value())
+                                  : result.error().detail);
+    if (answers.size() == 3) {
+      loop.Stop();
+    }
+  };
+  Json::Value params;
+  params["a"] = 1;
+  params["b"] = 2;
+  client.Call(peer, "add", params, Milliseconds(2000), collect);
+  params["a"] = "x";
+  client.Call(peer, "add", params, Milliseconds(2000), collect);
+  client.Call(peer, "subtract", params, Milliseconds(2000), collect);
+  loop.Run();
+  const std::string all = answers[0] + "\n" + answers[1] + "\n" + answers[2];
+  CHECK(all.find("{\"sum\":3}") != std::string::npos);
+  CHECK(all.find("a must be an integer") != std::string::npos);
+  CHECK(all.find("METHOD_NOT_FOUND") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace daisyroad
