--- /dev/null
+++ b/Source/StandIns/Store/main.cc
@@ -0,0 +1,216 @@
+// standin-store: the platform's key-value service for tests, with the part of
+// the Consul KV HTTP API that HttpStoreClient uses. GET /standin/calls counts
+// the calls, a waiting watch as one.
+
+#include <csignal>
+#include <cstdint>
+#include <iostream>
+#include <list>
+#include <string>
+#include <utility>
+
+#include "Core/Common/json.h"
+#include "Core/Common/logging.h"
+#include "Core/Platform/base64.h"
+#include "Core/Transport/event_loop.h"
+#include "Core/Transport/http_server.h"
+#include "StandIns/Common/fault_settings.h"
+#include "StandIns/Common/json_reply.h"
+#include "StandIns/Store/store_state.h"
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+
+ABSL_FLAG(std::uint16_t, port, 18000, "port on 127.0.0.1");
+
+namespace daisyroad {
+namespace {
+
+constexpr char kPrefix[] = "/v1/kv/";
+constexpr Milliseconds kDefaultWait{300000};
+
+struct Waiter {
+  std::string key;
+  std::uint64_t known = 0;
+  MonotonicTime deadline;
+  HttpResponder respond;
+};
+
+std::optional<std::uint64_t> ReadCas(const HttpRequest& request) {
+  const std::string text = request.Query("cas");
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  return std::stoull(text);
+}
+
+Json::Value ToJson(const StoreEntry& entry) {
+  Json::Value item;
+  item["Key"] = entry.key;
+  item["Value"] = EncodeBase64(entry.value);
+  item["ModifyIndex"] = Json::UInt64(entry.version);
+  return item;
+}
+
+class StoreServer {
+ public:
+  explicit StoreServer(EventLoop* loop) : loop(loop) {
+    loop->Every(Milliseconds(20), [this]() { this->AnswerWaiters(); });
+  }
+
+  void Handle(const HttpRequest& request, const HttpResponder& respond) {
+    if (request.path == "/standin/faults") {
+      respond(SetFaults(request, &this->faults));
+      return;
+    }
+    if (request.path == "/standin/calls") {
+      Json::Value body;
+      body["reads"] = Json::UInt64(this->reads);
+      body["writes"] = Json::UInt64(this->writes);
+      body["watches"] = Json::UInt64(this->watches);
+      respond(JsonReply(200, body));
+      return;
+    }
+    if (!this->faults.Hears(request)) {
+      return;
+    }
+    if (this->faults.delay.count() == 0) {
+      this->Serve(request, respond);
+      return;
+    }
+    this->loop->After(this->faults.delay, [this, request, respond]() {
+      if (this->faults.Hears(request)) {
+        this->Serve(request, respond);
+      }
+    });
+  }
+
+ private:
+  void Serve(const HttpRequest& request, const HttpResponder& respond) {
+    if (request.path.rfind(kPrefix, 0) != 0) {
+      respond(JsonReply(404, Json::Value(Json::objectValue)));
+      return;
+    }
+    const std::string key = request.path.substr(sizeof(kPrefix) - 1);
+    try {
+      if (request.method == "GET") {
+        this->ServeRead(request, key, respond);
+      } else {
+        this->ServeWrite(request, key, respond);
+      }
+    } catch (const std::exception&) {
+      respond(JsonReply(400, "malformed number in the query"));
+    }
+  }
+
+  void ServeRead(const HttpRequest& request,
+                 const std::string& key,
+                 const HttpResponder& respond) {
+    if (request.query.count("recurse") != 0) {
+      ++this->reads;
+      Json::Value list(Json::arrayValue);
+      for (const StoreEntry& entry : this->state.List(key)) {
+        list.append(ToJson(entry));
+      }
+      respond(JsonReply(list.empty() ? 404 : 200, list));
+      return;
+    }
+    if (request.query.count("index") == 0) {
+      ++this->reads;
+      this->AnswerEntry(key, respond);
+      return;
+    }
+    ++this->watches;
+    Waiter waiter;
+    waiter.key = key;
+    waiter.known = std::stoull(request.Query("index"));
+    const std::string wait = request.Query("wait");
+    waiter.deadline =
+        std::chrono::steady_clock::now() +
+        (wait.empty() ? kDefaultWait : Milliseconds(std::stoll(wait)));
+    waiter.respond = respond;
+    if (this->state.ChangedAt(key) != waiter.known) {
+      this->AnswerEntry(key, respond);
+      return;
+    }
+    this->waiters.push_back(std::move(waiter));
+  }
+
+  void ServeWrite(const HttpRequest& request,
+                  const std::string& key,
+                  const HttpResponder& respond) {
+    ++this->writes;
+    const bool written =
+        request.method == "DELETE"
+            ? this->state.Delete(key, ReadCas(request))
+            : this->state.Put(key, request.body, ReadCas(request));
+    if (written) {
+      this->AnswerWaiters();
+    }
+    if (!this->faults.LosesAnswer()) {
+      respond(JsonReply(200, written));
+    }
+  }
+
+  void AnswerEntry(const std::string& key, const HttpResponder& respond) {
+    const std::optional<StoreEntry> entry = this->state.Get(key);
+    Json::Value list(Json::arrayValue);
+    if (entry) {
+      list.append(ToJson(*entry));
+    }
+    respond(JsonReply(entry ? 200 : 404, list));
+  }
+
+  void AnswerWaiters() {
+    if (this->faults.down) {
+      return;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
+      if (this->state.ChangedAt(waiter->key) != waiter->known ||
+          now >= waiter->deadline) {
+        this->AnswerEntry(waiter->key, waiter->respond);
+        waiter = this->waiters.erase(waiter);
+      } else {
+        ++waiter;
+      }
+    }
+  }
+
+  EventLoop* loop;
+  FaultSettings faults;
+  StoreState state;
+  std::list<Waiter> waiters;
+  std::uint64_t reads = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t watches = 0;
+};
+
+int Main() {
+  InitializeLogging(LogLevel::kWarning);
+  EventLoop loop;
+  StoreServer store(&loop);
+  HttpServer server;
+  HttpServerOptions options;
+  options.port = absl::GetFlag(FLAGS_port);
+  const Status started = server.Start(
+      options, [&](const HttpRequest& request, const HttpResponder& respond) {
+        loop.Post(
+            [&store, request, respond]() { store.Handle(request, respond); });
+      });
+  if (!started.ok()) {
+    std::cerr << started.error().ToString() << "\n";
+    return 1;
+  }
+  loop.OnSignals({SIGTERM, SIGINT}, [&loop](int) { loop.Stop(); });
+  loop.Run();
+  server.Stop();
+  return 0;
+}
+
+}  // namespace
+}  // namespace daisyroad
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  return daisyroad::Main();
+}
