Declaration: add the typed model headers

Other modules are written against these types, so they land before the parser. A maximum of workers down is a variant of count and fraction; one field with a unit flag was ruled out, as a reader could take 5 for a fraction.

--- /dev/null
+++ b/Source/Core/Declaration/availability_budget.h
@@ -0,0 +1,31 @@
+#ifndef SOURCE_CORE_DECLARATION_AVAILABILITY_BUDGET_H_
+#define SOURCE_CORE_DECLARATION_AVAILABILITY_BUDGET_H_
+
+#include <cstdint>
+#include <variant>
+
+namespace daisyroad {
+
+// How many workers of a service may be down at once.
+struct MaxDownCount {
+  std::int64_t count = 0;
+
+  bool operator==(const MaxDownCount&) const = default;
+};
+
+// Share of the workers of a service that may be down at once, in [0, 1].
+struct MaxDownFraction {
+  double fraction = 0;
+
+  bool operator==(const MaxDownFraction&) const = default;
+};
+
+using AvailabilityBudget = std::variant<MaxDownCount, MaxDownFraction>;
+
+// Number of workers that may be down when the service has `total`. A fraction
+// is rounded down so that the budget is never exceeded.
+std::int64_t AllowedDown(const AvailabilityBudget& budget, std::int64_t total);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DECLARATION_AVAILABILITY_BUDGET_H_
--- /dev/null
+++ b/Source/Core/Declaration/parse_declaration.h
@@ -0,0 +1,20 @@
+#ifndef SOURCE_CORE_DECLARATION_PARSE_DECLARATION_H_
+#define SOURCE_CORE_DECLARATION_PARSE_DECLARATION_H_
+
+#include <string>
+#include <string_view>
+
+#include "Core/Common/result.h"
+#include "Core/Declaration/declaration.h"
+
+namespace daisyroad {
+
+// Parses and checks the TOML text of a declaration. On failure the detail of
+// the error (kInvalidArgument) has one line for each fault, in the order of the
+// text: "FILE:LINE: FIELD: PROBLEM". `file_name` appears in these lines only.
+Result<Declaration> ParseDeclaration(std::string_view text,
+                                     const std::string& file_name);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DECLARATION_PARSE_DECLARATION_H_
