--- a/Source/Core/Config/all_settings.cc
+++ b/Source/Core/Config/all_settings.cc
@@ -2,12 +2,15 @@
 
 #include <chrono>
 
+#include "Core/Common/logging.h"
 #include "Core/Declaration/duration_text.h"
 
 namespace daisyroad {
 
 namespace {
 
+static_assert(LogLevel::kInfo == LogLevel{1}, "default of Settings::log_level");
+
 constexpr Milliseconds kMinute = std::chrono::minutes(1);
 constexpr Milliseconds kDay = std::chrono::hours(24);
 
--- a/Source/Core/Config/settings.h
+++ b/Source/Core/Config/settings.h
@@ -5,12 +5,15 @@
 #include <string>
 #include <vector>
 
-#include "Core/Common/logging.h"
 #include "Core/Common/time.h"
 #include "Core/Config/seed.h"
 
 namespace daisyroad {
 
+// Declared here because logging.h brings in macros of the logging library
+// (CHECK, INFO) that clash with those of Catch2.
+enum class LogLevel;
+
 // Settings of the daemon, with their defaults. Names, ranges and whether a
 // setting can change live are in AllSettings. Addresses have the form
 // "IP:PORT", with an IPv6 address in brackets.
@@ -31,7 +34,7 @@
   std::string instance_list_address;
   Milliseconds instance_list_interval{1'000};
 
-  LogLevel log_level = LogLevel::kInfo;
+  LogLevel log_level{1};  // LogLevel::kInfo
 
   Milliseconds worker_connect_timeout{300};
   // A request unanswered for this long triggers a probe on a new connection.
--- a/Source/Core/Config/settings_reader.cc
+++ b/Source/Core/Config/settings_reader.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <variant>
 
+#include "Core/Common/logging.h"
 #include "Core/Config/all_settings.h"
 #include "Core/Config/ip_address.h"
 #include "Core/Declaration/table_reader.h"
@@ -47,7 +48,7 @@
   }
   void operator()(const AddressListSetting& field) {
     const std::vector<std::string> addresses =
-        this->reader.ReadTexts(this->key, Presence::kOptional);
+        this->reader.ReadTexts(this->key, Presence::kOptional, 1);
     const std::string path = this->reader.FieldPath(this->key);
     for (std::size_t i = 0; i < addresses.size(); ++i) {
       CheckAddress(addresses[i], path + "[" + std::to_string(i) + "]",
--- a/Source/Core/Declaration/fault_list.cc
+++ b/Source/Core/Declaration/fault_list.cc
@@ -1,6 +1,7 @@
 #include "Core/Declaration/fault_list.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace daisyroad {
 
@@ -35,8 +36,9 @@
                          const std::string& source) const {
   std::vector<Fault> ordered = this->faults;
   std::stable_sort(
-      ordered.begin(), ordered.end(),
-      [](const Fault& a, const Fault& b) { return a.line < b.line; });
+      ordered.begin(), ordered.end(), [](const Fault& a, const Fault& b) {
+        return std::tie(a.line, a.field) < std::tie(b.line, b.field);
+      });
   std::string detail;
   for (const Fault& fault : ordered) {
     detail += detail.empty() ? "" : "\n";
--- a/Source/Core/Declaration/fault_list.h
+++ b/Source/Core/Declaration/fault_list.h
@@ -20,7 +20,7 @@
   void AddAt(int line, const std::string& field, const std::string& problem);
 
   bool empty() const { return this->faults.empty(); }
-  // kInvalidArgument with one line for each fault, ordered by line:
+  // kInvalidArgument with one line for each fault, ordered by line and field:
   // "SOURCE:LINE: FIELD: PROBLEM". Line and field are left out if unknown.
   Error ToError(const std::string& step, const std::string& source) const;
 
--- a/Source/Core/Declaration/parse_declaration.cc
+++ b/Source/Core/Declaration/parse_declaration.cc
@@ -70,16 +70,16 @@
 }
 
 void ReadBudget(TableReader& reader, FaultList& faults, Service& service) {
-  const bool by_count = reader.Has("max_down");
-  const bool by_fraction = reader.Has("max_down_fraction");
-  if (by_count == by_fraction) {
-    faults.Add(reader.FieldPath("max_down"),
-               "exactly one of max_down and max_down_fraction is needed");
-  }
   MaxDownCount count;
   reader.ReadInt("max_down", Presence::kOptional, 0, kMaxWorkers, count.count);
   MaxDownFraction fraction;
   reader.ReadReal("max_down_fraction", 0, 1, fraction.fraction);
+  const bool by_fraction = reader.Has("max_down_fraction");
+  // After the reads, so that the line of max_down is known.
+  if (reader.Has("max_down") == by_fraction) {
+    faults.Add(reader.FieldPath("max_down"),
+               "exactly one of max_down and max_down_fraction is needed");
+  }
   service.budget =
       by_fraction ? AvailabilityBudget(fraction) : AvailabilityBudget(count);
 }
@@ -188,7 +188,7 @@
 Declaration ReadDeclaration(TableReader& root, FaultList& faults) {
   Declaration declaration;
   root.ReadName("site", declaration.site);
-  declaration.regions = root.ReadTexts("regions", Presence::kRequired);
+  declaration.regions = root.ReadTexts("regions", Presence::kRequired, 1);
   ReadItems(root, "zones", declaration.zones, ReadZone);
   ReadItems(root, "pools", declaration.pools, ReadPool);
   ReadItems(root, "services", declaration.services,
--- a/Source/Core/Declaration/table_reader.cc
+++ b/Source/Core/Declaration/table_reader.cc
@@ -201,7 +201,8 @@
 }
 
 std::vector<std::string> TableReader::ReadTexts(const std::string& key,
-                                                Presence presence) {
+                                                Presence presence,
+                                                std::size_t at_least) {
   std::vector<std::string> texts;
   const TomlValue* value = this->Take(key, presence);
   if (value == nullptr) {
@@ -212,6 +213,9 @@
     this->faults->Add(this->FieldPath(key), "must be a list of strings");
     return texts;
   }
+  if (items->size() < at_least) {
+    this->faults->Add(this->FieldPath(key), "must not be empty");
+  }
   for (std::size_t i = 0; i < items->size(); ++i) {
     const std::string field =
         this->FieldPath(key) + "[" + std::to_string(i) + "]";
--- a/Source/Core/Declaration/table_reader.h
+++ b/Source/Core/Declaration/table_reader.h
@@ -46,7 +46,9 @@
       const std::string& key,
       Presence presence,
       const std::vector<std::string>& choices);
-  std::vector<std::string> ReadTexts(const std::string& key, Presence presence);
+  std::vector<std::string> ReadTexts(const std::string& key,
+                                     Presence presence,
+                                     std::size_t at_least = 0);
   // Readers of the items of an array of tables.
   std::vector<TableReader> ReadTables(const std::string& key);
   std::optional<TableReader> ReadTable(const std::string& key,
