--- a/Source/Core/Control/authority_tracker.h
+++ b/Source/Core/Control/authority_tracker.h
@@ -34,7 +34,7 @@
 // Decides whether the version in force may still be acted on.
 class AuthorityTracker {
  public:
-  AuthorityTracker(EntryName self, ZoneName zone);
+  AuthorityTracker(EntryName name, ZoneName own_zone);
 
   // The replica has adopted `version`; lower versions are ignored.
   void OnVersionInForce(std::uint64_t version, const Roster& roster);
@@ -57,14 +57,10 @@
   PeerReport Report(MonotonicTime now) const;
 
  private:
-  struct Heard {
-    PeerReport report;
-    MonotonicTime at;  // when the request was sent
-  };
-
   void Confirm(std::uint64_t version, MonotonicTime at);
   std::optional<MonotonicTime> ConfirmedAt() const;
-  // Reason why the state is not kStoreOutage, or the deadline of that state.
+  void RecordSupport(const EntryName& peer, MonotonicTime at);
+  // Empty and the deadline if the state is kStoreOutage, else why it is not.
   std::string OutageObstacle(MonotonicTime now, MonotonicTime& deadline) const;
 
   EntryName self;
@@ -75,7 +71,11 @@
   std::map<std::uint64_t, MonotonicTime> confirmations;
   std::map<std::uint64_t, MonotonicTime> open_reads;
   bool reaches_store = true;
-  std::map<EntryName, Heard> heard;
+  // Latest time at which a peer reached the store, by its own reply.
+  std::map<EntryName, MonotonicTime> reaching;
+  // Latest time at which a member did not reach the store and knew no version
+  // above `version`. Stays true when `version` grows.
+  std::map<EntryName, MonotonicTime> supporting;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Control/control_document_builder.h
+++ b/Source/Core/Control/control_document_builder.h
@@ -24,8 +24,6 @@
   ControlDocument Build() const { return this->document; }
 
  private:
-  friend class ControlDocument;
-
   ControlDocument document;
 };
 
--- a/Source/Core/Control/peer_report.h
+++ b/Source/Core/Control/peer_report.h
@@ -2,6 +2,7 @@
 #define SOURCE_CORE_CONTROL_PEER_REPORT_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "Core/Common/identifiers.h"
@@ -19,6 +20,11 @@
   // Age of the confirmation of `version`; absent if never confirmed.
   std::optional<Duration> confirmation_age;
   bool reaches_store = true;
+  // Members, with the age of their report, that could not reach the store and
+  // knew no version above `version`. Sent only while the sender does not reach
+  // the store: with 2 peers every 500 ms an instance hears 12 others within
+  // kFreshness, so at 50 instances a majority can be heard through relays only.
+  std::map<EntryName, Duration> outage_support;
 };
 
 }  // namespace daisyroad
