--- /dev/null
+++ b/Source/Core/Shares/resources.cc
@@ -0,0 +1,51 @@
+#include "Core/Shares/resources.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace daisyroad {
+namespace {
+
+// Absorbs rounding when amounts are added and subtracted many times.
+constexpr double kTolerance = 1e-9;
+
+double Fraction(double part, double whole) {
+  return whole > 0.0 ? part / whole : 0.0;
+}
+
+bool IsAmount(double value) {
+  return std::isfinite(value) && value >= 0.0;
+}
+
+}  // namespace
+
+bool Resources::FitsIn(const Resources& room) const {
+  return this->cores <= room.cores + kTolerance &&
+         this->memory_gb <= room.memory_gb + kTolerance &&
+         this->accelerators <= room.accelerators + kTolerance &&
+         this->slots <= room.slots + kTolerance;
+}
+
+double Resources::DominantShare(const Resources& total) const {
+  return std::max({Fraction(this->cores, total.cores),
+                   Fraction(this->memory_gb, total.memory_gb),
+                   Fraction(this->accelerators, total.accelerators),
+                   Fraction(this->slots, total.slots)});
+}
+
+bool Resources::IsValid() const {
+  return IsAmount(this->cores) && IsAmount(this->memory_gb) &&
+         IsAmount(this->accelerators) && IsAmount(this->slots);
+}
+
+Resources operator+(const Resources& a, const Resources& b) {
+  return {a.cores + b.cores, a.memory_gb + b.memory_gb,
+          a.accelerators + b.accelerators, a.slots + b.slots};
+}
+
+Resources operator-(const Resources& a, const Resources& b) {
+  return {a.cores - b.cores, a.memory_gb - b.memory_gb,
+          a.accelerators - b.accelerators, a.slots - b.slots};
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Shares/resources.h
@@ -0,0 +1,25 @@
+#ifndef SOURCE_CORE_SHARES_RESOURCES_H_
+#define SOURCE_CORE_SHARES_RESOURCES_H_
+
+namespace daisyroad {
+
+// Amounts that a task takes or a worker offers.
+struct Resources {
+  double cores = 0.0;
+  double memory_gb = 0.0;
+  double accelerators = 0.0;
+  double slots = 0.0;
+
+  bool FitsIn(const Resources& room) const;
+  // Largest fraction of `total` over the resources; a resource of which `total`
+  // has none is ignored.
+  double DominantShare(const Resources& total) const;
+  bool IsValid() const;  // finite and not negative
+};
+
+Resources operator+(const Resources& a, const Resources& b);
+Resources operator-(const Resources& a, const Resources& b);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_SHARES_RESOURCES_H_
