--- a/Source/Core/Platform/http_worker_client.cc
+++ b/Source/Core/Platform/http_worker_client.cc
@@ -208,11 +208,13 @@
                                    const std::string& holder,
                                    const std::vector<TaskId>& tasks,
                                    Milliseconds lease,
+                                   WorkerClock renew_before,
                                    LeaseCallback callback) {
   Json::Value request;
   request["holder"] = holder;
   request["tasks"] = TaskList(tasks);
   request["lease_ms"] = Json::Int64(lease.count());
+  request["renew_before_ms"] = Json::Int64(renew_before.count());
   this->Exchange(
       "POST", address, "/v1/leases", WriteJson(request), this->timeout, false,
       "worker.leases",
--- a/Source/Core/Platform/http_worker_client.h
+++ b/Source/Core/Platform/http_worker_client.h
@@ -35,6 +35,7 @@
                    const std::string& holder,
                    const std::vector<TaskId>& tasks,
                    Milliseconds lease,
+                   WorkerClock renew_before,
                    LeaseCallback callback) override;
   void Status(const std::string& address,
               bool fresh_connection,
--- a/Source/Core/Platform/worker_client.h
+++ b/Source/Core/Platform/worker_client.h
@@ -48,6 +48,7 @@
                            const std::string& holder,
                            const std::vector<TaskId>& tasks,
                            Milliseconds lease,
+                           WorkerClock renew_before,
                            LeaseCallback callback) = 0;
   virtual void Status(const std::string& address,
                       bool fresh_connection,
--- a/Source/StandIns/Worker/worker_server.cc
+++ b/Source/StandIns/Worker/worker_server.cc
@@ -234,6 +234,7 @@
   const LeaseReply renewed =
       this->state.Renew(body["holder"].asString(), ReadTasks(body["tasks"]),
                         Milliseconds(body["lease_ms"].asInt64()),
+                        WorkerClock(body["renew_before_ms"].asInt64()),
                         std::chrono::steady_clock::now());
   Json::Value reply = this->Envelope();
   reply["lost"] = Json::Value(Json::arrayValue);
--- a/Source/StandIns/Worker/worker_state.cc
+++ b/Source/StandIns/Worker/worker_state.cc
@@ -132,6 +132,7 @@
 LeaseReply WorkerState::Renew(const std::string& holder,
                               const std::vector<TaskId>& ids,
                               Milliseconds lease,
+                              WorkerClock renew_before,
                               MonotonicTime now) {
   LeaseReply reply;
   reply.now = this->Clock(now);
@@ -144,8 +145,10 @@
       reply.lost.push_back(id);
       continue;
     }
-    found->second.holder = holder;
-    found->second.lease_until = now + lease;
+    if (reply.now <= renew_before) {
+      found->second.holder = holder;
+      found->second.lease_until = now + lease;
+    }
   }
   return reply;
 }
--- a/Source/StandIns/Worker/worker_state.h
+++ b/Source/StandIns/Worker/worker_state.h
@@ -54,6 +54,7 @@
   LeaseReply Renew(const std::string& holder,
                    const std::vector<TaskId>& tasks,
                    Milliseconds lease,
+                   WorkerClock renew_before,
                    MonotonicTime now);
   // False if there is no such running task.
   bool Stop(const TaskId& id, MonotonicTime now);
