--- a/Source/Core/Control/authority_tracker.cc
+++ b/Source/Core/Control/authority_tracker.cc
@@ -138,6 +138,22 @@
           version_text + " " + age + "; no common store outage: " + obstacle};
 }
 
+bool AuthorityTracker::ShouldReadStore(bool watches,
+                                       Duration since_last_read,
+                                       MonotonicTime now) const {
+  constexpr Milliseconds kInterval{1000};
+  // Leaves one interval for a read before the confirmation lapses.
+  constexpr Milliseconds kLateConfirmation = kFreshness - kInterval;
+  if (since_last_read < kInterval) {
+    return false;
+  }
+  if (watches || !this->supporting.empty()) {
+    return true;
+  }
+  const std::optional<MonotonicTime> at = this->ConfirmedAt();
+  return !at || now - *at > kLateConfirmation;
+}
+
 std::string AuthorityTracker::OutageObstacle(MonotonicTime now,
                                              MonotonicTime& deadline) const {
   if (this->reaches_store) {
--- a/Source/Core/Control/authority_tracker.h
+++ b/Source/Core/Control/authority_tracker.h
@@ -53,6 +53,13 @@
   void OnPeerReply(const PeerReport& report, MonotonicTime request_sent);
 
   Authority Assess(MonotonicTime now) const;
+  // Whether to read the head now, given the time since the last read was
+  // started. Watchers read once a second; the others rely on the confirmations
+  // of their peers and read only when these are missing or a peer has lost the
+  // store.
+  bool ShouldReadStore(bool watches,
+                       Duration since_last_read,
+                       MonotonicTime now) const;
   // What to tell peers.
   PeerReport Report(MonotonicTime now) const;
 
--- a/Source/Core/Control/change_acceptance.cc
+++ b/Source/Core/Control/change_acceptance.cc
@@ -38,6 +38,9 @@
   if (this->step == Step::kWaiting) {
     return this->WriteIfSettled(contacts, now);
   }
+  if (this->step != Step::kWritten && this->step != Step::kAccepted) {
+    return {};
+  }
   std::vector<ChangeAction> actions;
   this->Acknowledge(contacts, now, actions);
   return actions;
@@ -47,16 +50,38 @@
     const PeerContacts& contacts,
     MonotonicTime now) {
   const Roster& roster = this->base.roster();
-  if (!contacts.EveryZoneSettled(roster.members, now)) {
-    return {};
+  const std::set<ZoneName> unsettled =
+      contacts.UnsettledZones(roster.members, now);
+  if (!unsettled.empty()) {
+    std::set<EntryName> members;
+    for (const std::pair<const EntryName, RosterMember>& entry :
+         roster.members) {
+      if (unsettled.count(entry.second.zone) != 0) {
+        members.insert(entry.first);
+      }
+    }
+    return this->Ask(members, now);
   }
   if (ChangesRoster(this->requested.change) &&
       !ExcludesOutage(roster, contacts.InformedOf(this->base.version()))) {
-    return {};
+    return this->Ask(contacts.Behind(roster.members, this->base.version()),
+                     now);
   }
   return this->Write();
 }
 
+std::vector<ChangeAction> ChangeAcceptance::Ask(
+    const std::set<EntryName>& members,
+    MonotonicTime now) {
+  constexpr Milliseconds kInterval{250};
+  if (members.empty() ||
+      (this->asked_at && now - *this->asked_at < kInterval)) {
+    return {};
+  }
+  this->asked_at = now;
+  return {AskMembers{members}};
+}
+
 std::vector<ChangeAction> ChangeAcceptance::Write() {
   this->step = Step::kWriting;
   return {WriteVersion{this->base.version(), this->next.Head(),
@@ -142,9 +167,20 @@
     this->step = Step::kAccepted;
     actions.push_back(TellAccepted{this->written_version});
   }
-  if (this->step != Step::kAccepted) {
-    return;
+  if (this->step == Step::kAccepted) {
+    this->AcknowledgeZones(contacts, now, actions);
+  }
+  if (this->step != Step::kFinished) {
+    const std::vector<ChangeAction> ask =
+        this->Ask(contacts.Behind(roster.members, this->written_version), now);
+    actions.insert(actions.end(), ask.begin(), ask.end());
   }
+}
+
+void ChangeAcceptance::AcknowledgeZones(const PeerContacts& contacts,
+                                        MonotonicTime now,
+                                        std::vector<ChangeAction>& actions) {
+  const Roster& roster = this->next.roster();
   std::set<ZoneName> zones;
   for (const std::pair<const EntryName, RosterMember>& member :
        roster.members) {
--- a/Source/Core/Control/change_acceptance.h
+++ b/Source/Core/Control/change_acceptance.h
@@ -38,7 +38,8 @@
   std::vector<ChangeAction> Start(const ControlDocument& current,
                                   const PeerContacts& contacts,
                                   MonotonicTime now);
-  // Call every 100 ms or so and after peer replies.
+  // Call every 100 ms or so and after peer replies. Drop the object when
+  // finished, or after a minute or so if a zone does not acknowledge.
   std::vector<ChangeAction> OnTick(const PeerContacts& contacts,
                                    MonotonicTime now);
   std::vector<ChangeAction> OnWriteAnswered(WriteAnswer answer,
@@ -72,12 +73,18 @@
   std::vector<ChangeAction> WriteIfSettled(const PeerContacts& contacts,
                                            MonotonicTime now);
   std::vector<ChangeAction> Write();
+  // AskMembers, unless they were asked a short time ago.
+  std::vector<ChangeAction> Ask(const std::set<EntryName>& members,
+                                MonotonicTime now);
   std::vector<ChangeAction> Written(std::uint64_t version,
                                     const PeerContacts& contacts,
                                     MonotonicTime now);
   void Acknowledge(const PeerContacts& contacts,
                    MonotonicTime now,
                    std::vector<ChangeAction>& actions);
+  void AcknowledgeZones(const PeerContacts& contacts,
+                        MonotonicTime now,
+                        std::vector<ChangeAction>& actions);
   std::vector<ChangeAction> Lose(const ControlHead& head);
   std::vector<ChangeAction> Refuse(Error error);
 
@@ -88,6 +95,7 @@
   std::uint64_t written_version = 0;
   std::uint64_t catch_up_version = 0;
   std::set<ZoneName> acknowledged;
+  std::optional<MonotonicTime> asked_at;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Control/change_action.h
+++ b/Source/Core/Control/change_action.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -26,6 +27,13 @@
 // after a pause.
 struct ReadHeadBack {};
 
+// Send a request to each of these members and pass the replies to
+// PeerContacts, besides the usual gossip. An instance hears 12 random others in
+// 3 s by gossip, which at 50 instances is too few to accept a change.
+struct AskMembers {
+  std::set<EntryName> members;
+};
+
 // Bring the replica to this version, then call OnDocument.
 struct CatchUp {
   std::uint64_t version = 0;
@@ -62,6 +70,7 @@
 
 using ChangeAction = std::variant<WriteVersion,
                                   ReadHeadBack,
+                                  AskMembers,
                                   CatchUp,
                                   TellWritten,
                                   TellAccepted,
--- a/Source/Core/Control/peer_contacts.cc
+++ b/Source/Core/Control/peer_contacts.cc
@@ -52,6 +52,13 @@
     if (entry.second.zone != zone) {
       continue;
     }
+    if (entry.first == this->own_name) {
+      if (this->own_version < version) {
+        return false;
+      }
+      any = true;
+      continue;
+    }
     const auto contact = this->contacts.find(entry.first);
     if (contact == this->contacts.end() ||
         now - contact->second.at > kFreshness) {
@@ -65,21 +72,37 @@
   return any;
 }
 
-bool PeerContacts::EveryZoneSettled(const RosterMembers& members,
-                                    MonotonicTime now) const {
-  std::set<ZoneName> others;
+std::set<ZoneName> PeerContacts::UnsettledZones(const RosterMembers& members,
+                                                MonotonicTime now) const {
+  std::set<ZoneName> unsettled;
+  for (const std::pair<const EntryName, RosterMember>& entry : members) {
+    const ZoneName& zone = entry.second.zone;
+    if (zone == this->own_zone) {
+      continue;
+    }
+    const auto found = this->zones.find(zone);
+    const bool heard = found != this->zones.end();
+    const Duration age = now - (heard ? found->second : this->started);
+    if (age < kSilence && (!heard || age > kContact)) {
+      unsettled.insert(zone);
+    }
+  }
+  return unsettled;
+}
+
+std::set<EntryName> PeerContacts::Behind(const RosterMembers& members,
+                                         std::uint64_t version) const {
+  std::set<EntryName> behind;
   for (const std::pair<const EntryName, RosterMember>& entry : members) {
-    if (entry.second.zone != this->own_zone) {
-      others.insert(entry.second.zone);
+    const auto contact = this->contacts.find(entry.first);
+    const bool has =
+        contact != this->contacts.end() && contact->second.version >= version;
+    if (!has && entry.first != this->own_name &&
+        this->ended.count(entry.first) == 0) {
+      behind.insert(entry.first);
     }
   }
-  return std::all_of(
-      others.begin(), others.end(), [this, now](const ZoneName& zone) {
-        const auto found = this->zones.find(zone);
-        const bool heard = found != this->zones.end();
-        const Duration age = now - (heard ? found->second : this->started);
-        return (heard && age <= kContact) || age >= kSilence;
-      });
+  return behind;
 }
 
 }  // namespace daisyroad
--- a/Source/Core/Control/peer_contacts.h
+++ b/Source/Core/Control/peer_contacts.h
@@ -18,6 +18,7 @@
   PeerContacts(EntryName self, ZoneName zone, MonotonicTime start);
 
   void OnPeerReply(const PeerReport& report, MonotonicTime request_sent);
+  void OnOwnVersion(std::uint64_t version) { this->own_version = version; }
   // The instance is known to have ended, for example because the instance list
   // no longer names it. It can support no outage and is not waited for. Calling
   // this for an instance that still runs breaks the freshness bound.
@@ -25,15 +26,20 @@
 
   // Members that know `version` or have ended, and this instance.
   std::set<EntryName> InformedOf(std::uint64_t version) const;
-  // Every member of the zone that has replied within kFreshness has `version`
-  // or a later one in force, and at least one has.
+  // Every member of the zone that has replied within kFreshness, and this
+  // instance, has `version` or a later one in force, and at least one has.
   bool InForce(const RosterMembers& members,
                const ZoneName& zone,
                std::uint64_t version,
                MonotonicTime now) const;
   // The condition before a write: every zone of `members` but the own one has
   // replied within the last second or been silent for kFreshness + 1 s.
-  bool EveryZoneSettled(const RosterMembers& members, MonotonicTime now) const;
+  // Returns the zones that are neither.
+  std::set<ZoneName> UnsettledZones(const RosterMembers& members,
+                                    MonotonicTime now) const;
+  // Members that are not known to have the version in force.
+  std::set<EntryName> Behind(const RosterMembers& members,
+                             std::uint64_t version) const;
 
   const EntryName& self() const { return this->own_name; }
   const ZoneName& zone() const { return this->own_zone; }
@@ -48,6 +54,7 @@
   EntryName own_name;
   ZoneName own_zone;
   MonotonicTime started;
+  std::uint64_t own_version = 0;
   std::map<EntryName, Contact> contacts;
   std::map<ZoneName, MonotonicTime> zones;
   std::set<EntryName> ended;
--- /dev/null
+++ b/Source/UnitTests/Control/control_schedule_test.cc
@@ -0,0 +1,277 @@
+// Property tests of configuration and authority over random schedules.
+//
+// DAISYROAD_SCHEDULES=N runs N seeds instead of the fixed small set, starting
+// at DAISYROAD_FIRST_SEED (1 if unset), so that a long run can be spread over
+// several processes.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <string>
+
+#include "UnitTests/Control/control_simulation.h"
+
+namespace daisyroad {
+namespace {
+
+using std::chrono::seconds;
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+// Draws faults and changes for one simulation.
+class Schedule {
+ public:
+  explicit Schedule(std::uint64_t seed)
+      : random(seed),
+        zones(2 + this->random.Below(3)),
+        simulation(seed, this->zones, 1 + this->random.Below(3)) {
+    this->simulation.links.loss = this->random.Chance(0.5) ? 0.05 : 0.0;
+    this->simulation.links.slow = this->random.Chance(0.5) ? 0.1 : 0.0;
+    this->simulation.lost_answers = this->random.Chance(0.5) ? 0.2 : 0.0;
+    this->simulation.stale_watches = this->random.Chance(0.5) ? 0.5 : 0.0;
+  }
+
+  std::vector<std::string> Run() {
+    const std::uint64_t faults = this->random.Below(7);
+    for (std::uint64_t i = 0; i < faults; ++i) {
+      this->AddFault();
+    }
+    if (this->random.Chance(0.5)) {
+      this->AddLonelyWriter();
+    }
+    const std::uint64_t changes = 1 + this->random.Below(6);
+    for (std::uint64_t i = 0; i < changes; ++i) {
+      this->AddChange(this->Time(), this->Node());
+    }
+    this->simulation.RunUntil(kLength);
+    this->simulation.Finish();
+    return this->simulation.violations;
+  }
+
+ private:
+  static constexpr seconds kLength{20};
+
+  Duration Time() {
+    return seconds(1) + this->random.DurationBelow(kLength - seconds(4));
+  }
+  std::size_t Node() { return this->random.Below(this->simulation.size()); }
+
+  std::set<std::size_t> Subset(double share) {
+    std::set<std::size_t> nodes;
+    for (std::size_t i = 0; i < this->simulation.size(); ++i) {
+      if (this->random.Chance(share)) {
+        nodes.insert(i);
+      }
+    }
+    return nodes;
+  }
+
+  std::set<std::size_t> Zone(std::size_t zone) {
+    std::set<std::size_t> nodes;
+    for (std::size_t i = 0; i < this->simulation.size(); ++i) {
+      if (this->simulation.ZoneOf(i) == zone) {
+        nodes.insert(i);
+      }
+    }
+    return nodes;
+  }
+
+  std::set<std::size_t> Others(const std::set<std::size_t>& nodes) {
+    std::set<std::size_t> others;
+    for (std::size_t i = 0; i < this->simulation.size(); ++i) {
+      if (nodes.count(i) == 0) {
+        others.insert(i);
+      }
+    }
+    return others;
+  }
+
+  void Between(Duration from, Duration to, std::function<void(int)> apply) {
+    this->simulation.At(from, [apply] { apply(1); });
+    this->simulation.At(to, [apply] { apply(-1); });
+  }
+
+  void CutLinks(Duration from,
+                Duration to,
+                const std::set<std::size_t>& side,
+                bool both_ways) {
+    const std::set<std::size_t> rest = this->Others(side);
+    this->Between(from, to, [this, side, rest, both_ways](int change) {
+      this->simulation.links.Cut(side, rest, change);
+      if (both_ways) {
+        this->simulation.links.Cut(rest, side, change);
+      }
+    });
+  }
+
+  void CutStore(Duration from,
+                Duration to,
+                const std::set<std::size_t>& from_nodes) {
+    this->Between(from, to, [this, from_nodes](int change) {
+      for (const std::size_t node : from_nodes) {
+        this->simulation.store_cuts[node] += change;
+      }
+    });
+  }
+
+  void AddFault() {
+    const Duration from = this->Time();
+    const Duration to = from + this->random.DurationBelow(seconds(12));
+    const std::size_t node = this->Node();
+    switch (this->random.Below(8)) {
+      case 0:
+        return this->CutLinks(from, to, this->Zone(this->random.Below(zones)),
+                              true);
+      case 1:
+        return this->CutLinks(from, to, this->Zone(this->random.Below(zones)),
+                              false);
+      case 2:
+        return this->CutLinks(from, to, {node}, this->random.Chance(0.5));
+      case 3:
+        return this->CutLinks(from, to, this->Subset(0.5), true);
+      case 4:
+        return this->CutStore(from, to, this->Subset(1.0));
+      case 5:
+        return this->CutStore(from, to, this->Subset(0.7));
+      case 6:
+        return this->simulation.At(from, [this, node, to, from] {
+          simulation.Pause(node, to - from);
+        });
+      default:
+        return this->simulation.At(
+            from, [this, node] { simulation.Kill(node, seconds(2)); });
+    }
+  }
+
+  // The store is down for all; it returns for one instance only, which takes a
+  // change and is then cut off, at once or after others have heard of it.
+  void AddLonelyWriter() {
+    const std::size_t writer = this->Node();
+    const Duration down = seconds(1) + this->random.DurationBelow(seconds(4));
+    const Duration back = down + this->random.DurationBelow(seconds(6));
+    this->CutStore(down, kLength, this->Others({writer}));
+    this->CutStore(down, back, {writer});
+    this->AddChange(back + this->random.DurationBelow(seconds(1)), writer);
+    if (this->random.Chance(0.5)) {
+      this->AddChange(back + this->random.DurationBelow(seconds(3)), writer);
+    }
+    this->CutLinks(back + this->random.DurationBelow(seconds(3)), kLength,
+                   {writer}, this->random.Chance(0.7));
+  }
+
+  void AddChange(Duration time, std::size_t node) {
+    const ChangeId id("c" + std::to_string(this->next_change++));
+    const std::size_t other = this->Node();
+    const EntryName name = this->simulation.NameOf(other);
+    const ZoneName zone =
+        this->simulation.NameOfZone(this->simulation.ZoneOf(other));
+    ControlChange change;
+    switch (this->random.Below(6)) {
+      case 0:
+        change = TakeZoneOut{zone};
+        break;
+      case 1:
+        change = TakeZoneIn{zone};
+        break;
+      case 2:
+        change = GiveKey{{KeyId(id.str()), OperatorKey{"eva"}, {}, false}};
+        break;
+      case 3:
+        change = RosterLeave{name};
+        break;
+      case 4:
+        change = RosterJoin{{name, zone, ""}};
+        break;
+      default:
+        change = ApplyDeclaration{id.str()};
+        break;
+    }
+    this->simulation.At(time, [this, node, id, change] {
+      simulation.Propose(node, id, change);
+    });
+  }
+
+  Random random;
+  std::size_t zones;
+  ControlSimulation simulation;
+  int next_change = 0;
+};
+
+// Guards against a version that goes back, work under an old version after the
+// bound, a change written twice, and a wrong answer to an operator.
+TEST_CASE("No schedule breaks the configuration invariants") {
+  const std::uint64_t first = FromEnvironment("DAISYROAD_FIRST_SEED", 1);
+  const std::uint64_t count = FromEnvironment("DAISYROAD_SCHEDULES", 300);
+  std::uint64_t failed = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    const std::vector<std::string> violations = Schedule(seed).Run();
+    if (!violations.empty()) {
+      ++failed;
+      if (failed <= 5) {
+        UNSCOPED_INFO("seed " << seed << ": " << violations.front());
+      }
+    }
+  }
+  UNSCOPED_INFO(failed << " of " << count << " seeds");
+  CHECK(failed == 0);
+}
+
+// Guards against work that stops because all instances have lost the store,
+// also when an instance ends during the outage.
+TEST_CASE("A store outage for all costs no work after the first seconds") {
+  const std::uint64_t seed = GENERATE(range(1, 21));
+  ControlSimulation simulation(seed, 3, 3);
+  simulation.RunUntil(seconds(5));
+  simulation.store_up = false;
+  simulation.At(seconds(15), [&] { simulation.Kill(0, seconds(100)); });
+  for (int tenth = 100; tenth < 600; ++tenth) {
+    simulation.RunUntil(Milliseconds(100 * tenth));
+    for (std::size_t node = 1; node < simulation.size(); ++node) {
+      const Authority authority = simulation.AuthorityOf(node);
+      INFO("seed " << seed << " at " << tenth << ": " << authority.reason);
+      REQUIRE(authority.state == AuthorityState::kStoreOutage);
+    }
+  }
+}
+
+// Guards against configuration that is late where links are healthy, and
+// against waits that never end.
+TEST_CASE("A change is in force everywhere within 5 s") {
+  const std::uint64_t seed = GENERATE(range(1, 21));
+  ControlSimulation simulation(seed, 4, 1 + seed % 3);
+  simulation.RunUntil(seconds(3));
+  simulation.Propose(seed % simulation.size(), ChangeId("a"),
+                     TakeZoneOut{ZoneName("z1")});
+  simulation.Propose((seed + 1) % simulation.size(), ChangeId("b"),
+                     RosterLeave{EntryName("i0")});
+  simulation.RunUntil(seconds(8));
+  for (std::size_t node = 0; node < simulation.size(); ++node) {
+    CHECK(simulation.DocumentOf(node).version() == 3);
+  }
+  for (const auto& [id, outcome] : simulation.outcomes) {
+    INFO("seed " << seed << " change " << id);
+    CHECK(outcome.in_force >= outcome.proposed);
+  }
+}
+
+// Guards against a cut-off zone that goes on under an old version, and against
+// a zone cut that stops the others.
+TEST_CASE("A cut-off zone isolates itself and the others accept changes") {
+  ControlSimulation simulation(1, 3, 2);
+  simulation.RunUntil(seconds(3));
+  simulation.links.Cut({0, 1}, {2, 3, 4, 5}, 1);
+  simulation.links.Cut({2, 3, 4, 5}, {0, 1}, 1);
+  simulation.store_cuts[0] = 1;
+  simulation.store_cuts[1] = 1;
+  simulation.Propose(2, ChangeId("a"), TakeZoneOut{ZoneName("z0")});
+  simulation.RunUntil(seconds(9));
+  CHECK(simulation.AuthorityOf(0).state == AuthorityState::kIsolated);
+  CHECK(simulation.AuthorityOf(4).state == AuthorityState::kConfirmed);
+  CHECK(simulation.outcomes[ChangeId("a")].accepted >= seconds(3));
+}
+
+}  // namespace
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/UnitTests/Control/event_queue.h
@@ -0,0 +1,56 @@
+#ifndef SOURCE_UNITTESTS_CONTROL_EVENT_QUEUE_H_
+#define SOURCE_UNITTESTS_CONTROL_EVENT_QUEUE_H_
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "Core/Common/time.h"
+
+namespace daisyroad {
+
+// Runs actions in order of their virtual time; equal times in order of
+// scheduling.
+class EventQueue {
+ public:
+  MonotonicTime now() const { return this->clock; }
+
+  void At(MonotonicTime time, std::function<void()> action) {
+    this->events.push({time, this->next++, std::move(action)});
+  }
+  void After(Duration delay, std::function<void()> action) {
+    this->At(this->clock + delay, std::move(action));
+  }
+
+  void RunUntil(MonotonicTime end) {
+    while (!this->events.empty() && this->events.top().time <= end) {
+      const Event event = this->events.top();
+      this->events.pop();
+      this->clock = event.time;
+      event.action();
+    }
+    this->clock = end;
+  }
+
+ private:
+  struct Event {
+    MonotonicTime time;
+    std::uint64_t sequence;
+    std::function<void()> action;
+
+    bool operator<(const Event& other) const {
+      return this->time != other.time ? this->time > other.time
+                                      : this->sequence > other.sequence;
+    }
+  };
+
+  MonotonicTime clock{std::chrono::hours(1)};
+  std::uint64_t next = 0;
+  std::priority_queue<Event> events;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_UNITTESTS_CONTROL_EVENT_QUEUE_H_
