--- /dev/null
+++ b/Source/Core/Entry/cell_dispatcher.h
@@ -0,0 +1,132 @@
+#ifndef SOURCE_CORE_ENTRY_CELL_DISPATCHER_H_
+#define SOURCE_CORE_ENTRY_CELL_DISPATCHER_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Common/result.h"
+#include "Core/Common/time.h"
+#include "Core/Declaration/pool.h"
+#include "Core/Entry/dispatch_messages.h"
+#include "Core/Entry/worker_directory.h"
+#include "Core/Platform/worker_messages.h"
+#include "Core/Shares/fair_queue.h"
+
+namespace daisyroad {
+
+struct EntryContext;
+
+// Starts the tasks of one cell (the workers of one pool in one zone) and
+// follows them to their end.
+class CellDispatcher {
+ public:
+  // What the cell asks of the rest of the instance.
+  struct Hooks {
+    // Latest time to start work of the queue in the cell's zone; empty if it
+    // may not start now.
+    std::function<std::optional<MonotonicTime>(const QueueName& queue,
+                                               const ZoneName& zone)>
+        start_deadline;
+    // Takes one running task of the team's upper limit; false if none is left.
+    std::function<bool(const TeamName& team)> take_limit;
+    std::function<void(const TeamName& team)> return_limit;
+    std::function<void(const EntryName& registrar,
+                       const DispatchUpdate& update)>
+        update;
+  };
+
+  CellDispatcher(EntryContext* context,
+                 WorkerDirectory* directory,
+                 PoolName pool,
+                 ZoneName zone,
+                 Hooks hooks);
+
+  void SetPool(const Pool& declared);
+  void SetWeight(const TeamName& team, double weight);
+  // A known task is renewed, not queued again. Errors: see FairQueue::Enqueue.
+  Status Enqueue(const DispatchRequest& request);
+  // Follows a task that already runs at the worker.
+  void Adopt(const DispatchRequest& request, const WorkerName& worker);
+  // False if the task is not known here.
+  bool Renew(const TaskId& task, Milliseconds valid_until);
+  void Cancel(const TaskId& task);
+  std::optional<DispatchState> StateOf(const TaskId& task) const;
+
+  // Tasks whose leases this instance renews at the worker.
+  std::vector<TaskId> RunningOn(const WorkerName& worker) const;
+  void OnReport(const WorkerName& worker, const TaskReport& report);
+  void OnLeasesRenewed(const WorkerName& worker,
+                       const LeaseReply& reply,
+                       MonotonicTime sent);
+  void OnWorkerChanged(const WorkerName& worker);
+  void Tick();
+
+  bool idle() const { return this->tasks.empty(); }
+  std::size_t waiting() const { return this->queue.waiting_count(); }
+  std::size_t running() const { return this->tasks.size() - this->waiting(); }
+  // Running tasks by team.
+  std::map<TeamName, std::size_t> RunningByTeam() const;
+  std::map<TeamName, std::size_t> WaitingByTeam() const;
+  Duration EstimatedWait(const TeamName& team, TaskClass task_class) const;
+  const PoolName& pool() const { return this->pool_name; }
+  const ZoneName& zone() const { return this->zone_name; }
+
+ private:
+  enum class Phase { kQueued, kStarting, kInquiring, kRunning };
+  struct Task {
+    DispatchRequest request;
+    Phase phase = Phase::kQueued;
+    MonotonicTime valid_until;
+    MonotonicTime latest_start;
+    WorkerName worker;
+    std::string incarnation;
+    WorkerClock start_before{0};
+    MonotonicTime sent_at;          // of the start
+    MonotonicTime lease_confirmed;  // sending time of the last renewal
+    bool cancelled = false;
+    bool holds_limit = false;
+  };
+
+  void Pump();
+  bool StartOn(const WorkerInfo& worker);
+  bool Begin(const FairTask& next, const WorkerInfo& worker);
+  void OnStartReply(const TaskId& id,
+                    const WorkerName& worker,
+                    const Result<StartReply>& reply);
+  void Inquire(const TaskId& id);
+  void OnFate(const TaskId& id, const Result<TaskReport>& report);
+  void OnRunning(Task* task);
+  void PutBack(Task* task, const std::string& why);
+  void WorkerLost(Task* task, const std::string& why);
+  void End(const TaskId& id, DispatchState state, const std::string& reason);
+  void EndWithReport(const TaskId& id, const TaskReport& report);
+  void ReleaseLimit(Task* task);
+  void DropExpired();
+  void CheckLeases();
+  void Reclaim();
+  Resources FreeOn(const WorkerInfo& worker) const;
+  std::vector<const WorkerInfo*> Candidates() const;
+  void UpdateCapacity();
+  void LogStart(const Task& task, const std::string& outcome) const;
+
+  EntryContext* context;
+  WorkerDirectory* directory;
+  PoolName pool_name;
+  ZoneName zone_name;
+  Hooks hooks;
+  Pool declared;
+  FairQueue queue;
+  std::map<TaskId, Task> tasks;
+  // Workers that refused a start as full, until their next report.
+  std::set<WorkerName> full;
+  bool pumping = false;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_ENTRY_CELL_DISPATCHER_H_
--- /dev/null
+++ b/Source/Core/Entry/dispatch_messages.h
@@ -0,0 +1,69 @@
+#ifndef SOURCE_CORE_ENTRY_DISPATCH_MESSAGES_H_
+#define SOURCE_CORE_ENTRY_DISPATCH_MESSAGES_H_
+
+#include <json/value.h>
+
+#include <string>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Common/result.h"
+#include "Core/Common/time.h"
+#include "Core/Platform/worker_messages.h"
+#include "Core/Shares/resources.h"
+
+namespace daisyroad {
+
+// A task handed by its registrar to the dispatcher of a cell.
+struct DispatchRequest {
+  TaskId task;
+  EntryName registrar;
+  TeamName team;
+  QueueName queue;
+  PoolName pool;
+  ZoneName zone;
+  std::string payload;
+  std::string checkpoint;
+  bool urgent = false;
+  bool idempotent = false;
+  Resources size;
+  Milliseconds start_within{0};  // remaining time to the latest start
+  // Time on the dispatcher's clock after which the task must not start unless
+  // the registrar has renewed it. A dispatcher that is cut off from the
+  // registrar therefore starts nothing that the registrar has given up.
+  Milliseconds valid_until{0};
+
+  Json::Value ToJson() const;
+  static Result<DispatchRequest> FromJson(const Json::Value& value);
+};
+
+enum class DispatchState {
+  kQueued,
+  kStarting,
+  kRunning,
+  kDone,
+  kFailed,
+  kNotRun,   // ended without a start; `reason` says why
+  kStopped,  // started and did not finish
+  kUnknown,  // the fate could not be learnt
+};
+
+// What the dispatcher tells the registrar about a task.
+struct DispatchUpdate {
+  TaskId task;
+  DispatchState state = DispatchState::kQueued;
+  WorkerName worker;
+  ZoneName zone;
+  std::string answer;
+  std::string digest;
+  std::string reason;
+
+  Json::Value ToJson() const;
+  static Result<DispatchUpdate> FromJson(const Json::Value& value);
+};
+
+const char* DispatchStateName(DispatchState state);
+bool IsFinal(DispatchState state);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_ENTRY_DISPATCH_MESSAGES_H_
--- /dev/null
+++ b/Source/Core/Entry/dispatch_service.cc
@@ -0,0 +1,449 @@
+#include "Core/Entry/dispatch_service.h"
+
+#include <algorithm>
+
+#include "Core/Common/hash.h"
+#include "Core/Common/logging.h"
+#include "Core/Entry/control_service.h"
+#include "Core/Entry/entry_context.h"
+#include "Core/Entry/peer_service.h"
+#include "Core/Entry/worker_directory.h"
+#include "Core/Platform/worker_client.h"
+#include "Core/Transport/event_loop.h"
+#include "Core/Transport/rpc_client.h"
+#include "Core/Transport/rpc_protocol.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr Milliseconds kTick{50};
+constexpr Milliseconds kLeasePeriod{1000};
+constexpr Milliseconds kRpcTimeout{1000};
+constexpr Milliseconds kUpdatePause{200};
+constexpr int kUpdateAttempts = 50;
+// Time for which a registrar's renewal keeps a queued task startable.
+constexpr Milliseconds kTaskValidity{3000};
+constexpr int kRefusedCode = -32010;
+
+std::vector<std::string> Names(const std::vector<EntryName>& entries) {
+  std::vector<std::string> names;
+  for (const EntryName& entry : entries) {
+    names.push_back(entry.str());
+  }
+  return names;
+}
+
+// A refusal crosses the RPC as "CODE TEXT".
+std::string EncodeRefusal(const Error& error) {
+  return std::to_string(error.code.value()) + " " + error.ToString();
+}
+
+Error DecodeRefusal(const Error& error) {
+  // The RPC library puts its own text before ": ".
+  const std::size_t colon = error.detail.find(": ");
+  const std::string text = colon == std::string::npos
+                               ? error.detail
+                               : error.detail.substr(colon + 2);
+  const int code = std::atoi(text.c_str());
+  if (error.code != Errc::kInternal || code <= 0) {
+    return error;
+  }
+  const std::size_t space = text.find(' ');
+  return Error{static_cast<Errc>(code), error.step, error.peer,
+               text.substr(space + 1)};
+}
+
+}  // namespace
+
+DispatchService::DispatchService(EntryContext* context,
+                                 PeerService* peers,
+                                 ControlService* control,
+                                 WorkerDirectory* directory)
+    : context(context), peers(peers), control(control), directory(directory) {}
+
+void DispatchService::Start(UpdateHandler update_handler) {
+  this->handler = std::move(update_handler);
+  this->control->AddListener([this]() { this->ConfigureAll(); });
+  this->directory->AddListener([this](const WorkerName& worker) {
+    for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>&
+             entry : this->dispatchers) {
+      entry.second->OnWorkerChanged(worker);
+    }
+  });
+  this->context->loop->Every(kTick, [this]() { this->Tick(); });
+  this->context->loop->Every(kLeasePeriod, [this]() { this->FollowWorkers(); });
+}
+
+EntryName DispatchService::OwnerOf(const PoolName& pool,
+                                   const ZoneName& zone) const {
+  std::vector<EntryName> candidates = this->peers->LiveIn(zone);
+  if (candidates.empty()) {
+    candidates = this->peers->LiveNames();
+  }
+  return candidates[RendezvousIndex(pool.str() + "/" + zone.str(),
+                                    Names(candidates))];
+}
+
+void DispatchService::Send(const EntryName& owner,
+                           DispatchRequest request,
+                           const std::optional<WorkerName>& running_on,
+                           StatusCallback callback) {
+  if (owner == this->context->self) {
+    request.valid_until = PeerService::Clock() + kTaskValidity;
+    callback(this->EnqueueHere(request, running_on));
+    return;
+  }
+  const std::optional<PeerService::Peer> peer = this->peers->Find(owner);
+  if (!peer) {
+    callback(Error{Errc::kUnavailable, "dispatch.enqueue", owner.str(),
+                   "the dispatcher is not known"});
+    return;
+  }
+  // The peer's clock now is at least its last sample plus the time since its
+  // reply came.
+  request.valid_until =
+      peer->clock +
+      std::chrono::duration_cast<Milliseconds>(Now() - peer->replied_at) +
+      kTaskValidity;
+  Json::Value params = request.ToJson();
+  if (running_on) {
+    params["running_on"] = running_on->str();
+  }
+  this->context->rpc->Call(
+      peer->address, "dispatch.enqueue", params, kRpcTimeout,
+      [callback = std::move(callback)](const Result<Json::Value>& reply) {
+        callback(reply.ok() ? OkStatus()
+                            : Status(DecodeRefusal(reply.error())));
+      });
+}
+
+void DispatchService::Renew(const EntryName& owner,
+                            const std::vector<TaskId>& tasks,
+                            StatesCallback callback) {
+  const std::optional<PeerService::Peer> peer = this->peers->Find(owner);
+  if (owner != this->context->self && !peer) {
+    callback(Error{Errc::kUnavailable, "dispatch.renew", owner.str(),
+                   "the dispatcher is not known"});
+    return;
+  }
+  Json::Value params;
+  params["tasks"] = Json::Value(Json::arrayValue);
+  for (const TaskId& task : tasks) {
+    params["tasks"].append(task.str());
+  }
+  const StatesCallback consume = std::move(callback);
+  const std::function<void(const Result<Json::Value>&)> read =
+      [tasks, consume](const Result<Json::Value>& reply) {
+        if (!reply.ok()) {
+          consume(reply.error());
+          return;
+        }
+        std::map<TaskId, std::optional<DispatchState>> states;
+        for (const TaskId& task : tasks) {
+          const Json::Value& state = reply.value()["states"][task.str()];
+          states[task] = state.isInt()
+                             ? std::optional<DispatchState>(
+                                   static_cast<DispatchState>(state.asInt()))
+                             : std::nullopt;
+        }
+        consume(states);
+      };
+  if (owner == this->context->self) {
+    params["valid_until_ms"] =
+        Json::Int64((PeerService::Clock() + kTaskValidity).count());
+    read(this->ServeRenew(params));
+    return;
+  }
+  params["valid_until_ms"] = Json::Int64(
+      (peer->clock +
+       std::chrono::duration_cast<Milliseconds>(Now() - peer->replied_at) +
+       kTaskValidity)
+          .count());
+  this->context->rpc->Call(peer->address, "dispatch.renew", params, kRpcTimeout,
+                           read);
+}
+
+void DispatchService::Cancel(const EntryName& owner, const TaskId& task) {
+  Json::Value params;
+  params["task"] = task.str();
+  if (owner == this->context->self) {
+    this->ServeCancel(params);
+    return;
+  }
+  const std::optional<std::string> address = this->peers->AddressOf(owner);
+  if (address) {
+    this->context->rpc->Call(*address, "dispatch.cancel", params, kRpcTimeout,
+                             [](const Result<Json::Value>&) {});
+  }
+}
+
+Json::Value DispatchService::ServeEnqueue(const Json::Value& params) {
+  const Result<DispatchRequest> request = DispatchRequest::FromJson(params);
+  if (!request.ok()) {
+    throw RpcFailure{kRefusedCode, EncodeRefusal(request.error())};
+  }
+  std::optional<WorkerName> running_on;
+  if (params["running_on"].isString()) {
+    running_on = WorkerName(params["running_on"].asString());
+  }
+  const Status accepted = this->EnqueueHere(request.value(), running_on);
+  if (!accepted.ok()) {
+    throw RpcFailure{kRefusedCode, EncodeRefusal(accepted.error())};
+  }
+  return Json::Value(Json::objectValue);
+}
+
+Json::Value DispatchService::ServeRenew(const Json::Value& params) {
+  const Milliseconds valid_until(params["valid_until_ms"].asInt64());
+  Json::Value states(Json::objectValue);
+  for (const Json::Value& item : params["tasks"]) {
+    const TaskId task(item.asString());
+    for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>&
+             entry : this->dispatchers) {
+      const std::optional<DispatchState> state = entry.second->StateOf(task);
+      if (state) {
+        entry.second->Renew(task, valid_until);
+        states[task.str()] = static_cast<int>(*state);
+        break;
+      }
+    }
+  }
+  Json::Value result;
+  result["states"] = states;
+  return result;
+}
+
+Json::Value DispatchService::ServeCancel(const Json::Value& params) {
+  const TaskId task(params["task"].asString());
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    entry.second->Cancel(task);
+  }
+  return Json::Value(Json::objectValue);
+}
+
+std::optional<MonotonicTime> DispatchService::StartDeadline(
+    const QueueName& queue,
+    const ZoneName& zone) const {
+  if (this->stopping ||
+      this->control->document().zones_out().count(zone) != 0) {
+    return std::nullopt;
+  }
+  const Authority authority = this->control->Assess();
+  if (authority.MayStart()) {
+    return authority.deadline;
+  }
+  const TaskQueue* declared = this->control->declaration().FindQueue(queue);
+  if (declared != nullptr && declared->when_isolated == WhenIsolated::kServe) {
+    return Now() + kFreshness;
+  }
+  return std::nullopt;
+}
+
+std::size_t DispatchService::Running(const TeamName& team) const {
+  std::size_t count = 0;
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    const std::map<TeamName, std::size_t> running =
+        entry.second->RunningByTeam();
+    const auto found = running.find(team);
+    count += found == running.end() ? 0 : found->second;
+  }
+  return count;
+}
+
+CellDispatcher* DispatchService::Cell(const PoolName& pool,
+                                      const ZoneName& zone) {
+  std::unique_ptr<CellDispatcher>& cell = this->dispatchers[{pool, zone}];
+  if (!cell) {
+    CellDispatcher::Hooks hooks;
+    hooks.start_deadline = [this](const QueueName& queue,
+                                  const ZoneName& where) {
+      return this->StartDeadline(queue, where);
+    };
+    hooks.take_limit = [](const TeamName&) { return true; };
+    hooks.return_limit = [](const TeamName&) {};
+    hooks.update = [this](const EntryName& registrar,
+                          const DispatchUpdate& update) {
+      this->Deliver(registrar, update);
+    };
+    cell = std::make_unique<CellDispatcher>(this->context, this->directory,
+                                            pool, zone, hooks);
+    this->Configure(cell.get());
+  }
+  return cell.get();
+}
+
+void DispatchService::Configure(CellDispatcher* cell) {
+  const Declaration& declaration = this->control->declaration();
+  const Pool* pool = declaration.FindPool(cell->pool());
+  if (pool != nullptr) {
+    cell->SetPool(*pool);
+  }
+  for (const Team& team : declaration.teams) {
+    cell->SetWeight(team.name, static_cast<double>(team.share));
+  }
+}
+
+void DispatchService::ConfigureAll() {
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    this->Configure(entry.second.get());
+  }
+}
+
+Status DispatchService::EnqueueHere(
+    const DispatchRequest& request,
+    const std::optional<WorkerName>& running_on) {
+  if (this->stopping) {
+    return Error{Errc::kUnavailable, "dispatch.enqueue",
+                 this->context->self.str(), "shutting down"};
+  }
+  CellDispatcher* const cell = this->Cell(request.pool, request.zone);
+  if (running_on) {
+    cell->Adopt(request, *running_on);
+    return OkStatus();
+  }
+  return cell->Enqueue(request);
+}
+
+void DispatchService::Deliver(const EntryName& registrar,
+                              const DispatchUpdate& update) {
+  if (registrar == this->context->self) {
+    // Posted, so that a registrar may call back into the cell.
+    this->context->loop->Post([this, update]() { this->handler(update); });
+    return;
+  }
+  this->SendUpdate(registrar, update, 1);
+}
+
+void DispatchService::SendUpdate(const EntryName& registrar,
+                                 const DispatchUpdate& update,
+                                 int attempt) {
+  const std::optional<std::string> address = this->peers->AddressOf(registrar);
+  if (!address) {
+    return;
+  }
+  this->context->rpc->Call(
+      *address, "task.update", update.ToJson(), kRpcTimeout,
+      [this, registrar, update, attempt](const Result<Json::Value>& reply) {
+        if (reply.ok() || attempt >= kUpdateAttempts ||
+            !IsFinal(update.state)) {
+          return;
+        }
+        this->context->loop->After(
+            kUpdatePause, [this, registrar, update, attempt]() {
+              this->SendUpdate(registrar, update, attempt + 1);
+            });
+      });
+}
+
+void DispatchService::Tick() {
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    entry.second->Tick();
+  }
+}
+
+bool DispatchService::Follows(const WorkerName& name) const {
+  const WorkerInfo* worker = this->directory->Find(name);
+  if (worker == nullptr) {
+    return false;
+  }
+  if (worker->present &&
+      this->OwnerOf(worker->pool, worker->listed.zone) == this->context->self) {
+    return true;
+  }
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    if (!entry.second->RunningOn(name).empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void DispatchService::FollowWorkers() {
+  for (const std::pair<const WorkerName, WorkerInfo>& entry :
+       this->directory->workers()) {
+    if (!this->Follows(entry.first)) {
+      continue;
+    }
+    this->RenewLeases(entry.first);
+    this->Poll(entry.first);
+  }
+}
+
+void DispatchService::Poll(const WorkerName& name) {
+  const WorkerInfo* worker = this->directory->Find(name);
+  if (worker == nullptr || !this->polling.insert(name).second) {
+    return;
+  }
+  const std::vector<TaskId> acks = std::move(this->acknowledged[name]);
+  this->acknowledged[name].clear();
+  this->context->workers->WaitFinished(
+      worker->listed.address, this->context->self.str(), acks,
+      this->context->settings.worker_poll_wait,
+      [this, name, acks](const Result<std::vector<TaskReport>>& reports) {
+        this->polling.erase(name);
+        if (!reports.ok()) {
+          // The next round polls again; until then acknowledgements are kept.
+          std::vector<TaskId>& kept = this->acknowledged[name];
+          kept.insert(kept.end(), acks.begin(), acks.end());
+          return;
+        }
+        this->OnFinished(name, reports.value());
+        if (this->Follows(name)) {
+          this->Poll(name);
+        }
+      });
+}
+
+void DispatchService::RenewLeases(const WorkerName& name) {
+  const WorkerInfo* worker = this->directory->Find(name);
+  if (worker == nullptr || !this->renewing.insert(name).second) {
+    return;
+  }
+  std::vector<TaskId> tasks;
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    const std::vector<TaskId> running = entry.second->RunningOn(name);
+    tasks.insert(tasks.end(), running.begin(), running.end());
+  }
+  const MonotonicTime sent = Now();
+  // A renewal that is held up beyond the freshness bound is ignored by the
+  // worker, so that a paused instance keeps no task that others have given up.
+  const WorkerClock renew_before =
+      WorkerDirectory::ClockAt(*worker, sent + kFreshness)
+          .value_or(WorkerClock(0));
+  this->context->workers->RenewLeases(
+      worker->listed.address, this->context->self.str(), tasks,
+      this->context->settings.task_lease, renew_before,
+      [this, name, sent](const Result<LeaseReply>& reply) {
+        this->renewing.erase(name);
+        if (!reply.ok()) {
+          this->directory->OnFailure(name);
+          return;
+        }
+        this->directory->OnReply(name, reply.value().now,
+                                 reply.value().incarnation,
+                                 reply.value().leaving);
+        for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>&
+                 entry : this->dispatchers) {
+          entry.second->OnLeasesRenewed(name, reply.value(), sent);
+        }
+      });
+}
+
+void DispatchService::OnFinished(const WorkerName& worker,
+                                 const std::vector<TaskReport>& reports) {
+  for (const TaskReport& report : reports) {
+    for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>&
+             entry : this->dispatchers) {
+      entry.second->OnReport(worker, report);
+    }
+    this->acknowledged[worker].push_back(report.task);
+  }
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Entry/dispatch_service.h
@@ -0,0 +1,111 @@
+#ifndef SOURCE_CORE_ENTRY_DISPATCH_SERVICE_H_
+#define SOURCE_CORE_ENTRY_DISPATCH_SERVICE_H_
+
+#include <json/value.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Common/result.h"
+#include "Core/Entry/cell_dispatcher.h"
+
+namespace daisyroad {
+
+struct EntryContext;
+class ControlService;
+class PeerService;
+class WorkerDirectory;
+
+// The cells that this instance dispatches, and the way to the dispatchers of
+// the others.
+class DispatchService {
+ public:
+  using UpdateHandler = std::function<void(const DispatchUpdate& update)>;
+  using StatusCallback = std::function<void(const Status& status)>;
+  using StatesCallback = std::function<void(
+      const Result<std::map<TaskId, std::optional<DispatchState>>>& states)>;
+
+  DispatchService(EntryContext* context,
+                  PeerService* peers,
+                  ControlService* control,
+                  WorkerDirectory* directory);
+
+  // `handler` gets the updates of tasks whose registrar is this instance.
+  void Start(UpdateHandler handler);
+
+  // The dispatcher of a cell: by rendezvous hashing among the live instances of
+  // the zone, or of all zones if the zone has none.
+  EntryName OwnerOf(const PoolName& pool, const ZoneName& zone) const;
+
+  // Hands a task to a dispatcher. Errors: kUnavailable if it was certainly not
+  // received, kTimeout if it may have been, others if it was refused.
+  void Send(const EntryName& owner,
+            DispatchRequest request,
+            const std::optional<WorkerName>& running_on,
+            StatusCallback callback);
+  // Renews tasks and asks for their states; an absent state means that the
+  // dispatcher does not know the task.
+  void Renew(const EntryName& owner,
+             const std::vector<TaskId>& tasks,
+             StatesCallback callback);
+  void Cancel(const EntryName& owner, const TaskId& task);
+
+  // RPC methods `dispatch.enqueue`, `dispatch.renew`, `dispatch.cancel`.
+  Json::Value ServeEnqueue(const Json::Value& params);
+  Json::Value ServeRenew(const Json::Value& params);
+  Json::Value ServeCancel(const Json::Value& params);
+
+  // Latest time to start work in the zone; empty if none may start now.
+  std::optional<MonotonicTime> StartDeadline(const QueueName& queue,
+                                             const ZoneName& zone) const;
+  const std::map<std::pair<PoolName, ZoneName>,
+                 std::unique_ptr<CellDispatcher>>&
+  cells() const {
+    return this->dispatchers;
+  }
+  std::size_t Running(const TeamName& team) const;
+  // Stops starting; running tasks are followed to their end.
+  void BeginShutdown() { this->stopping = true; }
+
+ private:
+  using CellKey = std::pair<PoolName, ZoneName>;
+
+  CellDispatcher* Cell(const PoolName& pool, const ZoneName& zone);
+  void Configure(CellDispatcher* cell);
+  void ConfigureAll();
+  Status EnqueueHere(const DispatchRequest& request,
+                     const std::optional<WorkerName>& running_on);
+  void Deliver(const EntryName& registrar, const DispatchUpdate& update);
+  void SendUpdate(const EntryName& registrar,
+                  const DispatchUpdate& update,
+                  int attempt);
+  void Tick();
+  void FollowWorkers();
+  void Poll(const WorkerName& worker);
+  void RenewLeases(const WorkerName& worker);
+  void OnFinished(const WorkerName& worker,
+                  const std::vector<TaskReport>& reports);
+  bool Follows(const WorkerName& worker) const;
+
+  EntryContext* context;
+  PeerService* peers;
+  ControlService* control;
+  WorkerDirectory* directory;
+  UpdateHandler handler;
+  std::map<CellKey, std::unique_ptr<CellDispatcher>> dispatchers;
+  std::map<WorkerName, std::vector<TaskId>> acknowledged;
+  std::set<WorkerName> polling;
+  std::set<WorkerName> renewing;
+  bool stopping = false;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_ENTRY_DISPATCH_SERVICE_H_
--- /dev/null
+++ b/Source/Core/Entry/entry_instance.cc
@@ -0,0 +1,314 @@
+#include "Core/Entry/entry_instance.h"
+
+#include <csignal>
+#include <string>
+#include <utility>
+
+#include "Core/Common/logging.h"
+#include "Core/Common/metrics_registry.h"
+#include "Core/Common/random.h"
+#include "Core/Control/control_document.h"
+#include "Core/Entry/caller_api.h"
+#include "Core/Entry/control_service.h"
+#include "Core/Entry/decision_log.h"
+#include "Core/Entry/dispatch_service.h"
+#include "Core/Entry/entry_context.h"
+#include "Core/Entry/operator_api.h"
+#include "Core/Entry/peer_service.h"
+#include "Core/Entry/problem.h"
+#include "Core/Entry/task_service.h"
+#include "Core/Entry/worker_directory.h"
+#include "Core/Platform/http_instance_list_client.h"
+#include "Core/Platform/http_store_client.h"
+#include "Core/Platform/http_worker_client.h"
+#include "Core/Transport/event_loop.h"
+#include "Core/Transport/http_client.h"
+#include "Core/Transport/http_server.h"
+#include "Core/Transport/rpc_client.h"
+#include "Core/Transport/rpc_server.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr int kDecisionLinesPerSecond = 500;
+// A shutdown waits this long for open tasks, then ends anyway.
+constexpr std::chrono::seconds kShutdownPatience{60};
+constexpr Milliseconds kShutdownPeriod{100};
+// Answers under way get this time to leave after the last task has ended.
+constexpr Milliseconds kFlushTime{300};
+
+std::string MakeIncarnation(const std::string& name) {
+  const std::int64_t now =
+      std::chrono::duration_cast<Milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  return name + "." + std::to_string(now);
+}
+
+std::uint64_t SeedFor(const std::string& incarnation) {
+  return std::hash<std::string>()(incarnation) ^
+         static_cast<std::uint64_t>(std::random_device()());
+}
+
+HttpServerOptions ServerOptions(const Settings& settings,
+                                const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  HttpServerOptions options;
+  options.address = address.substr(0, colon);
+  options.port =
+      static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+  options.max_connections = static_cast<std::size_t>(settings.max_connections);
+  options.max_body_bytes = static_cast<std::size_t>(settings.max_request_bytes);
+  options.request_read_timeout = settings.header_timeout;
+  return options;
+}
+
+HttpResponse TextResponse(int status, const std::string& text) {
+  HttpResponse response;
+  response.status = status;
+  response.headers["content-type"] = "text/plain; version=0.0.4";
+  response.body = text;
+  return response;
+}
+
+}  // namespace
+
+class EntryInstance::Impl {
+ public:
+  Impl(Settings settings, std::optional<KeyRecord> bootstrap_key)
+      : context(MakeContext(std::move(settings))),
+        random(SeedFor(this->context.self.str())),
+        decisions(&this->metrics, kDecisionLinesPerSecond),
+        http([this](std::function<void()> function) {
+          this->loop.Post(std::move(function));
+        }),
+        rpc(&this->http),
+        store(&this->http,
+              HttpStoreClient::Options{
+                  this->context.settings.store_addresses.front(),
+                  this->context.settings.zone,
+                  this->context.settings.store_request_timeout}),
+        instance_list(&this->http,
+                      this->context.settings.instance_list_address,
+                      this->context.settings.zone,
+                      this->context.settings.store_request_timeout),
+        workers(&this->http,
+                this->context.settings.zone,
+                this->context.settings.worker_request_timeout),
+        peers(this->Wire()),
+        control(&this->context, &this->peers),
+        directory(&this->context),
+        dispatch(&this->context,
+                 &this->peers,
+                 &this->control,
+                 &this->directory),
+        tasks(&this->context,
+              &this->peers,
+              &this->control,
+              &this->dispatch,
+              &this->directory),
+        caller_api(&this->context, &this->control, &this->tasks),
+        operator_api(
+            &this->context,
+            OperatorApi::Services{&this->peers, &this->control, &this->dispatch,
+                                  &this->tasks, &this->directory},
+            std::move(bootstrap_key)) {}
+
+  Status Run() {
+    this->AddRpcMethods();
+    const Settings& settings = this->context.settings;
+    Status started = this->peer_server.Start(
+        ServerOptions(settings, settings.peers_address),
+        [this](const HttpRequest& request, const HttpResponder& respond) {
+          this->loop.Post([this, request, respond]() {
+            respond(this->rpc_server.Handle(request));
+          });
+        });
+    if (!started.ok()) {
+      return started;
+    }
+    started = this->caller_server.Start(
+        ServerOptions(settings, settings.callers_address),
+        [this](const HttpRequest& request, const HttpResponder& respond) {
+          this->loop.Post(
+              [this, request, respond]() { this->Route(request, respond); });
+        });
+    if (!started.ok()) {
+      return started;
+    }
+    this->control.Start();
+    this->directory.Start();
+    this->dispatch.Start(
+        [this](const DispatchUpdate& update) { this->tasks.OnUpdate(update); });
+    this->tasks.Start();
+    this->peers.Start([this]() { return this->control.Report(); },
+                      [this](const PeerReport& report, MonotonicTime sent) {
+                        this->control.OnPeerReply(report, sent);
+                      });
+    this->loop.OnSignals({SIGTERM, SIGINT},
+                         [this](int) { this->BeginShutdown(); });
+    CLOG(INFO, kDaemonLog) << "serving as " << this->context.self
+                           << " callers=" << settings.callers_address
+                           << " peers=" << settings.peers_address;
+    this->loop.Run();
+    this->caller_server.Stop();
+    this->peer_server.Stop();
+    return OkStatus();
+  }
+
+ private:
+  static EntryContext MakeContext(Settings settings) {
+    EntryContext context;
+    context.self = EntryName(MakeIncarnation(settings.instance_name));
+    context.zone = ZoneName(settings.zone);
+    context.settings = std::move(settings);
+    return context;
+  }
+
+  EntryContext* Wire() {
+    this->context.loop = &this->loop;
+    this->context.http = &this->http;
+    this->context.rpc = &this->rpc;
+    this->context.store = &this->store;
+    this->context.instance_list = &this->instance_list;
+    this->context.workers = &this->workers;
+    this->context.metrics = &this->metrics;
+    this->context.decisions = &this->decisions;
+    this->context.random = &this->random;
+    return &this->context;
+  }
+
+  void AddRpcMethods() {
+    this->rpc_server.AddMethod("peer.exchange", [this](const Json::Value& p) {
+      return this->peers.Exchange(p);
+    });
+    this->rpc_server.AddMethod("control.head", [this](const Json::Value&) {
+      return this->control.ServeHead();
+    });
+    this->rpc_server.AddMethod("control.part", [this](const Json::Value& p) {
+      return this->control.ServePart(p);
+    });
+    this->rpc_server.AddMethod("dispatch.enqueue",
+                               [this](const Json::Value& p) {
+                                 return this->dispatch.ServeEnqueue(p);
+                               });
+    this->rpc_server.AddMethod("dispatch.renew", [this](const Json::Value& p) {
+      return this->dispatch.ServeRenew(p);
+    });
+    this->rpc_server.AddMethod("dispatch.cancel", [this](const Json::Value& p) {
+      return this->dispatch.ServeCancel(p);
+    });
+    this->rpc_server.AddMethod("task.submit", [this](const Json::Value& p) {
+      return this->tasks.ServeSubmit(p);
+    });
+    this->rpc_server.AddMethod("task.lookup", [this](const Json::Value& p) {
+      return this->tasks.ServeLookup(p);
+    });
+    this->rpc_server.AddMethod("task.cancel", [this](const Json::Value& p) {
+      return this->tasks.ServeCancel(p);
+    });
+    this->rpc_server.AddMethod("task.update", [this](const Json::Value& p) {
+      return this->tasks.ServeUpdate(p);
+    });
+  }
+
+  void Route(const HttpRequest& request, const HttpResponder& respond) {
+    if (request.path == "/healthz") {
+      respond(TextResponse(200, "ok\n"));
+    } else if (request.path == "/readyz") {
+      const std::string obstacle = this->NotReadyReason();
+      respond(obstacle.empty() ? TextResponse(200, "ready\n")
+                               : TextResponse(503, obstacle + "\n"));
+    } else if (request.path == "/metrics") {
+      respond(TextResponse(200, this->metrics.Render()));
+    } else if (request.path == "/v1/tasks" ||
+               request.path.rfind("/v1/tasks/", 0) == 0) {
+      if (this->stopping && request.method == "POST") {
+        respond(Problem(503, RunOutcome::kNotRun, "shutting down",
+                        "use another entry instance"));
+        return;
+      }
+      this->caller_api.Handle(request, respond);
+    } else if (request.path.rfind("/v1/ops/", 0) == 0) {
+      this->operator_api.Handle(request, respond);
+    } else {
+      respond(PlainProblem(404, "not found", "no such path"));
+    }
+  }
+
+  std::string NotReadyReason() const {
+    if (this->stopping) {
+      return "shutting down";
+    }
+    if (this->control.document().version() == 0) {
+      return "no configuration yet";
+    }
+    if (this->directory.workers().empty()) {
+      return "no workers known yet";
+    }
+    return "";
+  }
+
+  void BeginShutdown() {
+    if (this->stopping) {
+      return;
+    }
+    this->stopping = true;
+    this->shutdown_until = Now() + kShutdownPatience;
+    CLOG(INFO, kDaemonLog) << "shutting down, open tasks: "
+                           << this->tasks.open_tasks();
+    this->ContinueShutdown();
+  }
+
+  // Tasks in progress are finished here: their callers hold connections to this
+  // instance.
+  void ContinueShutdown() {
+    bool idle = this->tasks.open_tasks() == 0;
+    for (const std::pair<const std::pair<PoolName, ZoneName>,
+                         std::unique_ptr<CellDispatcher>>& cell :
+         this->dispatch.cells()) {
+      idle = idle && cell.second->idle();
+    }
+    if (idle || Now() > this->shutdown_until) {
+      this->loop.After(kFlushTime, [this]() { this->loop.Stop(); });
+      return;
+    }
+    this->loop.After(kShutdownPeriod, [this]() { this->ContinueShutdown(); });
+  }
+
+  EntryContext context;
+  Random random;
+  MetricsRegistry metrics;
+  DecisionLog decisions;
+  EventLoop loop;
+  HttpClient http;
+  RpcClient rpc;
+  HttpStoreClient store;
+  HttpInstanceListClient instance_list;
+  HttpWorkerClient workers;
+  PeerService peers;
+  ControlService control;
+  WorkerDirectory directory;
+  DispatchService dispatch;
+  TaskService tasks;
+  CallerApi caller_api;
+  OperatorApi operator_api;
+  RpcServer rpc_server;
+  HttpServer peer_server;
+  HttpServer caller_server;
+  bool stopping = false;
+  MonotonicTime shutdown_until;
+};
+
+EntryInstance::EntryInstance(Settings settings,
+                             std::optional<KeyRecord> bootstrap_key)
+    : impl(std::make_unique<Impl>(std::move(settings),
+                                  std::move(bootstrap_key))) {}
+
+EntryInstance::~EntryInstance() = default;
+
+Status EntryInstance::Run() {
+  return this->impl->Run();
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Entry/operator_api.cc
@@ -0,0 +1,583 @@
+#include "Core/Entry/operator_api.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Core/Common/json.h"
+#include "Core/Control/control_document.h"
+#include "Core/Declaration/diff_declarations.h"
+#include "Core/Declaration/parse_declaration.h"
+#include "Core/Entry/decision_log.h"
+#include "Core/Entry/dispatch_service.h"
+#include "Core/Entry/entry_context.h"
+#include "Core/Entry/peer_service.h"
+#include "Core/Entry/problem.h"
+#include "Core/Entry/task_service.h"
+#include "Core/Entry/worker_directory.h"
+#include "Core/Keys/key_hasher.h"
+#include "Core/Keys/key_secret.h"
+#include "Core/Transport/event_loop.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr char kPrefix[] = "/v1/ops/";
+constexpr std::chrono::seconds kMaxTailWait{60};
+constexpr Milliseconds kTailPeriod{100};
+constexpr std::size_t kDefaultHistory = 20;
+
+HttpResponse JsonResponse(const Json::Value& body) {
+  HttpResponse response;
+  response.headers["content-type"] = "application/json";
+  response.body = WriteJson(body);
+  return response;
+}
+
+HttpResponse ErrorResponse(const Error& error) {
+  return PlainProblem(HttpStatusOf(error), error.code.message(),
+                      error.ToString());
+}
+
+HttpResponse MethodProblem() {
+  return PlainProblem(405, "method not allowed", "see docs/api.md");
+}
+
+std::uint64_t ReadNumber(const std::string& text, std::uint64_t fallback) {
+  if (text.empty() ||
+      !std::all_of(text.begin(), text.end(),
+                   [](char c) { return c >= '0' && c <= '9'; }) ||
+      text.size() > 18) {
+    return fallback;
+  }
+  return std::stoull(text);
+}
+
+std::string BearerOf(const HttpRequest& request) {
+  static constexpr char kBearer[] = "Bearer ";
+  const std::string header = request.Header("authorization");
+  return header.rfind(kBearer, 0) == 0 ? header.substr(sizeof(kBearer) - 1)
+                                       : std::string();
+}
+
+Json::Value ToJson(const KeyRecord& record) {
+  Json::Value value;
+  value["id"] = record.id.str();
+  const TeamKey* const team = std::get_if<TeamKey>(&record.holder);
+  value["operator"] = team == nullptr;
+  value["holder"] = team == nullptr ? std::get<OperatorKey>(record.holder).name
+                                    : team->team.str();
+  value["withdrawn"] = record.withdrawn;
+  return value;
+}
+
+Json::Value Lines(const std::string& text) {
+  Json::Value lines(Json::arrayValue);
+  std::size_t start = 0;
+  while (start < text.size()) {
+    const std::size_t end = std::min(text.find('\n', start), text.size());
+    lines.append(text.substr(start, end - start));
+    start = end + 1;
+  }
+  return lines;
+}
+
+std::uint64_t BaseVersion(const Json::Value& body, std::uint64_t fallback) {
+  return body["base_version"].isUInt64() ? body["base_version"].asUInt64()
+                                         : fallback;
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(EntryContext* context,
+                         Services services,
+                         std::optional<KeyRecord> bootstrap_key)
+    : context(context),
+      services(services),
+      bootstrap(std::move(bootstrap_key)) {}
+
+void OperatorApi::Handle(const HttpRequest& request,
+                         const HttpResponder& respond) {
+  static const std::map<std::string, Handler> kHandlers = {
+      {"status", &OperatorApi::Status},
+      {"declaration", &OperatorApi::Declaration},
+      {"history", &OperatorApi::History},
+      {"rollback", &OperatorApi::Rollback},
+      {"keys", &OperatorApi::Keys},
+      {"zones", &OperatorApi::Zones},
+      {"pools", &OperatorApi::Pools},
+      {"tasks", &OperatorApi::Task},
+      {"tail", &OperatorApi::Tail},
+  };
+  const Result<std::string> author = this->Authenticate(request);
+  if (!author.ok()) {
+    respond(ErrorResponse(author.error()));
+    return;
+  }
+  const std::string path = request.path.substr(sizeof(kPrefix) - 1);
+  const std::size_t slash = path.find('/');
+  const auto handler = kHandlers.find(path.substr(0, slash));
+  if (handler == kHandlers.end()) {
+    respond(PlainProblem(404, "not found", "no call " + request.path));
+    return;
+  }
+  const std::string rest =
+      slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  (this->*handler->second)(request, rest, respond);
+}
+
+Result<std::string> OperatorApi::Authenticate(
+    const HttpRequest& request) const {
+  const std::string secret = BearerOf(request);
+  const KeyTable& keys = this->services.control->document().keys();
+  const Result<KeyHolder> holder = keys.Authenticate(secret);
+  if (holder.ok()) {
+    const OperatorKey* const key = std::get_if<OperatorKey>(&holder.value());
+    if (key == nullptr) {
+      return Error{Errc::kForbidden, "operator.authenticate", "",
+                   "a team's key operates nothing"};
+    }
+    return key->name;
+  }
+  const bool has_operator = std::any_of(
+      keys.records().begin(), keys.records().end(),
+      [](const std::pair<const KeyId, KeyRecord>& entry) {
+        return std::holds_alternative<OperatorKey>(entry.second.holder) &&
+               !entry.second.withdrawn;
+      });
+  if (this->bootstrap && !has_operator &&
+      KeyHasher::Matches(secret, this->bootstrap->hash)) {
+    return std::string("bootstrap");
+  }
+  return holder.error();
+}
+
+void OperatorApi::Change(const HttpRequest& request,
+                         const ControlChange& change,
+                         std::uint64_t base_version,
+                         const Json::Value& extra,
+                         const HttpResponder& respond) {
+  const Result<std::string> author = this->Authenticate(request);
+  this->services.control->Submit(
+      change, base_version, author.ok() ? author.value() : "",
+      [this, extra,
+       respond](const Result<ControlService::ChangeOutcome>& result) {
+        if (!result.ok()) {
+          const bool unknown = result.error().code == Errc::kTimeout;
+          respond(unknown
+                      ? Problem(503, RunOutcome::kUnknown, "outcome not known",
+                                result.error().ToString())
+                      : ErrorResponse(result.error()));
+          return;
+        }
+        const ControlService::ChangeOutcome& outcome = result.value();
+        if (outcome.conflict) {
+          respond(PlainProblem(409, "conflict",
+                               "another change won: version " +
+                                   std::to_string(outcome.version) +
+                                   ", change " + outcome.winning_change));
+          return;
+        }
+        Json::Value body = extra;
+        body["version"] = Json::UInt64(outcome.version);
+        body["accepted"] = outcome.accepted;
+        body["in_force"] = Json::Value(Json::arrayValue);
+        body["pending"] = Json::Value(Json::arrayValue);
+        std::set<ZoneName> zones;
+        for (const std::pair<const EntryName, RosterMember>& member :
+             this->services.control->document().roster().members) {
+          zones.insert(member.second.zone);
+        }
+        for (const ZoneName& zone : zones) {
+          body[outcome.in_force.count(zone) != 0 ? "in_force" : "pending"]
+              .append(zone.str());
+        }
+        respond(JsonResponse(body));
+      });
+}
+
+void OperatorApi::Status(const HttpRequest&,
+                         const std::string&,
+                         const HttpResponder& respond) {
+  Json::Value body;
+  body["version"] = Json::UInt64(this->services.control->document().version());
+  body["site"] = this->services.control->declaration().site;
+  body["instances"] = this->InstancesStatus();
+  body["zones"] = this->ZonesStatus();
+  body["pools"] = this->PoolsStatus();
+  body["teams"] = this->TeamsStatus();
+  respond(JsonResponse(body));
+}
+
+Json::Value OperatorApi::InstancesStatus() const {
+  Json::Value list(Json::arrayValue);
+  Json::Value own;
+  const Authority authority = this->services.control->Assess();
+  own["name"] = this->context->self.str();
+  own["zone"] = this->context->zone.str();
+  own["version"] = Json::UInt64(this->services.control->document().version());
+  own["authority"] = AuthorityStateName(authority.state);
+  own["reason"] = authority.reason;
+  own["alive"] = true;
+  own["address"] = this->context->settings.peers_address;
+  list.append(own);
+  for (const std::pair<const std::string, PeerService::Peer>& entry :
+       this->services.peers->known()) {
+    const PeerService::Peer& peer = entry.second;
+    Json::Value item;
+    item["name"] = peer.name.str();
+    item["zone"] = peer.zone.str();
+    item["version"] = Json::UInt64(peer.report.version);
+    item["alive"] = this->services.peers->IsLive(peer);
+    item["reaches_store"] = peer.report.reaches_store;
+    item["address"] = peer.address;
+    list.append(item);
+  }
+  return list;
+}
+
+Json::Value OperatorApi::ZonesStatus() const {
+  const ControlDocument& document = this->services.control->document();
+  Json::Value list(Json::arrayValue);
+  for (const Zone& zone : this->services.control->declaration().zones) {
+    std::vector<std::uint64_t> versions;
+    if (zone.name == this->context->zone) {
+      versions.push_back(document.version());
+    }
+    for (const PeerService::Peer& peer : this->services.peers->Live()) {
+      if (peer.zone == zone.name) {
+        versions.push_back(peer.report.version);
+      }
+    }
+    Json::Value item;
+    item["name"] = zone.name.str();
+    item["out"] = document.zones_out().count(zone.name) != 0;
+    item["live_instances"] = Json::UInt64(versions.size());
+    if (!versions.empty()) {
+      item["version_min"] =
+          Json::UInt64(*std::min_element(versions.begin(), versions.end()));
+      item["version_max"] =
+          Json::UInt64(*std::max_element(versions.begin(), versions.end()));
+    }
+    list.append(item);
+  }
+  return list;
+}
+
+Json::Value OperatorApi::PoolsStatus() const {
+  Json::Value list(Json::arrayValue);
+  for (const Pool& pool : this->services.control->declaration().pools) {
+    Json::Value item;
+    item["name"] = pool.name.str();
+    item["workers"] = Json::Int64(pool.TotalWorkers());
+    int live = 0;
+    int leaving = 0;
+    for (const WorkerInfo* worker :
+         this->services.directory->InPool(pool.name)) {
+      ++(worker->leaving ? leaving : live);
+    }
+    item["live"] = live;
+    item["leaving"] = leaving;
+    std::size_t queued = 0;
+    std::size_t running = 0;
+    for (const std::pair<const std::pair<PoolName, ZoneName>,
+                         std::unique_ptr<CellDispatcher>>& cell :
+         this->services.dispatch->cells()) {
+      if (cell.first.first == pool.name) {
+        queued += cell.second->waiting();
+        running += cell.second->running();
+      }
+    }
+    item["queued"] = Json::UInt64(queued);
+    item["running"] = Json::UInt64(running);
+    list.append(item);
+  }
+  return list;
+}
+
+Json::Value OperatorApi::TeamsStatus() const {
+  Json::Value list(Json::arrayValue);
+  for (const Team& team : this->services.control->declaration().teams) {
+    Json::Value item;
+    item["name"] = team.name.str();
+    item["share"] = Json::Int64(team.share);
+    item["limit"] = Json::Int64(team.upper_limit);
+    item["running"] = Json::UInt64(this->services.dispatch->Running(team.name));
+    list.append(item);
+  }
+  return list;
+}
+
+void OperatorApi::Declaration(const HttpRequest& request,
+                              const std::string& rest,
+                              const HttpResponder& respond) {
+  if (rest == "validate") {
+    this->Validate(request, rest, respond);
+    return;
+  }
+  ControlService* const control = this->services.control;
+  if (request.method == "GET") {
+    const std::uint64_t current = control->document().version();
+    const std::uint64_t version = ReadNumber(request.Query("version"), current);
+    const std::function<void(const Result<std::string>&)> answer =
+        [respond, version](const Result<std::string>& text) {
+          if (!text.ok()) {
+            respond(ErrorResponse(text.error()));
+            return;
+          }
+          Json::Value body;
+          body["version"] = Json::UInt64(version);
+          body["text"] = text.value();
+          respond(JsonResponse(body));
+        };
+    if (version == current) {
+      answer(control->document().declaration());
+    } else {
+      control->FetchDeclaration(version, answer);
+    }
+    return;
+  }
+  const Result<Json::Value> body = ParseJson(request.body);
+  const Result<std::string> text = body.ok()
+                                       ? JsonString(body.value(), "text")
+                                       : Result<std::string>(body.error());
+  if (request.method != "POST" || !text.ok()) {
+    respond(request.method != "POST" ? MethodProblem()
+                                     : ErrorResponse(text.error()));
+    return;
+  }
+  const std::string file = body.value()["file"].isString()
+                               ? body.value()["file"].asString()
+                               : "declaration.toml";
+  const auto parsed = ParseDeclaration(text.value(), file);
+  if (!parsed.ok()) {
+    respond(PlainProblem(400, "the declaration is not valid",
+                         parsed.error().detail));
+    return;
+  }
+  this->Change(request, ApplyDeclaration{text.value()},
+               BaseVersion(body.value(), control->document().version()),
+               Json::Value(Json::objectValue), respond);
+}
+
+void OperatorApi::Validate(const HttpRequest& request,
+                           const std::string&,
+                           const HttpResponder& respond) {
+  const Result<Json::Value> body = ParseJson(request.body);
+  const Result<std::string> text = body.ok()
+                                       ? JsonString(body.value(), "text")
+                                       : Result<std::string>(body.error());
+  if (!text.ok()) {
+    respond(ErrorResponse(text.error()));
+    return;
+  }
+  const std::string file = body.value()["file"].isString()
+                               ? body.value()["file"].asString()
+                               : "declaration.toml";
+  const auto parsed = ParseDeclaration(text.value(), file);
+  Json::Value answer;
+  answer["base_version"] =
+      Json::UInt64(this->services.control->document().version());
+  answer["valid"] = parsed.ok();
+  answer["errors"] = parsed.ok() ? Json::Value(Json::arrayValue)
+                                 : Lines(parsed.error().detail);
+  if (parsed.ok()) {
+    const std::vector<DeclarationChange> changes =
+        DiffDeclarations(this->services.control->declaration(), parsed.value());
+    answer["changes"] = DiffJson(changes);
+    answer["text"] = DiffText(changes);
+    answer["summary"] = DiffSummary(changes);
+  }
+  respond(JsonResponse(answer));
+}
+
+void OperatorApi::History(const HttpRequest& request,
+                          const std::string&,
+                          const HttpResponder& respond) {
+  this->services.control->FetchHistory(
+      ReadNumber(request.Query("limit"), kDefaultHistory),
+      [respond](const Result<Json::Value>& list) {
+        respond(list.ok() ? JsonResponse(list.value())
+                          : ErrorResponse(list.error()));
+      });
+}
+
+void OperatorApi::Rollback(const HttpRequest& request,
+                           const std::string&,
+                           const HttpResponder& respond) {
+  const Result<Json::Value> body = ParseJson(request.body);
+  const Result<std::int64_t> version = body.ok()
+                                           ? JsonInt(body.value(), "version")
+                                           : Result<std::int64_t>(body.error());
+  if (request.method != "POST" || !version.ok()) {
+    respond(request.method != "POST" ? MethodProblem()
+                                     : ErrorResponse(version.error()));
+    return;
+  }
+  const std::uint64_t base =
+      BaseVersion(body.value(), this->services.control->document().version());
+  this->services.control->FetchDeclaration(
+      static_cast<std::uint64_t>(version.value()),
+      [this, request, base, respond](const Result<std::string>& text) {
+        if (!text.ok()) {
+          respond(ErrorResponse(text.error()));
+          return;
+        }
+        this->Change(request, ApplyDeclaration{text.value()}, base,
+                     Json::Value(Json::objectValue), respond);
+      });
+}
+
+void OperatorApi::Keys(const HttpRequest& request,
+                       const std::string& rest,
+                       const HttpResponder& respond) {
+  const ControlDocument& document = this->services.control->document();
+  if (request.method == "GET") {
+    Json::Value list(Json::arrayValue);
+    for (const std::pair<const KeyId, KeyRecord>& entry :
+         document.keys().records()) {
+      list.append(ToJson(entry.second));
+    }
+    respond(JsonResponse(list));
+  } else if (request.method == "POST") {
+    this->GiveKey(request, respond);
+  } else if (request.method == "DELETE") {
+    this->Change(request, WithdrawKey{KeyId(rest)}, document.version(),
+                 Json::Value(Json::objectValue), respond);
+  } else {
+    respond(MethodProblem());
+  }
+}
+
+void OperatorApi::GiveKey(const HttpRequest& request,
+                          const HttpResponder& respond) {
+  const Result<Json::Value> body = ParseJson(request.body);
+  const bool for_team =
+      body.ok() && body.value().isObject() && body.value()["team"].isString();
+  const bool for_operator = body.ok() && body.value().isObject() &&
+                            body.value()["operator"].isString();
+  if (for_team == for_operator) {
+    respond(PlainProblem(400, "invalid argument",
+                         "exactly one of \"team\" and \"operator\" is needed"));
+    return;
+  }
+  const TeamName team(body.value()["team"].asString());
+  if (for_team &&
+      this->services.control->declaration().FindTeam(team) == nullptr) {
+    respond(PlainProblem(404, "not found", "no team \"" + team.str() + "\""));
+    return;
+  }
+  const Result<NewKey> key = GenerateKey();
+  if (!key.ok()) {
+    respond(ErrorResponse(key.error()));
+    return;
+  }
+  KeyRecord record;
+  record.id = key.value().id;
+  record.hash = key.value().hash;
+  if (for_team) {
+    record.holder = TeamKey{team};
+  } else {
+    record.holder = OperatorKey{body.value()["operator"].asString()};
+  }
+  Json::Value extra;
+  extra["id"] = record.id.str();
+  extra["secret"] = key.value().text;
+  this->Change(request, daisyroad::GiveKey{record},
+               this->services.control->document().version(), extra, respond);
+}
+
+void OperatorApi::Zones(const HttpRequest& request,
+                        const std::string& rest,
+                        const HttpResponder& respond) {
+  const std::size_t slash = rest.find('/');
+  const ZoneName zone(rest.substr(0, slash));
+  const std::string verb =
+      slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+  if (request.method != "POST" || (verb != "out" && verb != "in")) {
+    respond(MethodProblem());
+    return;
+  }
+  const std::vector<Zone>& zones = this->services.control->declaration().zones;
+  if (std::none_of(zones.begin(), zones.end(),
+                   [&zone](const Zone& item) { return item.name == zone; })) {
+    respond(PlainProblem(404, "not found", "no zone \"" + zone.str() + "\""));
+    return;
+  }
+  const ControlChange change = verb == "out" ? ControlChange(TakeZoneOut{zone})
+                                             : ControlChange(TakeZoneIn{zone});
+  this->Change(request, change, this->services.control->document().version(),
+               Json::Value(Json::objectValue), respond);
+}
+
+void OperatorApi::Pools(const HttpRequest&,
+                        const std::string&,
+                        const HttpResponder& respond) {
+  Json::Value list(Json::arrayValue);
+  for (const Pool& pool : this->services.control->declaration().pools) {
+    Json::Value item;
+    item["pool"] = pool.name.str();
+    item["instances"] = Json::Value(Json::arrayValue);
+    for (const WorkerInfo* worker :
+         this->services.directory->InPool(pool.name)) {
+      Json::Value instance;
+      instance["name"] = worker->listed.name.str();
+      instance["zone"] = worker->listed.zone.str();
+      instance["rack"] = worker->listed.rack.str();
+      instance["state"] = worker->leaving ? "leaving" : "live";
+      item["instances"].append(instance);
+    }
+    list.append(item);
+  }
+  respond(JsonResponse(list));
+}
+
+void OperatorApi::Task(const HttpRequest&,
+                       const std::string& rest,
+                       const HttpResponder& respond) {
+  this->services.tasks->Lookup(
+      TaskId(rest), Milliseconds(0),
+      [this, rest, respond](const Result<Json::Value>& task) {
+        if (!task.ok()) {
+          respond(ErrorResponse(task.error()));
+          return;
+        }
+        Json::Value body = task.value();
+        body["decisions"] = Json::Value(Json::arrayValue);
+        for (const DecisionLog::Line& line :
+             this->context->decisions->Containing(rest)) {
+          body["decisions"].append(line.text);
+        }
+        respond(JsonResponse(body));
+      });
+}
+
+void OperatorApi::Tail(const HttpRequest& request,
+                       const std::string&,
+                       const HttpResponder& respond) {
+  const std::chrono::seconds wait(std::min<std::uint64_t>(
+      ReadNumber(request.Query("wait"), 0),
+      static_cast<std::uint64_t>(kMaxTailWait.count())));
+  this->PollTail(ReadNumber(request.Query("after"), 0), Now() + wait, respond);
+}
+
+void OperatorApi::PollTail(std::uint64_t after,
+                           MonotonicTime until,
+                           const HttpResponder& respond) {
+  const std::vector<DecisionLog::Line> lines =
+      this->context->decisions->After(after);
+  if (lines.empty() && Now() < until) {
+    this->context->loop->After(kTailPeriod, [this, after, until, respond]() {
+      this->PollTail(after, until, respond);
+    });
+    return;
+  }
+  Json::Value body;
+  body["next"] = Json::UInt64(lines.empty() ? after : lines.back().seq);
+  body["lines"] = Json::Value(Json::arrayValue);
+  for (const DecisionLog::Line& line : lines) {
+    body["lines"].append(line.text);
+  }
+  respond(JsonResponse(body));
+}
+
+}  // namespace daisyroad
--- a/Source/Core/Entry/peer_service.cc
+++ b/Source/Core/Entry/peer_service.cc
@@ -73,7 +73,8 @@
 
 PeerService::PeerService(EntryContext* context) : context(context) {}
 
-void PeerService::Start(ReportSource report_source, ReplyHandler reply_handler) {
+void PeerService::Start(ReportSource report_source,
+                        ReplyHandler reply_handler) {
   this->source = std::move(report_source);
   this->handler = std::move(reply_handler);
   this->Round();
@@ -139,6 +140,13 @@
   return Now() - peer.replied_at <= kSuspicion;
 }
 
+void PeerService::AskNow(const EntryName& name) {
+  const std::optional<std::string> address = this->AddressOf(name);
+  if (address) {
+    this->Ask(*address);
+  }
+}
+
 Milliseconds PeerService::Clock() {
   return std::chrono::duration_cast<Milliseconds>(Now().time_since_epoch());
 }
--- a/Source/Core/Entry/peer_service.h
+++ b/Source/Core/Entry/peer_service.h
@@ -25,7 +25,7 @@
     ZoneName zone;
     std::string address;
     PeerReport report;
-    MonotonicTime replied_at;   // when the last reply came
+    MonotonicTime replied_at;    // when the last reply came
     MonotonicTime request_sent;  // of the request of that reply
     Milliseconds clock{0};       // the peer's clock in that reply
     Duration round_trip{0};
@@ -50,6 +50,8 @@
   std::optional<Peer> Find(const EntryName& name) const;
   const std::map<std::string, Peer>& known() const { return this->peers; }
   bool IsLive(const Peer& peer) const;
+  // Exchanges with one instance at once, besides the periodic rounds.
+  void AskNow(const EntryName& name);
   // The clock in which this instance states deadlines to its peers.
   static Milliseconds Clock();
 
--- a/Source/Core/Entry/problem.cc
+++ b/Source/Core/Entry/problem.cc
@@ -56,8 +56,8 @@
 }
 
 HttpResponse NotRunProblem(const Error& error) {
-  return Problem(HttpStatusOf(error), RunOutcome::kNotRun,
-                 error.code.message(), error.ToString());
+  return Problem(HttpStatusOf(error), RunOutcome::kNotRun, error.code.message(),
+                 error.ToString());
 }
 
 HttpResponse PlainProblem(int status,
--- /dev/null
+++ b/Source/Core/Entry/task_service.cc
@@ -0,0 +1,677 @@
+#include "Core/Entry/task_service.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "Core/Common/hash.h"
+#include "Core/Common/log_decision.h"
+#include "Core/Common/logging.h"
+#include "Core/Common/metrics_registry.h"
+#include "Core/Common/random.h"
+#include "Core/Control/control_document.h"
+#include "Core/Entry/control_service.h"
+#include "Core/Entry/decision_log.h"
+#include "Core/Entry/dispatch_service.h"
+#include "Core/Entry/entry_context.h"
+#include "Core/Entry/peer_service.h"
+#include "Core/Entry/worker_directory.h"
+#include "Core/Platform/worker_client.h"
+#include "Core/Transport/event_loop.h"
+#include "Core/Transport/rpc_client.h"
+#include "Core/Transport/rpc_protocol.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr Milliseconds kRenewPeriod{1000};
+constexpr Milliseconds kRpcTimeout{1000};
+constexpr Milliseconds kRemotePoll{50};
+constexpr Milliseconds kInquiryPause{500};
+// Time for which a dispatcher may start a task after a renewal was sent, plus a
+// margin for the time the message was under way.
+constexpr Milliseconds kGrant{3500};
+// An inquiry that some worker leaves unanswered is given up after this time.
+constexpr Milliseconds kInquiryPatience{15000};
+constexpr int kMaxAttempts = 8;
+constexpr int kRefusedCode = -32010;
+constexpr std::size_t kMaxRecords = 200000;
+
+std::string KeyOf(const TaskSubmission& submission) {
+  return submission.team.str() + "/" + submission.idempotency_key;
+}
+
+// The registrar is part of the identifier: NAME.INCARNATION-DIGITS.
+EntryName RegistrarFromId(const TaskId& id) {
+  return EntryName(id.str().substr(0, id.str().rfind('-')));
+}
+
+Error RefusalOf(const Json::Value& task) {
+  return Error{static_cast<Errc>(task["refusal"].asInt()), "task.submit", "",
+               task["reason"].asString()};
+}
+
+}  // namespace
+
+TaskService::TaskService(EntryContext* context,
+                         PeerService* peers,
+                         ControlService* control,
+                         DispatchService* dispatch,
+                         WorkerDirectory* directory)
+    : context(context),
+      peers(peers),
+      control(control),
+      dispatch(dispatch),
+      directory(directory) {}
+
+void TaskService::Start() {
+  this->context->loop->Every(kRenewPeriod, [this]() {
+    this->Renew();
+    this->Forget();
+  });
+}
+
+void TaskService::Submit(const TaskSubmission& submission,
+                         Milliseconds wait,
+                         Callback callback) {
+  const EntryName registrar = this->RegistrarOf(submission);
+  if (registrar == this->context->self) {
+    const Result<TaskRecord*> record = this->Register(submission);
+    if (!record.ok()) {
+      callback(record.error());
+      return;
+    }
+    this->WaitHere(record.value()->id, wait, std::move(callback));
+    return;
+  }
+  const std::optional<std::string> address = this->peers->AddressOf(registrar);
+  if (!address) {
+    callback(Error{Errc::kUnavailable, "task.submit", registrar.str(),
+                   "the registrar of the key is not known"});
+    return;
+  }
+  const MonotonicTime until = Now() + wait;
+  this->context->rpc->Call(
+      *address, "task.submit", submission.ToJson(), kRpcTimeout,
+      [this, callback = std::move(callback), address = *address,
+       until](const Result<Json::Value>& reply) {
+        if (!reply.ok()) {
+          callback(reply.error());
+        } else if (reply.value()["refusal"].isInt()) {
+          callback(RefusalOf(reply.value()));
+        } else {
+          this->WaitRemote(address, TaskId(reply.value()["id"].asString()),
+                           until, callback);
+        }
+      });
+}
+
+void TaskService::Lookup(const TaskId& id,
+                         Milliseconds wait,
+                         Callback callback) {
+  if (this->Find(id) != nullptr) {
+    this->WaitHere(id, wait, std::move(callback));
+    return;
+  }
+  const EntryName registrar = RegistrarFromId(id);
+  const std::optional<std::string> address = this->peers->AddressOf(registrar);
+  if (registrar == this->context->self || !address) {
+    callback(Error{Errc::kNotFound, "task.lookup", registrar.str(),
+                   "no such task, or its registrar has ended"});
+    return;
+  }
+  this->WaitRemote(*address, id, Now() + wait, std::move(callback));
+}
+
+void TaskService::Cancel(const TaskId& id, Callback callback) {
+  TaskRecord* const record = this->Find(id);
+  if (record != nullptr) {
+    if (!IsFinal(record->state)) {
+      record->cancelled = true;
+      this->dispatch->Cancel(record->dispatcher, id);
+    }
+    // The end of the task is usually known within a round trip.
+    this->WaitHere(id, kRpcTimeout, std::move(callback));
+    return;
+  }
+  const std::optional<std::string> address =
+      this->peers->AddressOf(RegistrarFromId(id));
+  if (!address) {
+    callback(Error{Errc::kNotFound, "task.cancel", "", "no such task"});
+    return;
+  }
+  Json::Value params;
+  params["task"] = id.str();
+  this->context->rpc->Call(
+      *address, "task.cancel", params, kRpcTimeout,
+      [this, callback = std::move(callback), address = *address,
+       id](const Result<Json::Value>& reply) {
+        if (!reply.ok()) {
+          callback(reply.error());
+          return;
+        }
+        this->WaitRemote(address, id, Now() + kRpcTimeout, callback);
+      });
+}
+
+Json::Value TaskService::ServeSubmit(const Json::Value& params) {
+  const std::optional<TaskSubmission> submission =
+      TaskSubmission::FromJson(params);
+  if (!submission) {
+    throw RpcFailure{kRefusedCode, "malformed submission"};
+  }
+  const Result<TaskRecord*> record = this->Register(*submission);
+  if (!record.ok()) {
+    Json::Value refused;
+    refused["refusal"] = record.error().code.value();
+    refused["reason"] = record.error().ToString();
+    return refused;
+  }
+  return record.value()->ToJson();
+}
+
+Json::Value TaskService::ServeLookup(const Json::Value& params) {
+  TaskRecord* const record = this->Find(TaskId(params["task"].asString()));
+  if (record == nullptr) {
+    throw RpcFailure{kRefusedCode, "no such task"};
+  }
+  return record->ToJson();
+}
+
+Json::Value TaskService::ServeCancel(const Json::Value& params) {
+  const TaskId id(params["task"].asString());
+  if (this->Find(id) == nullptr) {
+    throw RpcFailure{kRefusedCode, "no such task"};
+  }
+  this->Cancel(id, [](const Result<Json::Value>&) {});
+  return Json::Value(Json::objectValue);
+}
+
+Json::Value TaskService::ServeUpdate(const Json::Value& params) {
+  const Result<DispatchUpdate> update = DispatchUpdate::FromJson(params);
+  if (!update.ok()) {
+    throw RpcFailure{kRefusedCode, "malformed update"};
+  }
+  this->OnUpdate(update.value());
+  return Json::Value(Json::objectValue);
+}
+
+void TaskService::OnUpdate(const DispatchUpdate& update) {
+  TaskRecord* const record = this->Find(update.task);
+  if (record == nullptr || IsFinal(record->state)) {
+    return;
+  }
+  record->worker = update.worker;
+  record->zone = update.zone;
+  if (!IsFinal(update.state)) {
+    record->state = update.state;
+    return;
+  }
+  if (update.state == DispatchState::kNotRun && !record->cancelled &&
+      update.reason == "registrar_silent") {
+    // The dispatcher dropped it for lack of renewals; it did not run.
+    record->sent = false;
+    this->Dispatch(record->id, std::nullopt);
+    return;
+  }
+  record->answer = update.answer;
+  record->digest = update.digest;
+  this->Finish(record, update.state, update.reason);
+}
+
+std::size_t TaskService::open_tasks() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->records.begin(), this->records.end(),
+                    [](const std::pair<const TaskId, TaskRecord>& entry) {
+                      return !IsFinal(entry.second.state);
+                    }));
+}
+
+Result<TaskRecord*> TaskService::Register(const TaskSubmission& submission) {
+  if (!submission.idempotency_key.empty()) {
+    const auto known = this->by_key.find(KeyOf(submission));
+    TaskRecord* const earlier =
+        known == this->by_key.end() ? nullptr : this->Find(known->second);
+    if (earlier != nullptr &&
+        earlier->submission.Fingerprint() != submission.Fingerprint()) {
+      return Error{Errc::kConflict, "task.submit", "",
+                   "the idempotency key was used with another request"};
+    }
+    // A task that is known not to have run may be tried again.
+    if (earlier != nullptr && earlier->state != DispatchState::kNotRun) {
+      return earlier;
+    }
+  }
+  if (this->records.size() >= kMaxRecords) {
+    return Error{Errc::kResourceExhausted, "task.submit", "",
+                 "too many tasks are kept by this instance"};
+  }
+  const Declaration& declaration = this->control->declaration();
+  const TaskQueue* queue = declaration.FindQueue(submission.queue);
+  const Service* service =
+      queue == nullptr ? nullptr : declaration.FindService(queue->service);
+  if (service == nullptr) {
+    return Error{Errc::kInvalidArgument, "task.submit", "",
+                 "no queue \"" + submission.queue.str() + "\""};
+  }
+  const TaskId id(this->context->self.str() + "-" +
+                  this->context->random->Hex(10));
+  TaskRecord& record = this->records[id];
+  record.id = id;
+  record.submission = submission;
+  record.pool = service->pool;
+  record.urgent = queue->queue_class == QueueClass::kUrgent;
+  record.idempotent = queue->idempotent;
+  record.deadline = Now() + submission.deadline;
+  if (!submission.idempotency_key.empty()) {
+    this->by_key[KeyOf(submission)] = id;
+  }
+  this->Dispatch(id, std::nullopt);
+  return &record;
+}
+
+EntryName TaskService::RegistrarOf(const TaskSubmission& submission) const {
+  const std::string& key = submission.idempotency_key;
+  if (key.empty()) {
+    return this->context->self;
+  }
+  std::vector<std::string> all;
+  std::vector<std::string> in_zone;
+  const std::string zone = key.substr(0, key.find('/'));
+  const bool has_zone = key.find('/') != std::string::npos;
+  for (const std::pair<const EntryName, RosterMember>& member :
+       this->control->document().roster().members) {
+    all.push_back(member.first.str());
+    if (has_zone && member.second.zone.str() == zone) {
+      in_zone.push_back(member.first.str());
+    }
+  }
+  const std::vector<std::string>& candidates = in_zone.empty() ? all : in_zone;
+  if (candidates.empty()) {
+    return this->context->self;
+  }
+  return EntryName(candidates[RendezvousIndex(KeyOf(submission), candidates)]);
+}
+
+std::optional<ZoneName> TaskService::ChooseZone(
+    const TaskRecord& record) const {
+  const std::set<ZoneName>& out = this->control->document().zones_out();
+  std::map<ZoneName, std::size_t> workers;
+  for (const WorkerInfo* worker : this->directory->InPool(record.pool)) {
+    if (!worker->leaving && out.count(worker->listed.zone) == 0) {
+      ++workers[worker->listed.zone];
+    }
+  }
+  std::vector<ZoneName> zones;
+  for (const std::pair<const ZoneName, std::size_t>& entry : workers) {
+    zones.insert(zones.end(), entry.second, entry.first);
+  }
+  if (zones.empty()) {
+    return std::nullopt;
+  }
+  // The own zone first; later attempts are spread by the number of workers.
+  if (record.attempts <= 1 && workers.count(this->context->zone) != 0) {
+    return this->context->zone;
+  }
+  return zones[this->context->random->Below(zones.size())];
+}
+
+void TaskService::Dispatch(const TaskId& id,
+                           const std::optional<WorkerName>& running_on) {
+  TaskRecord* const record = this->Find(id);
+  if (record == nullptr || IsFinal(record->state)) {
+    return;
+  }
+  ++record->attempts;
+  const MonotonicTime now = Now();
+  if (!running_on) {
+    if (now >= record->deadline) {
+      this->Finish(record, DispatchState::kNotRun, "deadline_passed");
+      return;
+    }
+    const std::optional<ZoneName> zone = this->ChooseZone(*record);
+    if (!zone) {
+      this->RefusedByCell(
+          record,
+          Error{Errc::kUnavailable, "task.dispatch", "",
+                "no worker of pool " + record->pool.str() + " is in service"});
+      return;
+    }
+    record->zone = *zone;
+  }
+  const EntryName owner = this->dispatch->OwnerOf(record->pool, record->zone);
+  record->dispatcher = owner;
+  record->sent = true;
+  record->granted_until = now + kGrant;
+  DispatchRequest request;
+  request.task = id;
+  request.registrar = this->context->self;
+  request.team = record->submission.team;
+  request.queue = record->submission.queue;
+  request.pool = record->pool;
+  request.zone = record->zone;
+  request.payload = record->submission.payload;
+  request.urgent = record->urgent;
+  request.idempotent = record->idempotent;
+  request.size = record->submission.size;
+  request.start_within =
+      std::chrono::duration_cast<Milliseconds>(record->deadline - now);
+  this->context->decisions->Write(
+      kRoutingLog, LogDecision("route")
+                       .Field("task", id.str())
+                       .Field("team", record->submission.team.str())
+                       .Field("queue", record->submission.queue.str())
+                       .Field("pool", record->pool.str())
+                       .Field("zone", record->zone.str())
+                       .Field("dispatcher", owner.str())
+                       .Field("attempt", record->attempts));
+  this->dispatch->Send(owner, request, running_on,
+                       [this, id, owner](const Status& status) {
+                         this->OnSent(id, owner, status);
+                       });
+}
+
+void TaskService::OnSent(const TaskId& id,
+                         const EntryName& owner,
+                         const Status& status) {
+  TaskRecord* const record = this->Find(id);
+  if (record == nullptr || IsFinal(record->state) ||
+      record->dispatcher != owner || status.ok()) {
+    return;
+  }
+  const Error& error = status.error();
+  if (error.code == Errc::kTimeout || error.code == Errc::kProtocol) {
+    this->Recover(record);  // it may have been received
+    return;
+  }
+  this->RefusedByCell(record, error);
+}
+
+void TaskService::RefusedByCell(TaskRecord* record, const Error& error) {
+  record->sent = false;
+  const bool final = error.code == Errc::kInvalidArgument;
+  if (final || record->attempts >= kMaxAttempts) {
+    record->refusal = error;
+    this->Finish(record, DispatchState::kNotRun, error.ToString());
+    return;
+  }
+  const TaskId id = record->id;
+  // Full jitter; the first other cell is tried at once.
+  const Duration pause =
+      record->attempts == 1
+          ? Duration::zero()
+          : this->context->random->DurationBelow(
+                Milliseconds(20) * (1 << std::min(record->attempts, 6)));
+  this->context->loop->After(
+      pause, [this, id]() { this->Dispatch(id, std::nullopt); });
+}
+
+void TaskService::Renew() {
+  std::map<EntryName, std::vector<TaskId>> by_owner;
+  const MonotonicTime now = Now();
+  for (std::pair<const TaskId, TaskRecord>& entry : this->records) {
+    TaskRecord& record = entry.second;
+    if (IsFinal(record.state) || !record.sent || record.recovering) {
+      continue;
+    }
+    record.granted_until = now + kGrant;
+    by_owner[record.dispatcher].push_back(entry.first);
+  }
+  for (const std::pair<const EntryName, std::vector<TaskId>>& entry :
+       by_owner) {
+    const EntryName owner = entry.first;
+    this->dispatch->Renew(
+        owner, entry.second,
+        [this,
+         owner](const Result<std::map<TaskId, std::optional<DispatchState>>>&
+                    states) { this->OnStates(owner, states); });
+  }
+}
+
+void TaskService::OnStates(
+    const EntryName& owner,
+    const Result<std::map<TaskId, std::optional<DispatchState>>>& states) {
+  if (!states.ok()) {
+    const std::optional<PeerService::Peer> peer = this->peers->Find(owner);
+    if (owner == this->context->self || (peer && this->peers->IsLive(*peer))) {
+      return;
+    }
+    for (std::pair<const TaskId, TaskRecord>& entry : this->records) {
+      TaskRecord& record = entry.second;
+      if (!IsFinal(record.state) && record.sent && !record.recovering &&
+          record.dispatcher == owner) {
+        this->Recover(&record);
+      }
+    }
+    return;
+  }
+  for (const std::pair<const TaskId, std::optional<DispatchState>>& entry :
+       states.value()) {
+    TaskRecord* const record = this->Find(entry.first);
+    if (record == nullptr || IsFinal(record->state) ||
+        record->dispatcher != owner || record->recovering) {
+      continue;
+    }
+    if (entry.second) {
+      record->state = *entry.second;
+    } else if (Now() - record->granted_until > -kGrant + kRpcTimeout) {
+      // Unknown there and not just sent: its update is under way or lost.
+      this->Recover(record);
+    }
+  }
+}
+
+void TaskService::Recover(TaskRecord* record) {
+  if (record->recovering) {
+    return;
+  }
+  record->recovering = true;
+  const TaskId id = record->id;
+  this->context->decisions->Write(
+      kTasksLog, LogDecision("recover")
+                     .Field("task", id.str())
+                     .Field("dispatcher", record->dispatcher.str()));
+  // Until the grant has run out the old dispatcher may still start it.
+  const Duration pause =
+      std::max<Duration>(record->granted_until - Now(), Duration::zero());
+  this->context->loop->After(pause, [this, id]() { this->AskWorkers(id); });
+}
+
+void TaskService::AskWorkers(const TaskId& id) {
+  TaskRecord* const record = this->Find(id);
+  if (record == nullptr || IsFinal(record->state)) {
+    return;
+  }
+  Inquiry& inquiry = this->inquiries[id];
+  inquiry = Inquiry();
+  for (const std::pair<const WorkerName, WorkerInfo>& entry :
+       this->directory->workers()) {
+    if (entry.second.pool == record->pool &&
+        entry.second.listed.zone == record->zone) {
+      inquiry.pending.insert(entry.first);
+    }
+  }
+  const std::set<WorkerName> asked = inquiry.pending;
+  for (const WorkerName& name : asked) {
+    this->context->workers->Report(
+        this->directory->Find(name)->listed.address, id, true,
+        [this, id, name](const Result<TaskReport>& report) {
+          this->OnWorkerAsked(id, name, report);
+        });
+  }
+  if (asked.empty()) {
+    this->ConcludeInquiry(id);
+  }
+}
+
+void TaskService::OnWorkerAsked(const TaskId& id,
+                                const WorkerName& worker,
+                                const Result<TaskReport>& report) {
+  TaskRecord* const record = this->Find(id);
+  const auto found = this->inquiries.find(id);
+  if (record == nullptr || IsFinal(record->state) ||
+      found == this->inquiries.end()) {
+    return;
+  }
+  found->second.pending.erase(worker);
+  if (!report.ok()) {
+    found->second.silent.insert(worker);
+  } else if (report.value().state == WorkerTaskState::kRunning) {
+    this->inquiries.erase(found);
+    record->recovering = false;
+    this->Dispatch(id, worker);
+    return;
+  } else if (report.value().state == WorkerTaskState::kDone ||
+             report.value().state == WorkerTaskState::kFailed) {
+    this->inquiries.erase(found);
+    const TaskReport& fate = report.value();
+    const bool whole = Sha256Hex(fate.answer) == fate.digest;
+    record->worker = worker;
+    record->answer = fate.answer;
+    record->digest = fate.digest;
+    if (fate.state == WorkerTaskState::kFailed) {
+      this->Finish(record, DispatchState::kFailed, "task_failed");
+    } else {
+      this->Finish(record,
+                   whole ? DispatchState::kDone : DispatchState::kUnknown,
+                   whole ? "" : "answer_incomplete");
+    }
+    return;
+  } else if (report.value().state == WorkerTaskState::kStopped &&
+             !record->idempotent) {
+    this->inquiries.erase(found);
+    this->Finish(record, DispatchState::kStopped, "stopped_at_worker");
+    return;
+  }
+  if (found->second.pending.empty()) {
+    this->ConcludeInquiry(id);
+  }
+}
+
+void TaskService::ConcludeInquiry(const TaskId& id) {
+  TaskRecord* const record = this->Find(id);
+  const bool complete = this->inquiries[id].silent.empty();
+  this->inquiries.erase(id);
+  if (complete || record->idempotent) {
+    // No worker of the cell has it and none can start it any more.
+    record->recovering = false;
+    record->sent = false;
+    this->Dispatch(id, std::nullopt);
+    return;
+  }
+  if (Now() - record->granted_until > kInquiryPatience) {
+    this->Finish(record, DispatchState::kUnknown, "worker_unreachable");
+    return;
+  }
+  this->context->loop->After(kInquiryPause,
+                             [this, id]() { this->AskWorkers(id); });
+}
+
+void TaskService::Finish(TaskRecord* record,
+                         DispatchState state,
+                         const std::string& reason) {
+  record->state = state;
+  record->reason = reason;
+  record->ended = Now();
+  this->context->decisions->Write(kTasksLog,
+                                  LogDecision("end")
+                                      .Field("task", record->id.str())
+                                      .Field("state", DispatchStateName(state))
+                                      .Field("worker", record->worker.str())
+                                      .Field("reason", reason));
+  this->NotifyWaiters(record);
+}
+
+void TaskService::NotifyWaiters(TaskRecord* record) {
+  const std::vector<std::function<void()>> waiters = std::move(record->waiters);
+  record->waiters.clear();
+  for (const std::function<void()>& waiter : waiters) {
+    waiter();
+  }
+}
+
+void TaskService::WaitHere(const TaskId& id,
+                           Milliseconds wait,
+                           Callback callback) {
+  TaskRecord* const record = this->Find(id);
+  if (IsFinal(record->state) || wait.count() <= 0) {
+    if (record->state == DispatchState::kNotRun && record->refusal.code) {
+      callback(record->refusal);
+    } else {
+      callback(record->ToJson());
+    }
+    return;
+  }
+  const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+  const std::function<void()> answer = [this, id, answered,
+                                        callback = std::move(callback)]() {
+    TaskRecord* const found = this->Find(id);
+    if (*answered || found == nullptr) {
+      return;
+    }
+    *answered = true;
+    if (found->state == DispatchState::kNotRun && found->refusal.code) {
+      callback(found->refusal);
+    } else {
+      callback(found->ToJson());
+    }
+  };
+  record->waiters.push_back(answer);
+  this->context->loop->After(wait, answer);
+}
+
+void TaskService::WaitRemote(const std::string& address,
+                             const TaskId& id,
+                             MonotonicTime until,
+                             Callback callback) {
+  Json::Value params;
+  params["task"] = id.str();
+  this->context->rpc->Call(
+      address, "task.lookup", params, kRpcTimeout,
+      [this, address, id, until,
+       callback = std::move(callback)](const Result<Json::Value>& reply) {
+        if (reply.ok()) {
+          const std::string outcome = reply.value()["outcome"].asString();
+          const std::string state = reply.value()["state"].asString();
+          const bool open =
+              state == "queued" || state == "starting" || state == "running";
+          if (!open || Now() >= until) {
+            callback(reply.value()["refusal"].isInt()
+                         ? Result<Json::Value>(RefusalOf(reply.value()))
+                         : reply);
+            return;
+          }
+        } else if (reply.error().code == Errc::kInternal || Now() >= until) {
+          callback(reply.error());
+          return;
+        }
+        this->context->loop->After(
+            kRemotePoll, [this, address, id, until, callback]() {
+              this->WaitRemote(address, id, until, callback);
+            });
+      });
+}
+
+TaskRecord* TaskService::Find(const TaskId& id) {
+  const auto found = this->records.find(id);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+void TaskService::Forget() {
+  const MonotonicTime now = Now();
+  for (auto entry = this->records.begin(); entry != this->records.end();) {
+    const TaskRecord& record = entry->second;
+    if (!IsFinal(record.state) ||
+        record.ended + this->context->settings.answer_retention > now) {
+      ++entry;
+      continue;
+    }
+    const auto key = this->by_key.find(KeyOf(record.submission));
+    if (key != this->by_key.end() && key->second == entry->first) {
+      this->by_key.erase(key);
+    }
+    entry = this->records.erase(entry);
+  }
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Entry/task_service.h
@@ -0,0 +1,106 @@
+#ifndef SOURCE_CORE_ENTRY_TASK_SERVICE_H_
+#define SOURCE_CORE_ENTRY_TASK_SERVICE_H_
+
+#include <json/value.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Common/result.h"
+#include "Core/Entry/task_record.h"
+
+namespace daisyroad {
+
+struct EntryContext;
+struct WorkerInfo;
+class ControlService;
+class DispatchService;
+class PeerService;
+class WorkerDirectory;
+
+// The tasks whose registrar is this instance, and access to those of others.
+class TaskService {
+ public:
+  // A task as JSON, or the problem that refused it.
+  using Callback = std::function<void(const Result<Json::Value>& task)>;
+
+  TaskService(EntryContext* context,
+              PeerService* peers,
+              ControlService* control,
+              DispatchService* dispatch,
+              WorkerDirectory* directory);
+
+  void Start();
+
+  // Registers a task here or at the registrar of its key, and answers when it
+  // ended or `wait` has passed.
+  void Submit(const TaskSubmission& submission,
+              Milliseconds wait,
+              Callback callback);
+  // kNotFound if no instance knows the task; kUnavailable if its registrar
+  // cannot be reached.
+  void Lookup(const TaskId& id, Milliseconds wait, Callback callback);
+  void Cancel(const TaskId& id, Callback callback);
+
+  // RPC methods `task.submit`, `task.lookup`, `task.cancel`, `task.update`.
+  Json::Value ServeSubmit(const Json::Value& params);
+  Json::Value ServeLookup(const Json::Value& params);
+  Json::Value ServeCancel(const Json::Value& params);
+  Json::Value ServeUpdate(const Json::Value& params);
+
+  void OnUpdate(const DispatchUpdate& update);
+  std::size_t open_tasks() const;
+
+ private:
+  // State of the inquiry about a task whose dispatcher was lost.
+  struct Inquiry {
+    std::set<WorkerName> pending;
+    std::set<WorkerName> silent;
+  };
+
+  Result<TaskRecord*> Register(const TaskSubmission& submission);
+  EntryName RegistrarOf(const TaskSubmission& submission) const;
+  void Dispatch(const TaskId& id, const std::optional<WorkerName>& running_on);
+  void OnSent(const TaskId& id, const EntryName& owner, const Status& status);
+  std::optional<ZoneName> ChooseZone(const TaskRecord& record) const;
+  void RefusedByCell(TaskRecord* record, const Error& error);
+  void Renew();
+  void OnStates(
+      const EntryName& owner,
+      const Result<std::map<TaskId, std::optional<DispatchState>>>& states);
+  void Recover(TaskRecord* record);
+  void AskWorkers(const TaskId& id);
+  void OnWorkerAsked(const TaskId& id,
+                     const WorkerName& worker,
+                     const Result<TaskReport>& report);
+  void ConcludeInquiry(const TaskId& id);
+  void Finish(TaskRecord* record,
+              DispatchState state,
+              const std::string& reason);
+  void NotifyWaiters(TaskRecord* record);
+  void WaitHere(const TaskId& id, Milliseconds wait, Callback callback);
+  void WaitRemote(const std::string& address,
+                  const TaskId& id,
+                  MonotonicTime until,
+                  Callback callback);
+  TaskRecord* Find(const TaskId& id);
+  void Forget();
+
+  EntryContext* context;
+  PeerService* peers;
+  ControlService* control;
+  DispatchService* dispatch;
+  WorkerDirectory* directory;
+  std::map<TaskId, TaskRecord> records;
+  std::map<std::string, TaskId> by_key;
+  std::map<TaskId, Inquiry> inquiries;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_ENTRY_TASK_SERVICE_H_
--- a/Source/Core/Shares/fair_queue.h
+++ b/Source/Core/Shares/fair_queue.h
@@ -35,6 +35,9 @@
   // larger than any worker), kResourceExhausted (queue full), kTimeout
   // (estimated wait exceeds the deadline). A refused task has not run.
   Status Enqueue(FairTask task, MonotonicTime now);
+  // A task that already runs, taken over from another dispatcher. kConflict if
+  // the identifier is known.
+  Status Adopt(FairTask task, MonotonicTime now);
   // True if the task was waiting and is now forgotten.
   bool Cancel(const TaskId& id, MonotonicTime now);
   // The task to start in `free`, the room on one worker. It counts as running
