--- a/Source/UnitTests/Declaration/declaration_error_test.cc
+++ b/Source/UnitTests/Declaration/declaration_error_test.cc
@@ -159,6 +159,14 @@
   CHECK(ErrorOf("[[ }").starts_with("d.toml:1: "));
 }
 
+// Guards against undefined behaviour in the library's table of white space;
+// found by the fuzz target.
+TEST_CASE("A key with letters outside ASCII is refused") {
+  CHECK(ErrorOf("sit\u00E9 = 1").starts_with("d.toml:1: "));
+  CHECK(ErrorOf("sit\uFEEC = 1").starts_with("d.toml:1: "));
+  CHECK(ErrorOf("# sit\u00E9\n" + kSampleText).empty());
+}
+
 // Guards against a syntax error without a line.
 TEST_CASE("A syntax error names its line") {
   const std::string error = ErrorOf(Edited("share = 4", "share = = 4"));
