--- a/Source/Core/Membership/gossip_protocol.cc
+++ b/Source/Core/Membership/gossip_protocol.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace daisyroad {
 namespace {
@@ -70,8 +71,13 @@
                           std::vector<GossipAction>& actions) {
   const std::uint64_t exchange = this->next_exchange++;
   this->exchanges[exchange] = Exchange{peer, now, false};
-  actions.push_back(
-      SendGossip{exchange, address, this->Message(peer, control)});
+  GossipMessage message = this->Message(peer, control);
+  message.wants_all = this->table.Live().size() == 1;
+  if (!message.wants_all && this->join_requests < kJoinRequests) {
+    ++this->join_requests;
+    message.wants_all = true;
+  }
+  actions.push_back(SendGossip{exchange, address, std::move(message)});
 }
 
 std::string GossipProtocol::ContactAddress() {
@@ -209,7 +215,6 @@
   GossipMessage message;
   message.sender = this->table.self();
   message.control = control;
-  message.wants_all = this->table.Live().size() == 1;
   // A receiver that is suspected must learn of it to refute it.
   const Member* member = this->table.Find(receiver);
   if (member != nullptr && member->info.state != MemberState::kAlive) {
--- a/Source/Core/Membership/gossip_protocol.h
+++ b/Source/Core/Membership/gossip_protocol.h
@@ -53,6 +53,10 @@
   // Bounds the size of a message.
   static constexpr std::size_t kUpdatesPerMessage = 8;
 
+  // A joiner asks for all members in its first requests: while many join at
+  // once, a single peer does not know all of them yet.
+  static constexpr int kJoinRequests = 6;
+
   // `seeds` are addresses from the settings.
   GossipProtocol(MemberInfo self,
                  std::vector<std::string> seeds,
@@ -123,6 +127,7 @@
   std::map<std::uint64_t, Exchange> exchanges;
   std::deque<Rumor> rumors;
   MonotonicTime last_interval;
+  int join_requests = 0;
   MonotonicTime last_tick;
 };
 
