--- a/Source/Bench/control_bench.cc
+++ b/Source/Bench/control_bench.cc
@@ -55,9 +55,9 @@
   constexpr Milliseconds kStep{10};
   const Duration proposed = simulation.now();
   const std::uint64_t target = simulation.DocumentOf(0).version() + 1;
-  simulation.Propose(simulation.size() - 1,
-                     ChangeId("c" + std::to_string(change)),
-                     ApplyDeclaration{std::string(20'000, 'a' + change)});
+  simulation.Propose(
+      simulation.size() - 1, ChangeId("c" + std::to_string(change)),
+      ApplyDeclaration{std::string(20'000, 'a') + std::to_string(change)});
   while (!AllHave(simulation, target) &&
          simulation.now() < proposed + kChangeInterval) {
     simulation.RunUntil(simulation.now() + kStep);
@@ -110,7 +110,7 @@
   return results;
 }
 
-const BenchRegistration kControl("control", RunControlBench);
+const BenchRegistration registration("control", RunControlBench);
 
 }  // namespace
 }  // namespace daisyroad
--- a/Source/Bench/membership_bench.cc
+++ b/Source/Bench/membership_bench.cc
@@ -120,7 +120,7 @@
   return results;
 }
 
-const BenchRegistration kMembership("membership", RunMembershipBench);
+const BenchRegistration registration("membership", RunMembershipBench);
 
 }  // namespace
 }  // namespace daisyroad
--- a/Source/UnitTests/Control/control_schedule_test.cc
+++ b/Source/UnitTests/Control/control_schedule_test.cc
@@ -42,6 +42,9 @@
     if (this->random.Chance(0.5)) {
       this->AddLonelyWriter();
     }
+    if (this->random.Chance(0.3)) {
+      this->AddShrinkingRoster();
+    }
     const std::uint64_t changes = 1 + this->random.Below(6);
     for (std::uint64_t i = 0; i < changes; ++i) {
       this->AddChange(this->Time(), this->Node());
@@ -168,6 +171,24 @@
                    this->random.Chance(0.8));
   }
 
+  // An instance that alone reaches the store is cut off and takes the others
+  // out of the roster one by one.
+  void AddShrinkingRoster() {
+    const std::size_t writer = this->Node();
+    const Duration from = seconds(1) + this->random.DurationBelow(seconds(3));
+    this->CutStore(from, kLength, this->Others({writer}));
+    this->CutLinks(from, kLength, {writer}, true);
+    for (const std::size_t other : this->Others({writer})) {
+      const ChangeId id("c" + std::to_string(this->next_change++));
+      const EntryName name = this->simulation.NameOf(other);
+      this->simulation.At(from + this->random.DurationBelow(seconds(8)),
+                          [this, writer, id, name] {
+                            this->simulation.Propose(writer, id,
+                                                     RosterLeave{name});
+                          });
+    }
+  }
+
   void AddChange(Duration time, std::size_t node) {
     const ChangeId id("c" + std::to_string(this->next_change++));
     const std::size_t other = this->Node();
