--- a/Source/Core/Membership/gossip_protocol.cc
+++ b/Source/Core/Membership/gossip_protocol.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace daisyroad {
 namespace {
@@ -70,8 +71,13 @@
                           std::vector<GossipAction>& actions) {
   const std::uint64_t exchange = this->next_exchange++;
   this->exchanges[exchange] = Exchange{peer, now, false};
-  actions.push_back(
-      SendGossip{exchange, address, this->Message(peer, control)});
+  GossipMessage message = this->Message(peer, control);
+  message.wants_all = this->table.Live().size() == 1;
+  if (!message.wants_all && this->join_requests < kJoinRequests) {
+    ++this->join_requests;
+    message.wants_all = true;
+  }
+  actions.push_back(SendGossip{exchange, address, std::move(message)});
 }
 
 std::string GossipProtocol::ContactAddress() {
@@ -171,18 +177,24 @@
                                   MonotonicTime now,
                                   std::vector<GossipAction>& actions) {
   this->Merge(message.sender, now, actions);
+  // A full list is old news to others; spreading it would fill every message
+  // for a minute after 200 instances have started at once.
+  const bool full = message.updates.size() > kUpdatesPerMessage;
   for (const MemberInfo& info : message.updates) {
-    this->Merge(info, now, actions);
+    this->Merge(info, now, actions, !full);
   }
 }
 
 void GossipProtocol::Merge(const MemberInfo& info,
                            MonotonicTime now,
-                           std::vector<GossipAction>& actions) {
+                           std::vector<GossipAction>& actions,
+                           bool spread) {
   if (!this->table.Merge(info, now)) {
     return;
   }
-  this->Spread(info.name);
+  if (spread) {
+    this->Spread(info.name);
+  }
   const Member* member = this->table.Find(info.name);
   actions.push_back(MemberChanged{member->info, member->reachability});
 }
@@ -209,7 +221,6 @@
   GossipMessage message;
   message.sender = this->table.self();
   message.control = control;
-  message.wants_all = this->table.Live().size() == 1;
   // A receiver that is suspected must learn of it to refute it.
   const Member* member = this->table.Find(receiver);
   if (member != nullptr && member->info.state != MemberState::kAlive) {
--- a/Source/Core/Membership/gossip_protocol.h
+++ b/Source/Core/Membership/gossip_protocol.h
@@ -53,6 +53,10 @@
   // Bounds the size of a message.
   static constexpr std::size_t kUpdatesPerMessage = 8;
 
+  // A joiner asks for all members in its first requests: while many join at
+  // once, a single peer does not know all of them yet.
+  static constexpr int kJoinRequests = 6;
+
   // `seeds` are addresses from the settings.
   GossipProtocol(MemberInfo self,
                  std::vector<std::string> seeds,
@@ -103,7 +107,8 @@
              std::vector<GossipAction>& actions);
   void Merge(const MemberInfo& info,
              MonotonicTime now,
-             std::vector<GossipAction>& actions);
+             std::vector<GossipAction>& actions,
+             bool spread = true);
   void MergeMessage(const GossipMessage& message,
                     MonotonicTime now,
                     std::vector<GossipAction>& actions);
@@ -123,6 +128,7 @@
   std::map<std::uint64_t, Exchange> exchanges;
   std::deque<Rumor> rumors;
   MonotonicTime last_interval;
+  int join_requests = 0;
   MonotonicTime last_tick;
 };
 
