--- a/Source/Bench/routing_bench.cc
+++ b/Source/Bench/routing_bench.cc
@@ -163,7 +163,7 @@
   return results;
 }
 
-const BenchRegistration kRouting("routing", RunRoutingBench);
+const BenchRegistration registration("routing", RunRoutingBench);
 
 }  // namespace
 }  // namespace daisyroad
--- a/Source/Bench/shares_bench.cc
+++ b/Source/Bench/shares_bench.cc
@@ -152,7 +152,7 @@
   return results;
 }
 
-const BenchRegistration kShares("shares", RunSharesBench);
+const BenchRegistration registration("shares", RunSharesBench);
 
 }  // namespace
 }  // namespace daisyroad
--- a/Source/Bench/shares_simulation_bench.cc
+++ b/Source/Bench/shares_simulation_bench.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <memory>
@@ -217,7 +218,7 @@
   for (const double free : this->free_slots) {
     sum += free;
   }
-  return static_cast<std::size_t>(sum + 0.5);
+  return static_cast<std::size_t>(std::lround(sum));
 }
 
 std::size_t Simulation::MostFreeWorker() const {
--- a/Source/Core/Shares/fair_queue.cc
+++ b/Source/Core/Shares/fair_queue.cc
@@ -43,7 +43,7 @@
 Status FairQueue::Enqueue(FairTask task, MonotonicTime now) {
   this->ledger.Accrue(now);
   const Resources size = this->SizeOf(task);
-  const Status admitted = this->Admit(task, size, now);
+  Status admitted = this->Admit(task, size, now);
   if (!admitted.ok()) {
     return admitted;
   }
