--- /dev/null
+++ b/Source/UnitTests/Claims/claims_model.cc
@@ -0,0 +1,382 @@
+#include "UnitTests/Claims/claims_model.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace daisyroad {
+namespace {
+
+constexpr Duration kFreshness = std::chrono::seconds(3);
+constexpr Duration kRunTime = std::chrono::seconds(25);
+constexpr std::size_t kNodes = 3;
+constexpr std::size_t kWorkers = 2;
+constexpr std::uint64_t kKeys = 6;
+
+}  // namespace
+
+ClaimsModel::ClaimsModel(std::uint64_t seed) : random(seed), workers(kWorkers) {
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    this->AddNode();
+  }
+}
+
+std::string ClaimsModel::Run(Totals* totals) {
+  this->ChangeRoster();
+  for (int i = 0; i < 12; ++i) {
+    this->queue.After(this->random.DurationBelow(kRunTime),
+                      [this]() { this->RandomFault(); });
+  }
+  for (int i = 0; i < 40; ++i) {
+    this->queue.After(this->random.DurationBelow(kRunTime),
+                      [this]() { this->SubmitSomewhere(); });
+  }
+  this->queue.RunUntil(kRunTime + std::chrono::seconds(5));
+  totals->keys += kKeys;
+  totals->runs += this->runs.size();
+  totals->not_run += this->denied.size();
+  totals->unknown += this->counts.unknown;
+  totals->memory_claims += this->counts.memory_claims;
+  return this->failure;
+}
+
+void ClaimsModel::Fail(const std::string& text) {
+  if (this->failure.empty()) {
+    this->failure = text;
+  }
+}
+
+void ClaimsModel::AddNode() {
+  const NodeRef node = std::make_shared<Node>();
+  node->name = EntryName("e" + std::to_string(this->names));
+  node->zone = ZoneName(this->names % 2 == 0 ? "za" : "zb");
+  this->names += 1;
+  node->machine = std::make_shared<FakeMachine>(&this->queue, &this->random);
+  node->registry = std::make_unique<ClaimRegistry>(node->name,
+                                                   ClaimRegistry::Options());
+  this->nodes.push_back(node);
+  this->Every(Milliseconds(20), node);
+}
+
+void ClaimsModel::Every(Duration period, const NodeRef& node) {
+  if (!node->machine->alive || this->queue.now() > kRunTime) {
+    return;
+  }
+  if (!node->machine->paused) {
+    this->Poll(node);
+  }
+  this->queue.After(period, [this, period, node]() {
+    this->Every(period, node);
+  });
+}
+
+bool ClaimsModel::AgreedOutage(const Node& node) const {
+  // Peers that know a later epoch tell it within the freshness bound.
+  return this->outage && !node.machine->cut &&
+         this->queue.now() - this->outage_since > kFreshness &&
+         node.epoch == this->rosters.back().epoch;
+}
+
+void ClaimsModel::Poll(const NodeRef& node) {
+  const bool agreed = this->AgreedOutage(*node);
+  if (!node->machine->cut && (agreed || !this->outage)) {
+    node->authority = this->queue.now() + kFreshness;
+  }
+  this->Perform(node, node->registry->SetAgreedOutage(agreed));
+  this->Perform(node, node->registry->Tick(node->machine->Clock()));
+}
+
+void ClaimsModel::RandomFault() {
+  const NodeRef node = this->nodes[this->random.Below(this->nodes.size())];
+  const std::shared_ptr<FakeMachine> machine = node->machine;
+  const Duration length =
+      this->random.DurationBelow(std::chrono::seconds(8));
+  switch (this->random.Below(6)) {
+    case 0:
+      machine->alive = false;
+      std::erase(this->nodes, node);
+      this->AddNode();
+      this->ChangeRoster();
+      break;
+    case 1:
+      machine->paused = true;
+      this->queue.After(length, [machine]() { machine->Resume(); });
+      break;
+    case 2:
+      machine->cut = true;
+      this->queue.After(length, [machine]() { machine->cut = false; });
+      break;
+    case 3:
+      this->had_outage = true;
+      this->outage_since = this->outage ? this->outage_since : this->queue.now();
+      this->outage = true;
+      this->queue.After(length, [this]() { this->outage = false; });
+      break;
+    default:
+      this->ChangeRoster();
+  }
+}
+
+// A roster of those that are not paused or cut off, or of a random part.
+void ClaimsModel::ChangeRoster() {
+  if (this->outage) {
+    this->queue.After(std::chrono::seconds(1),
+                      [this]() { this->ChangeRoster(); });
+    return;
+  }
+  ClaimRoster roster;
+  roster.epoch = this->rosters.size() + 1;
+  for (const NodeRef& node : this->nodes) {
+    const bool in_doubt = node->machine->paused || node->machine->cut;
+    if (this->rosters.empty() || !this->random.Chance(in_doubt ? 0.8 : 0.2)) {
+      roster.members.push_back(RosterMember{node->name, node->zone});
+    }
+  }
+  if (roster.members.empty()) {
+    return;
+  }
+  this->rosters.push_back(roster);
+  for (const NodeRef& node : this->nodes) {
+    this->Learn(node, roster.epoch);
+  }
+}
+
+void ClaimsModel::Learn(const NodeRef& node, std::uint64_t epoch) {
+  const Duration delay =
+      this->random.DurationBelow(this->random.Chance(0.5)
+                                     ? Duration(Milliseconds(20))
+                                     : Duration(std::chrono::seconds(2)));
+  this->queue.After(delay, [this, node, epoch]() {
+    if (node->machine->cut) {
+      this->Learn(node, epoch);
+      return;
+    }
+    node->machine->Deliver([this, node, epoch]() {
+      if (epoch <= node->epoch) {
+        return;
+      }
+      node->epoch = epoch;
+      const std::vector<ClaimRoster> previous(
+          this->rosters.begin(),
+          this->rosters.begin() + static_cast<std::ptrdiff_t>(epoch - 1));
+      this->Perform(node, node->registry->StartEpoch(
+                              this->rosters[epoch - 1], previous,
+                              this->had_outage, node->machine->Clock()));
+    });
+  });
+}
+
+void ClaimsModel::SubmitSomewhere() {
+  const NodeRef node = this->nodes[this->random.Below(this->nodes.size())];
+  const std::uint64_t number = this->random.Below(kKeys);
+  const std::string key =
+      (number < 2 ? "za/k" : "k") + std::to_string(number);
+  this->tasks += 1;
+  const std::string task = "t" + std::to_string(this->tasks);
+  node->machine->Deliver(
+      [this, node, key, task]() { this->Submit(node, key, task, 0); });
+}
+
+void ClaimsModel::Submit(const NodeRef& node,
+                         const std::string& key,
+                         const std::string& task,
+                         int hops) {
+  using Outcome = ClaimRegistry::Outcome;
+  std::pair<ClaimRegistry::Answer, std::vector<ClaimAction>> result =
+      node->registry->Submit(key, TaskId(task), node->machine->Clock());
+  const ClaimRegistry::Answer& answer = result.first;
+  if (answer.outcome == Outcome::kNotRegistrar && hops < 2) {
+    for (const NodeRef& other : this->nodes) {
+      if (other->name == answer.registrar) {
+        other->machine->Deliver([this, other, key, task, hops]() {
+          this->Submit(other, key, task, hops + 1);
+        });
+      }
+    }
+    return;
+  }
+  const bool claimed = answer.outcome == Outcome::kClaiming;
+  if (claimed && !result.second.empty()) {
+    this->counts.memory_claims += 1;
+  }
+  if (answer.outcome == Outcome::kUnknown) {
+    this->counts.unknown += 1;
+  }
+  if (answer.outcome == Outcome::kDuplicate &&
+      answer.state == ClaimState::kRan && this->runs[key] == 0) {
+    this->Fail(key + " was answered `ran` but did not run");
+  }
+  if (!claimed && answer.outcome != Outcome::kUnknown &&
+      answer.outcome != Outcome::kDuplicate) {
+    this->AnswerNotRun(task);
+  }
+  this->Perform(node, std::move(result.second));
+}
+
+void ClaimsModel::AnswerNotRun(const std::string& task) {
+  this->denied.insert(task);
+  if (this->started.contains(task)) {
+    this->Fail(task + " was answered `not_run` but had run");
+  }
+}
+
+void ClaimsModel::Perform(const NodeRef& node,
+                          std::vector<ClaimAction> actions) {
+  struct Visitor {
+    ClaimsModel* model;
+    const NodeRef& node;
+    void operator()(const CreateBatch& a) { this->model->Create(this->node, a); }
+    void operator()(const ReadLog& a) { this->model->Read(this->node, a); }
+    void operator()(const TrimLog& a) {
+      std::map<std::uint64_t, Stored>& log = this->model->store[a.log];
+      log.erase(log.lower_bound(1), log.lower_bound(a.below));
+    }
+    void operator()(const ClaimReady& a) { this->model->Send(this->node, a); }
+    void operator()(const ClaimRefused& a) {
+      this->model->AnswerNotRun(a.task.str());
+    }
+  };
+  for (const ClaimAction& action : actions) {
+    std::visit(Visitor{this, node}, action);
+  }
+}
+
+void ClaimsModel::Create(const NodeRef& node, const CreateBatch& action) {
+  node->machine->Call<CreateOutcome>(
+      [this, action]() -> std::optional<CreateOutcome> {
+        if (this->outage) {
+          return std::nullopt;
+        }
+        const bool created =
+            this->store[action.log]
+                .emplace(action.seq, Stored{action.batch, this->queue.now()})
+                .second;
+        return created ? CreateOutcome::kCreated : CreateOutcome::kExists;
+      },
+      [this, node, action](std::optional<CreateOutcome> outcome) {
+        this->Perform(node, node->registry->OnCreateAnswer(
+                                action.log, action.seq,
+                                outcome.value_or(CreateOutcome::kNoAnswer),
+                                node->machine->Clock()));
+      });
+}
+
+void ClaimsModel::Read(const NodeRef& node, const ReadLog& action) {
+  const Duration staleness =
+      this->random.Chance(0.2)
+          ? this->random.DurationBelow(std::chrono::seconds(1))
+          : Duration::zero();
+  node->machine->Call<LogPage>(
+      [this, action, staleness]() -> std::optional<LogPage> {
+        if (this->outage) {
+          return std::nullopt;
+        }
+        LogPage page;
+        const std::map<std::uint64_t, Stored>& log = this->store[action.log];
+        for (std::map<std::uint64_t, Stored>::const_iterator item =
+                 log.lower_bound(action.from);
+             item != log.end() && page.size() < 3 &&
+             item->second.created + staleness <= this->queue.now();
+             ++item) {
+          page.emplace_back(item->first, item->second.batch);
+        }
+        return page;
+      },
+      [this, node, action](const std::optional<LogPage>& page) {
+        this->Perform(node, node->registry->OnReadAnswer(
+                                action.log, action.from, page,
+                                node->machine->Clock()));
+      });
+}
+
+ClaimsModel::StartAnswer ClaimsModel::Start(std::size_t worker,
+                                            const std::string& key,
+                                            const std::string& task,
+                                            Duration deadline) {
+  if (this->workers[worker].known.contains(task)) {
+    return {StartAnswer::Kind::kKnown};
+  }
+  if (this->queue.now() > deadline) {
+    return {StartAnswer::Kind::kExpired};
+  }
+  if (this->random.Chance(0.2)) {
+    return {StartAnswer::Kind::kFull};
+  }
+  this->workers[worker].known.insert(task);
+  this->started.insert(task);
+  this->runs[key] += 1;
+  if (this->runs[key] > 1) {
+    this->Fail(key + " ran twice");
+  }
+  if (this->denied.contains(task)) {
+    this->Fail(task + " ran after it was answered `not_run`");
+  }
+  return {StartAnswer::Kind::kStarted};
+}
+
+void ClaimsModel::Send(const NodeRef& node, const ClaimReady& action) {
+  const std::size_t worker = this->random.Below(this->workers.size());
+  const Duration deadline = node->authority;
+  const std::string key = action.key;
+  const std::string task = action.task.str();
+  node->machine->Call<StartAnswer>(
+      [this, worker, key, task, deadline]() -> std::optional<StartAnswer> {
+        return this->Start(worker, key, task, deadline);
+      },
+      [this, node, worker, key, task,
+       deadline](std::optional<StartAnswer> answer) {
+        if (!answer) {
+          this->Query(node, key, task, worker, deadline, 8);
+          return;
+        }
+        const bool ran = answer->kind == StartAnswer::Kind::kStarted ||
+                         answer->kind == StartAnswer::Kind::kKnown;
+        this->Fate(node, key, task,
+                   ran ? ClaimState::kRan : ClaimState::kNotRun);
+      });
+}
+
+void ClaimsModel::Query(const NodeRef& node,
+                        const std::string& key,
+                        const std::string& task,
+                        std::size_t worker,
+                        Duration deadline,
+                        int attempts) {
+  node->machine->Call<QueryAnswer>(
+      [this, worker, task, deadline]() -> std::optional<QueryAnswer> {
+        return QueryAnswer{this->workers[worker].known.contains(task),
+                           this->queue.now() > deadline};
+      },
+      [this, node, key, task, worker, deadline,
+       attempts](std::optional<QueryAnswer> answer) {
+        if (answer && (answer->known || answer->deadline_passed)) {
+          this->Fate(node, key, task,
+                     answer->known ? ClaimState::kRan : ClaimState::kNotRun);
+        } else if (attempts == 0) {
+          this->Fate(node, key, task, ClaimState::kUnknown);
+        } else {
+          this->queue.After(std::chrono::seconds(1), [=, this]() {
+            node->machine->Deliver([=, this]() {
+              this->Query(node, key, task, worker, deadline, attempts - 1);
+            });
+          });
+        }
+      });
+}
+
+void ClaimsModel::Fate(const NodeRef& node,
+                       const std::string& key,
+                       const std::string& task,
+                       ClaimState state) {
+  node->registry->OnFate(key, TaskId(task), state, node->machine->Clock());
+  if (state != ClaimState::kNotRun) {
+    return;
+  }
+  this->AnswerNotRun(task);
+  if (this->random.Chance(0.7)) {
+    this->tasks += 1;
+    this->Submit(node, key, "t" + std::to_string(this->tasks), 0);
+  }
+}
+
+}  // namespace daisyroad
