--- a/Source/Core/Claims/claim_registry.cc
+++ b/Source/Core/Claims/claim_registry.cc
@@ -134,7 +134,11 @@
                    found->second.state, this->self},
             {}};
   }
-  if (found == this->entries.end() && this->InUnknownKeys(key)) {
+  // An entry of this epoch was checked when it was claimed. An older one may
+  // precede a claim that another registrar held only in memory.
+  const bool checked = found != this->entries.end() &&
+                       found->second.epoch == this->roster.epoch;
+  if (!checked && this->InUnknownKeys(key)) {
     return {Answer{Outcome::kUnknown, task, ClaimState::kUnknown, this->self},
             {}};
   }
