--- a/Source/UnitTests/Claims/claims_test.cc
+++ b/Source/UnitTests/Claims/claims_test.cc
@@ -1,6 +1,240 @@
 #include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Core/Claims/claim_registry.h"
 
 namespace daisyroad {
 namespace {
+
+using Outcome = ClaimRegistry::Outcome;
+
+const EntryName kSelf("e0");
+const EntryName kOther("e1");
+const MonotonicTime kStart(std::chrono::hours(1));
+
+ClaimRoster Roster(std::uint64_t epoch, const std::vector<EntryName>& names) {
+  ClaimRoster roster;
+  roster.epoch = epoch;
+  for (const EntryName& name : names) {
+    roster.members.push_back(RosterMember{name, ZoneName("za")});
+  }
+  return roster;
+}
+
+template <typename T, typename Action>
+std::vector<T> Only(const std::vector<Action>& actions) {
+  std::vector<T> found;
+  for (const Action& action : actions) {
+    if (const T* item = std::get_if<T>(&action)) {
+      found.push_back(*item);
+    }
+  }
+  return found;
+}
+
+// A registrar alone in epoch 1, serving.
+ClaimRegistry Serving(ClaimRegistry::Options options = {}) {
+  ClaimRegistry registry(kSelf, options);
+  registry.StartEpoch(Roster(1, {kSelf}), {}, false, kStart);
+  REQUIRE(registry.serving());
+  return registry;
+}
+
+// Guards against records that another build cannot read or that lose a field.
+TEST_CASE("A claim batch survives the store") {
+  const ClaimBatch batch{
+      kSelf, true, true, {{"k \"1\"", TaskId("t"), ClaimState::kNotRun}}};
+  CHECK(ParseClaimBatch(FormatClaimBatch(batch)).value() == batch);
+  CHECK(ClaimKey({3, kSelf}, 7) == "claims/3/e0/000000000007");
+  const std::string text = GENERATE(
+      as<std::string>{}, "", "{}", R"({"writer":"a","seal":1})",
+      R"({"writer":"a","seal":false,"clean":false,"records":[{"key":"k"}]})",
+      R"({"writer":"a","seal":false,"clean":false,"records":
+          [{"key":"k","task":"t","state":"x"}]})");
+  CHECK_FALSE(ParseClaimBatch(text).ok());
+}
+
+// Guards against a cut-off zone whose keys belong to another zone.
+TEST_CASE("A key with a zone prefix stays in its zone") {
+  ClaimRoster roster = Roster(1, {kSelf, EntryName("e2"), EntryName("e3")});
+  roster.members.push_back(RosterMember{kOther, ZoneName("zb")});
+  for (int i = 0; i < 50; ++i) {
+    CHECK(ChooseRegistrar("zb/" + std::to_string(i), roster) == kOther);
+    CHECK(ChooseRegistrar("za/" + std::to_string(i), roster) != kOther);
+  }
+  CHECK(ChooseRegistrar("zc/1", roster).has_value());
+  CHECK_FALSE(ChooseRegistrar("k", ClaimRoster()).has_value());
+}
+
+// Guards against one store write per request.
+TEST_CASE("Claims of 10 ms share one write") {
+  ClaimRegistry registry = Serving();
+  registry.Submit("a", TaskId("t1"), kStart);
+  registry.Submit("b", TaskId("t2"), kStart + Milliseconds(9));
+  CHECK(registry.Tick(kStart + Milliseconds(9)).empty());
+  const std::vector<CreateBatch> writes =
+      Only<CreateBatch>(registry.Tick(kStart + Milliseconds(10)));
+  REQUIRE(writes.size() == 1);
+  CHECK(writes[0].batch.records.size() == 2);
+  const std::vector<ClaimAction> done = registry.OnCreateAnswer(
+      writes[0].log, 0, CreateOutcome::kCreated, kStart);
+  CHECK(Only<ClaimReady>(done).size() == 2);
+}
+
+// Guards against a claim taken as failed, or a task sent twice, because the
+// answer to its write was lost and the read is stale.
+TEST_CASE("A lost answer is read back") {
+  ClaimRegistry registry = Serving();
+  registry.Submit("a", TaskId("t1"), kStart);
+  MonotonicTime now = kStart + Milliseconds(10);
+  const CreateBatch write = Only<CreateBatch>(registry.Tick(now)).at(0);
+  CHECK(Only<ReadLog>(registry.OnCreateAnswer(write.log, 0,
+                                              CreateOutcome::kNoAnswer, now))
+            .size() == 1);
+  CHECK(registry.OnReadAnswer(write.log, 0, LogPage(), now).empty());
+  now += Milliseconds(100);
+  CHECK(Only<CreateBatch>(registry.Tick(now)).at(0).batch == write.batch);
+  registry.OnCreateAnswer(write.log, 0, CreateOutcome::kExists, now);
+  registry.OnReadAnswer(write.log, 0, LogPage(), now);
+  now += Milliseconds(100);
+  CHECK(Only<ReadLog>(registry.Tick(now)).size() == 1);
+  const LogPage page = {{0, write.batch}};
+  CHECK(Only<ClaimReady>(registry.OnReadAnswer(write.log, 0, page, now))
+            .size() == 1);
+}
+
+// Guards against a paused registrar that claims in a log which others sealed.
+TEST_CASE("A sealed log refuses claims as not run") {
+  ClaimRegistry registry = Serving();
+  registry.Submit("a", TaskId("t1"), kStart);
+  const MonotonicTime now = kStart + Milliseconds(10);
+  const LogName log = Only<CreateBatch>(registry.Tick(now)).at(0).log;
+  registry.OnCreateAnswer(log, 0, CreateOutcome::kExists, now);
+  const LogPage page = {{0, ClaimBatch{kOther, true, false, {}}}};
+  CHECK(Only<ClaimRefused>(registry.OnReadAnswer(log, 0, page, now)).size() ==
+        1);
+  CHECK(registry.Submit("a", TaskId("t2"), now).first.outcome ==
+        Outcome::kNotServing);
+}
+
+// Guards against a second run while the fate of the first task is open.
+TEST_CASE("A key is free again only after its task is known not to have run") {
+  ClaimRegistry registry = Serving();
+  CHECK(registry.Submit("a", TaskId("t1"), kStart).first.outcome ==
+        Outcome::kClaiming);
+  CHECK(registry.Submit("a", TaskId("t2"), kStart).first.outcome ==
+        Outcome::kDuplicate);
+  registry.OnFate("a", TaskId("t1"), ClaimState::kUnknown, kStart);
+  CHECK(registry.Submit("a", TaskId("t2"), kStart).first.outcome ==
+        Outcome::kDuplicate);
+  registry.OnFate("a", TaskId("t0"), ClaimState::kNotRun, kStart);
+  CHECK(registry.Submit("a", TaskId("t2"), kStart).first.outcome ==
+        Outcome::kDuplicate);
+  registry.OnFate("a", TaskId("t1"), ClaimState::kNotRun, kStart);
+  CHECK(registry.Submit("a", TaskId("t2"), kStart).first.outcome ==
+        Outcome::kClaiming);
+}
+
+// Guards against a new registrar that serves keys before it knows what an
+// earlier one claimed, also in memory only.
+TEST_CASE("A lost registrar's keys are unknown for the retention") {
+  const bool outage = GENERATE(true, false);
+  ClaimRegistry registry(kSelf, ClaimRegistry::Options());
+  registry.StartEpoch(Roster(2, {kSelf}), {Roster(1, {kOther})}, outage,
+                      kStart);
+  CHECK(registry.Submit("a", TaskId("t2"), kStart).first.outcome ==
+        Outcome::kNotServing);
+  const LogName log{1, kOther};
+  const LogPage page = {
+      {0, ClaimBatch{kOther, false, false,
+                     {{"a", TaskId("t1"), ClaimState::kOpen}}}}};
+  registry.OnReadAnswer(log, 0, page, kStart);
+  const std::vector<CreateBatch> seals =
+      Only<CreateBatch>(registry.OnReadAnswer(log, 1, LogPage(), kStart));
+  REQUIRE(seals.size() == 1);
+  CHECK(seals[0].seq == 1);
+  CHECK(seals[0].batch.seal);
+  registry.OnCreateAnswer(log, 1, CreateOutcome::kCreated, kStart);
+  registry.Tick(kStart);
+  REQUIRE(registry.serving());
+  const ClaimRegistry::Answer known =
+      registry.Submit("a", TaskId("t2"), kStart).first;
+  CHECK(known.outcome == Outcome::kDuplicate);
+  CHECK(known.state == ClaimState::kUnknown);
+  CHECK(registry.Submit("b", TaskId("t3"), kStart).first.outcome ==
+        (outage ? Outcome::kUnknown : Outcome::kClaiming));
+  const MonotonicTime later = kStart + std::chrono::minutes(11);
+  registry.Tick(later);
+  CHECK(registry.Submit("c", TaskId("t4"), later).first.outcome ==
+        Outcome::kClaiming);
+}
+
+// Guards against an outage that stops all keyed work, and against claims of the
+// outage that are never written.
+TEST_CASE("Claims are held in memory during an agreed outage, then flushed") {
+  ClaimRegistry registry = Serving();
+  registry.Submit("a", TaskId("t1"), kStart);
+  CHECK(Only<ClaimReady>(registry.SetAgreedOutage(true)).size() == 1);
+  CHECK(Only<ClaimReady>(registry.Submit("b", TaskId("t2"), kStart).second)
+            .size() == 1);
+  CHECK(registry.SetAgreedOutage(false).empty());
+  CHECK(Only<ClaimReady>(registry.Submit("c", TaskId("t3"), kStart).second)
+            .empty());
+  const std::vector<CreateBatch> writes =
+      Only<CreateBatch>(registry.Tick(kStart + Milliseconds(10)));
+  REQUIRE(writes.size() == 1);
+  REQUIRE(writes[0].batch.records.size() == 3);
+  CHECK(writes[0].batch.records[0].key == "a");
+  const std::vector<ClaimAction> done = registry.OnCreateAnswer(
+      writes[0].log, 0, CreateOutcome::kCreated, kStart);
+  CHECK(Only<ClaimReady>(done).size() == 1);
+  CHECK(registry.unflushed() == 0);
+}
+
+// Guards against memory and store space that grow with the number of requests.
+TEST_CASE("Claims expire and logs are trimmed after the retention") {
+  ClaimRegistry::Options options;
+  options.max_entries = 100;
+  ClaimRegistry registry = Serving(options);
+  MonotonicTime now = kStart;
+  std::uint64_t trimmed = 0;
+  for (int i = 0; i < 3000; ++i) {
+    now += std::chrono::seconds(10);
+    const std::string key = "k" + std::to_string(i);
+    REQUIRE(registry.Submit(key, TaskId(key), now).first.outcome ==
+            Outcome::kClaiming);
+    registry.OnFate(key, TaskId(key), ClaimState::kRan, now);
+    now += Milliseconds(20);
+    for (const ClaimAction& action : registry.Tick(now)) {
+      if (const CreateBatch* write = std::get_if<CreateBatch>(&action)) {
+        registry.OnCreateAnswer(write->log, write->seq,
+                                CreateOutcome::kCreated, now);
+      }
+      if (const TrimLog* trim = std::get_if<TrimLog>(&action)) {
+        trimmed = trim->below;
+      }
+    }
+    now += Milliseconds(20);
+    for (const TrimLog& trim : Only<TrimLog>(registry.Tick(now))) {
+      trimmed = trim.below;
+    }
+  }
+  CHECK(registry.size() <= 62);
+  CHECK(trimmed > 2900);
+  CHECK(trimmed < 2960);
+}
+
+// Guards against memory that a flood of keys uses up.
+TEST_CASE("A full registry refuses as not run") {
+  ClaimRegistry::Options options;
+  options.max_entries = 1;
+  ClaimRegistry registry = Serving(options);
+  registry.Submit("a", TaskId("t1"), kStart);
+  CHECK(registry.Submit("b", TaskId("t2"), kStart).first.outcome ==
+        Outcome::kFull);
+}
+
 }  // namespace
 }  // namespace daisyroad
