--- a/Source/Core/Limits/team_allotment.cc
+++ b/Source/Core/Limits/team_allotment.cc
@@ -118,7 +118,7 @@
   }
   if (!this->pending) {
     LimitRecord next = this->known.record;
-    if (!this->Plan(peers, dead, &next)) {
+    if (!this->Plan(peers, dead, now, &next)) {
       return {};
     }
     this->serial += 1;
@@ -136,6 +136,7 @@
 
 bool TeamAllotment::Plan(const Peers& peers,
                          const std::vector<EntryName>& dead,
+                         MonotonicTime now,
                          LimitRecord* next) {
   bool changed =
       this->declared_version > 0 &&
@@ -156,17 +157,37 @@
     LimitLedger::Grant(next, this->self, this->Keep() - count);
     return true;
   }
-  if (LimitLedger::Free(*next) > 0) {
-    return changed;  // peers in need take the free part themselves
-  }
+  // Peers in need take the free part themselves.
   const bool gave =
-      this->GiveToPeers(peers, next) || this->GiveToStarving(peers, next);
-  return gave || changed;
+      LimitLedger::Free(*next) == 0 &&
+      (this->GiveToPeers(peers, next) || this->GiveToStarving(peers, next));
+  return gave || this->ReturnIdle(now, next) || changed;
 }
 
-bool TeamAllotment::GiveToPeers(const Peers& peers, LimitRecord* next) {
+std::int64_t TeamAllotment::Idle(const LimitRecord& record) const {
+  return LimitLedger::Count(record, this->self) -
+         std::max(this->Keep(), this->active);
+}
+
+bool TeamAllotment::ReturnIdle(MonotonicTime now, LimitRecord* next) {
   const std::int64_t count = LimitLedger::Count(*next, this->self);
-  const std::int64_t idle = count - std::max(this->Keep(), this->active);
+  const std::int64_t idle = this->Idle(*next);
+  if (idle <= count / this->options.slack_divisor) {
+    this->idle_since.reset();
+    return false;
+  }
+  if (!this->idle_since) {
+    this->idle_since = now;
+  }
+  if (now - *this->idle_since < this->options.idle_time) {
+    return false;
+  }
+  this->idle_since.reset();
+  return LimitLedger::Return(next, this->self, idle) > 0;
+}
+
+bool TeamAllotment::GiveToPeers(const Peers& peers, LimitRecord* next) {
+  const std::int64_t idle = this->Idle(*next);
   std::int64_t all_idle = idle;
   std::int64_t need = 0;
   for (const std::pair<const EntryName, PeerDemand>& peer : peers) {
--- a/Source/Core/Limits/team_allotment.h
+++ b/Source/Core/Limits/team_allotment.h
@@ -19,7 +19,10 @@
  public:
   struct Options {
     // Bounds the writes of one holder and team during a burst.
-    Duration write_interval = Milliseconds(50);
+    Duration write_interval = Milliseconds(100);
+    // Idle allotment goes back after this time, so that a burst elsewhere can
+    // take it with one write and without waiting for gossip.
+    Duration idle_time = Milliseconds(250);
     Duration retry_time = Milliseconds(200);
     // A holder keeps want / slack_divisor above its demand, so that small
     // changes of demand cause no write.
@@ -62,7 +65,10 @@
   // Changes to make now; false if there is none.
   bool Plan(const Peers& peers,
             const std::vector<EntryName>& dead,
+            MonotonicTime now,
             LimitRecord* next);
+  bool ReturnIdle(MonotonicTime now, LimitRecord* next);
+  std::int64_t Idle(const LimitRecord& record) const;
   bool GiveToPeers(const Peers& peers, LimitRecord* next);
   bool GiveToStarving(const Peers& peers, LimitRecord* next);
   void Adopt(const LimitSnapshot& snapshot);
@@ -80,6 +86,7 @@
   MonotonicTime next_write;
   MonotonicTime next_read;
   std::uint64_t serial = 0;
+  std::optional<MonotonicTime> idle_since;
   std::int64_t active = 0;
   std::int64_t waiting = 0;
   std::int64_t reserved = 0;  // kept back for starving peers
