Shares: follow changes of the cell's capacity

Shares of tasks already known stayed fractions of the old cell after workers were lost, so a team looked half as large as it was when half of the cell was gone. All known shares are computed anew; the model test now changes the capacity too.

--- a/Source/Bench/shares_speed_bench.cc
+++ b/Source/Bench/shares_speed_bench.cc
@@ -16,8 +16,8 @@
 constexpr int kTasks = 10000;
 constexpr int kTeams = 68;
 constexpr double kTargetMicroseconds = 10.0;
-const Resources kCell{576.0, 1152.0, 18.0, 72.0};
-const Resources kWorker{64.0, 128.0, 2.0, 8.0};
+constexpr Resources kCell{576.0, 1152.0, 18.0, 72.0};
+constexpr Resources kWorker{64.0, 128.0, 2.0, 8.0};
 
 template <typename Call>
 double Microseconds(int count, Call call) {
--- a/Source/Core/Shares/fair_queue.h
+++ b/Source/Core/Shares/fair_queue.h
@@ -105,6 +105,7 @@
   Resources SizeOf(const FairTask& task) const;
   void Start(Index index, MonotonicTime now);
   void Release(Index index);
+  void Rescale();
   void Charge(Index index, const Resources& usage);
   void EndReclaim(Index index, bool room_is_free);
   void PutBack(Index index, MonotonicTime now);
--- a/Source/Core/Shares/fair_queue_accounts.cc
+++ b/Source/Core/Shares/fair_queue_accounts.cc
@@ -79,6 +79,27 @@
                           state.urgent.count + state.background.count > 0);
 }
 
+// Shares are fractions of the cell; when workers come or go, the tasks already
+// known take a different fraction.
+void FairQueue::Rescale() {
+  for (Index index = 0; index < this->store.index_end(); ++index) {
+    TaskStore::Node& node = this->store.At(index);
+    if (node.task.id.empty()) {
+      continue;
+    }
+    if (node.running) {
+      this->Charge(index, node.usage);
+      continue;
+    }
+    const double share = node.size.DominantShare(this->total);
+    Team& team = this->teams[node.team];
+    (node.task.task_class == TaskClass::kLong ? team.queued_long
+                                              : team.queued_urgent) +=
+        (share - node.share) * node.seconds;
+    node.share = share;
+  }
+}
+
 // Replaces what the running task is charged for.
 void FairQueue::Charge(Index index, const Resources& usage) {
   TaskStore::Node& node = this->store.At(index);
--- a/Source/Core/Shares/reclaim_decision.h
+++ b/Source/Core/Shares/reclaim_decision.h
@@ -2,6 +2,7 @@
 #define SOURCE_CORE_SHARES_RECLAIM_DECISION_H_
 
 #include "Core/Common/identifiers.h"
+#include "Core/Common/log_decision.h"
 
 namespace daisyroad {
 
@@ -13,6 +14,9 @@
   ReclaimAction action = ReclaimAction::kCheckpoint;
   TeamName from;
   TeamName to;  // empty for kRestore
+
+  // decision=reclaim task=t1 action=checkpoint from=a to=b
+  LogDecision ToLog() const;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Shares/task_store.h
+++ b/Source/Core/Shares/task_store.h
@@ -49,6 +49,8 @@
   void PushFront(List& list, Index index);
   void Unlink(List& list, Index index);
 
+  // Indices are below this; an unused one has an empty task identifier.
+  Index index_end() const { return static_cast<Index>(this->nodes.size()); }
   std::size_t size() const { return this->by_id.size(); }
 
  private:
--- a/Source/UnitTests/Shares/fair_queue_property_test.cc
+++ b/Source/UnitTests/Shares/fair_queue_property_test.cc
@@ -106,6 +106,8 @@
       this->End(random);
       break;
     default:
+      this->queue.SetCapacity(random.Chance(0.5) ? kWorker : kWorker + kWorker,
+                              kWorker, this->now);
       for (const ReclaimDecision& decision :
            this->queue.Reclaim(this->now, kWorker)) {
         const FairTask& task = this->running.at(decision.task.str());
--- a/Source/UnitTests/Shares/fair_queue_test.cc
+++ b/Source/UnitTests/Shares/fair_queue_test.cc
@@ -170,6 +170,8 @@
   const std::vector<ReclaimDecision> decisions = cell.Reclaim();
   REQUIRE(!decisions.empty());
   CHECK(decisions[0].action == ReclaimAction::kThrottle);
+  CHECK(decisions[0].ToLog().line().find("action=throttle from=a to=b") !=
+        std::string::npos);
   cell.queue.Cancel(waiting.id, cell.now);
   const std::vector<ReclaimDecision> restored = cell.Reclaim();
   REQUIRE(restored.size() == decisions.size());
@@ -232,6 +234,34 @@
   CHECK(cell.Next().has_value());
 }
 
+// Guards against shares and wait estimates of a cell size that is no longer
+// true after workers were lost or came back.
+TEST_CASE("Usage and waits follow the capacity of the cell") {
+  Cell cell;
+  cell.Add(kA, TaskClass::kUrgent, 15);
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(cell.Next().has_value());
+  }
+  CHECK(cell.queue.Usage(kA) == Approx(0.5));
+  const Duration wait = cell.queue.EstimatedWait(kA, TaskClass::kUrgent);
+  // Ten tasks of one second on ten slots; the tolerance is for rounding.
+  CHECK(std::chrono::abs(wait - seconds(1)) < std::chrono::microseconds(1));
+  cell.queue.SetCapacity(kWorker + kWorker, kWorker, cell.now);
+  CHECK(cell.queue.Usage(kA) == Approx(0.25));
+  CHECK(std::chrono::abs(cell.queue.EstimatedWait(kA, TaskClass::kUrgent) -
+                         wait / 2) < std::chrono::microseconds(1));
+  // A cell without workers neither divides by zero nor starts work.
+  cell.queue.SetCapacity({}, {}, cell.now);
+  CHECK(cell.queue.Usage(kA) < 1e-9);
+  CHECK_FALSE(cell.queue.Next(cell.now, {}).has_value());
+  CHECK(cell.Reclaim().empty());
+  FairTask task = cell.Make(kB, TaskClass::kUrgent);
+  CHECK(cell.queue.Enqueue(task, cell.now).error().code ==
+        Errc::kInvalidArgument);
+  task.id = TaskId();
+  CHECK_FALSE(cell.queue.Enqueue(task, cell.now).ok());
+}
+
 // Guards against quiet teams over their share that lower what others are
 // entitled to, and against unbounded memory of old deficits.
 TEST_CASE("Entitlements fill progressively and deficits are bounded") {
