--- a/Source/Bench/shares_simulation_bench.cc
+++ b/Source/Bench/shares_simulation_bench.cc
@@ -14,18 +14,17 @@
 #include <variant>
 
 #include "Bench/shares_arrivals.h"
+#include "Bench/shares_meter.h"
 #include "Bench/shares_simulation.h"
 #include "Core/Shares/fair_queue.h"
 
 namespace daisyroad {
 namespace {
 
-constexpr double kRunLength = 600.0;    // seconds simulated
-constexpr double kWarmUp = 60.0;        // not measured
-constexpr double kTickInterval = 0.05;  // interval of reclaim decisions
-constexpr double kCheckpoint = 0.3;     // seconds of a slot without progress
-constexpr double kResume = 0.2;         // likewise, when it starts again
-constexpr double kStartDelay = 0.004;   // round trip to the worker
+constexpr double kRunLength = 600.0;   // seconds simulated
+constexpr double kCheckpoint = 0.3;    // seconds of a slot without progress
+constexpr double kResume = 0.2;        // likewise, when it starts again
+constexpr double kStartDelay = 0.004;  // round trip to the worker
 
 MonotonicTime At(double seconds) {
   return MonotonicTime(std::chrono::duration_cast<Duration>(
@@ -113,8 +112,6 @@
   void Start(std::size_t index, std::size_t worker);
   void Reclaim();
   void Vacate(Job& job);
-  void Sample();
-  void CloseWindows();
   std::size_t MostFreeWorker() const;
   std::size_t FreeSlots() const;
 
@@ -134,13 +131,9 @@
   double urgent_running = 0.0;
   SharesOutcome outcome;
   double long_useful = 0.0;
-  double long_available = 0.0;
   std::size_t urgent_arrived = 0;
   std::size_t urgent_started = 0;
-  std::vector<std::vector<double>> received;  // per team and tick
-  std::vector<std::vector<double>> entitled;
-  std::vector<std::vector<bool>> backlogged;
-  double last_sample = 0.0;
+  SharesMeter meter;
   std::chrono::nanoseconds next_time{0};
   std::size_t next_calls = 0;
 };
@@ -148,7 +141,7 @@
 Simulation::Simulation(const SharesSite& cell,
                        SharesPolicy rule,
                        std::uint64_t seed)
-    : site(cell), policy(rule) {
+    : site(cell), policy(rule), meter(cell) {
   const std::size_t teams = this->site.weights.size();
   this->slots =
       this->site.worker.slots * static_cast<double>(this->site.workers);
@@ -156,9 +149,6 @@
   this->waiting.assign(teams, 0);
   this->long_waiting.assign(teams, 0);
   this->running.assign(teams, 0.0);
-  this->received.resize(teams);
-  this->entitled.resize(teams);
-  this->backlogged.resize(teams);
   double weight_sum = 0.0;
   for (const double weight : this->site.weights) {
     weight_sum += weight;
@@ -208,7 +198,7 @@
     job.work = arrival.work;
     this->jobs.push_back(std::move(job));
   }
-  for (double time = kTickInterval; time < kRunLength; time += kTickInterval) {
+  for (double time = kSharesTick; time < kRunLength; time += kSharesTick) {
     this->Push(time, EventKind::kTick, 0, 0);
   }
 }
@@ -231,7 +221,7 @@
   Job& job = this->jobs[index];
   const bool urgent = job.task.task_class == TaskClass::kUrgent;
   job.was_full = this->FreeSlots() == 0;
-  if (urgent && this->now > kWarmUp) {
+  if (urgent && this->now > kSharesWarmUp) {
     ++this->urgent_arrived;
   }
   if (SimpleQueues* simple = std::get_if<SimpleQueues>(&this->scheduler)) {
@@ -288,7 +278,7 @@
   --this->waiting[job.team];
   this->long_waiting[job.team] -= urgent ? 0 : 1;
   this->urgent_running += urgent ? 1.0 : 0.0;
-  if (urgent && job.arrival > kWarmUp) {
+  if (urgent && job.arrival > kSharesWarmUp) {
     ++this->urgent_started;
     const double wait = this->now - job.arrival + kStartDelay;
     (job.was_full ? this->outcome.full_waits : this->outcome.room_waits)
@@ -312,10 +302,10 @@
     return;
   }
   this->Vacate(job);
-  if (job.task.task_class == TaskClass::kLong && job.started > kWarmUp) {
+  if (job.task.task_class == TaskClass::kLong && job.started > kSharesWarmUp) {
     this->long_useful += job.work;
   } else if (job.task.task_class == TaskClass::kLong) {
-    this->long_useful += std::max(0.0, this->now - kWarmUp);
+    this->long_useful += std::max(0.0, this->now - kSharesWarmUp);
   }
   if (SimpleQueues* simple = std::get_if<SimpleQueues>(&this->scheduler)) {
     --simple->running[job.team];
@@ -337,9 +327,9 @@
       std::clamp(this->now - kCheckpoint - job.started - resume, 0.0, job.work);
   job.work -= done;
   job.resumed = true;
-  if (this->now > kWarmUp) {
+  if (this->now > kSharesWarmUp) {
     ++this->outcome.checkpoints;
-    this->long_useful += std::min(done, this->now - kWarmUp);
+    this->long_useful += std::min(done, this->now - kSharesWarmUp);
   }
   ++this->waiting[job.team];
   ++this->long_waiting[job.team];
@@ -362,72 +352,6 @@
   }
 }
 
-// Shares by progressive filling: teams without waiting work keep what they use
-// up to their share, the rest is split by weight between the backlogged.
-void Simulation::Sample() {
-  const double step = this->now - this->last_sample;
-  this->last_sample = this->now;
-  const std::size_t teams = this->site.weights.size();
-  double weight = 0.0;
-  double room = this->slots;
-  std::vector<bool> satisfied(teams, false);
-  for (const double team_weight : this->site.weights) {
-    weight += team_weight;
-  }
-  for (bool changed = true; changed;) {
-    changed = false;
-    for (std::size_t i = 0; i < teams; ++i) {
-      const double share = room * this->site.weights[i] / weight;
-      if (!satisfied[i] && this->waiting[i] == 0 && this->running[i] <= share) {
-        satisfied[i] = true;
-        room -= this->running[i];
-        weight -= this->site.weights[i];
-        changed = true;
-      }
-    }
-  }
-  std::size_t long_backlog = 0;
-  for (std::size_t i = 0; i < teams; ++i) {
-    this->received[i].push_back(this->running[i] * step);
-    this->entitled[i].push_back(
-        satisfied[i] ? 0.0 : room * this->site.weights[i] / weight * step);
-    this->backlogged[i].push_back(this->waiting[i] > 0);
-    long_backlog += this->long_waiting[i];
-  }
-  if (this->now > kWarmUp) {
-    const double room_for_long = this->slots - this->urgent_running;
-    double long_running = 0.0;
-    for (std::size_t i = 0; i < teams; ++i) {
-      long_running += this->running[i];
-    }
-    long_running -= this->urgent_running;
-    this->long_available +=
-        (long_backlog > 0 ? room_for_long : long_running) * step;
-  }
-}
-
-void Simulation::CloseWindows() {
-  const std::size_t length = static_cast<std::size_t>(30.0 / kTickInterval);
-  const std::size_t stride = static_cast<std::size_t>(5.0 / kTickInterval);
-  const std::size_t first = static_cast<std::size_t>(kWarmUp / kTickInterval);
-  for (std::size_t team = 0; team < this->received.size(); ++team) {
-    const std::size_t ticks = this->received[team].size();
-    for (std::size_t begin = first; begin + length <= ticks; begin += stride) {
-      double got = 0.0;
-      double due = 0.0;
-      bool always = true;
-      for (std::size_t i = begin; i < begin + length; ++i) {
-        got += this->received[team][i];
-        due += this->entitled[team][i];
-        always = always && this->backlogged[team][i];
-      }
-      if (always && due > 0.0) {
-        this->outcome.deviations.push_back(std::abs(got - due) / due);
-      }
-    }
-  }
-}
-
 SharesOutcome Simulation::Run() {
   while (!this->events.empty() && this->events.top().time < kRunLength) {
     const Event event = this->events.top();
@@ -444,23 +368,24 @@
         this->Checkpointed(event);
         break;
       case EventKind::kTick:
-        this->Sample();
+        this->meter.Sample(this->now, this->waiting, this->long_waiting,
+                           this->running, this->urgent_running);
         this->Reclaim();
         break;
     }
     this->Dispatch();
   }
-  this->CloseWindows();
+  this->outcome.deviations = this->meter.Deviations();
   for (const Job& job : this->jobs) {
     // Odd run numbers are running: each start and each end adds one.
     if (job.run % 2 == 1 && job.task.task_class == TaskClass::kLong) {
       this->long_useful +=
-          std::min(job.work, this->now - std::max(kWarmUp, job.started));
+          std::min(job.work, this->now - std::max(kSharesWarmUp, job.started));
     }
   }
-  this->outcome.long_throughput = this->long_available > 0.0
-                                      ? this->long_useful / this->long_available
-                                      : 1.0;
+  const double available = this->meter.long_available();
+  this->outcome.long_throughput =
+      available > 0.0 ? this->long_useful / available : 1.0;
   this->outcome.urgent_done =
       this->urgent_arrived == 0 ? 1.0
                                 : static_cast<double>(this->urgent_started) /
