--- a/Source/Bench/control_bench.cc
+++ b/Source/Bench/control_bench.cc
@@ -110,7 +110,7 @@
   return results;
 }
 
-const BenchRegistration registration("control", RunControlBench);
+const BenchRegistration kRegistration("control", RunControlBench);
 
 }  // namespace
 }  // namespace daisyroad
--- a/Source/Bench/routing_bench.cc
+++ b/Source/Bench/routing_bench.cc
@@ -163,7 +163,7 @@
   return results;
 }
 
-const BenchRegistration registration("routing", RunRoutingBench);
+const BenchRegistration kRegistration("routing", RunRoutingBench);
 
 }  // namespace
 }  // namespace daisyroad
--- a/Source/Core/Shares/fair_queue.cc
+++ b/Source/Core/Shares/fair_queue.cc
@@ -1,8 +1,5 @@
 #include "Core/Shares/fair_queue.h"
 
-#include <algorithm>
-#include <chrono>
-#include <string>
 #include <utility>
 
 namespace daisyroad {
@@ -12,14 +9,6 @@
 // not fit; bounds the cost of one decision.
 constexpr int kFitAttempts = 8;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Status Refuse(Errc code, const FairTask& task, const std::string& reason) {
-  return Error{code, "queue.admit", "", task.id.str() + ": " + reason};
-}
-
 }  // namespace
 
 FairQueue::FairQueue(FairQueueSettings queue_settings)
@@ -31,6 +20,7 @@
   this->ledger.Accrue(now);
   this->total = cell_total;
   this->largest_worker = largest;
+  this->Rescale();
 }
 
 void FairQueue::SetWeight(const TeamName& team,
@@ -40,6 +30,7 @@
   this->ledger.SetWeight(this->TeamIndex(team), weight);
 }
 
+<<<<<<< HEAD
 Status FairQueue::Enqueue(FairTask task, MonotonicTime now) {
   this->ledger.Accrue(now);
   const Resources size = this->SizeOf(task);
@@ -137,6 +128,8 @@
       std::chrono::duration<double>(std::min(seconds, 86400.0)));
 }
 
+=======
+>>>>>>> shares
 bool FairQueue::Cancel(const TaskId& id, MonotonicTime now) {
   const Index index = this->store.Find(id);
   if (index == TaskStore::kNone || this->store.At(index).running) {
