--- a/Source/Core/Shares/fair_queue_admission.cc
+++ b/Source/Core/Shares/fair_queue_admission.cc
@@ -44,6 +44,23 @@
   return OkStatus();
 }
 
+Status FairQueue::Adopt(FairTask task, MonotonicTime now) {
+  if (this->store.Find(task.id) != TaskStore::kNone) {
+    return Error{Errc::kConflict, "queue.adopt", "", "the task is known"};
+  }
+  this->ledger.Accrue(now);
+  const Resources size = this->SizeOf(task);
+  const std::size_t team = this->TeamIndex(task.team);
+  const Index index = this->store.Add(std::move(task));
+  TaskStore::Node& node = this->store.At(index);
+  node.team = team;
+  node.size = size;
+  node.share = size.DominantShare(this->total);
+  this->Link(index, false);
+  this->Start(index, now);
+  return OkStatus();
+}
+
 Resources FairQueue::SizeOf(const FairTask& task) const {
   Resources size = this->learned.Size(task.team, task.queue, task.declared);
   if (size.cores != task.declared.cores ||
