--- a/Source/Bench/limits_bench.cc
+++ b/Source/Bench/limits_bench.cc
@@ -1,6 +1,6 @@
 // Escrow of limits under bursts (design 1.3): each queue in turn asks for five
-// times its mean for some seconds and for a twentieth in between. Compared are a
-// static split of the limit and one central counter, which needs two store
+// times its mean for some seconds and for a twentieth in between. Compared are
+// a static split of the limit and one central counter, which needs two store
 // writes for each task.
 
 #include <algorithm>
@@ -50,23 +50,21 @@
 };
 
 struct Usage {
-  // Sums over ticks. Lost is the room below the limit while tasks wait: a central
-  // counter would have started them.
+  // Sums over ticks. Lost is the room below the limit while tasks wait: a
+  // central counter would have started them.
   double reachable = 0;
   double lost = 0;
   std::uint64_t writes = 0;
   std::uint64_t reads = 0;
   std::uint64_t starts = 0;
 
-  double Lost() const {
-    return 100.0 * this->lost / this->reachable;
-  }
+  double Lost() const { return 100.0 * this->lost / this->reachable; }
 };
 
 // Running tasks end at random with the mean kTaskTime.
 std::int64_t Ending(std::int64_t running, Random* random) {
-  const double chance =
-      static_cast<double>(kTick.count()) / static_cast<double>(kTaskTime.count());
+  const double chance = static_cast<double>(kTick.count()) /
+                        static_cast<double>(kTaskTime.count());
   std::int64_t ended = 0;
   for (std::int64_t i = 0; i < running; ++i) {
     ended += random->Chance(chance) ? 1 : 0;
@@ -146,8 +144,8 @@
   }
 
   void StepBaseline(std::size_t i, std::int64_t wanted) {
-    std::int64_t room = this->limit / static_cast<std::int64_t>(kHolders) -
-                        this->running[i];
+    std::int64_t room =
+        this->limit / static_cast<std::int64_t>(kHolders) - this->running[i];
     if (this->rule == Rule::kCentral) {
       room = this->limit;
       for (const std::int64_t count : this->running) {
@@ -267,7 +265,8 @@
   Usage sum;
   for (int team = 0; team < teams; ++team) {
     const Usage usage =
-        TeamSimulation(rule, limit, seed * 1000 + static_cast<unsigned>(team) * 16)
+        TeamSimulation(rule, limit,
+                       seed * 1000 + static_cast<unsigned>(team) * 16)
             .Run();
     sum.reachable += usage.reachable;
     sum.lost += usage.lost;
@@ -291,21 +290,19 @@
   const Usage split = RunTeams(Rule::kStaticSplit, teams, limit, seed);
   const Usage central = RunTeams(Rule::kCentral, teams, limit, seed);
   const std::string suffix = "." + std::to_string(teams) + "_teams";
-  const std::string detail =
-      "baseline static split; central counter " +
-      std::to_string(central.Lost()) + " %";
+  const std::string detail = "baseline static split; central counter " +
+                             std::to_string(central.Lost()) + " %";
   // Several hundred writes a second are what the store can do in all.
   constexpr double kWriteBudget = 100.0;
   return {BenchResult{"limits.unreachable" + suffix, seed, escrow.Lost() < 5.0,
                       split.Lost(), escrow.Lost(), "% of limit", detail},
-          BenchResult{"limits.store_writes" + suffix, seed,
-                      PerSecond(escrow.writes) < kWriteBudget,
-                      PerSecond(central.writes), PerSecond(escrow.writes),
-                      "1/s",
-                      "baseline central counter; reads and watch events " +
-                          std::to_string(PerSecond(escrow.reads)) +
-                          " 1/s; starts " +
-                          std::to_string(PerSecond(escrow.starts)) + " 1/s"}};
+          BenchResult{
+              "limits.store_writes" + suffix, seed,
+              PerSecond(escrow.writes) < kWriteBudget,
+              PerSecond(central.writes), PerSecond(escrow.writes), "1/s",
+              "baseline central counter; reads and watch events " +
+                  std::to_string(PerSecond(escrow.reads)) + " 1/s; starts " +
+                  std::to_string(PerSecond(escrow.starts)) + " 1/s"}};
 }
 
 std::vector<BenchResult> RunLimitsBench(std::uint64_t seed) {
--- a/Source/Core/Claims/claim_record.cc
+++ b/Source/Core/Claims/claim_record.cc
@@ -81,7 +81,8 @@
       !value["records"].isArray()) {
     return Invalid("seal, clean and records are required");
   }
-  ClaimBatch batch{EntryName(writer.value()), value["seal"].asBool(),
+  ClaimBatch batch{EntryName(writer.value()),
+                   value["seal"].asBool(),
                    value["clean"].asBool(),
                    {}};
   for (const Json::Value& item : value["records"]) {
--- a/Source/Core/Claims/claim_recovery.h
+++ b/Source/Core/Claims/claim_recovery.h
@@ -45,7 +45,7 @@
   struct Progress {
     enum class Step { kReading, kCreating, kWaiting, kSealed };
     Step step = Step::kWaiting;
-    MonotonicTime next_at;   // when kWaiting ends
+    MonotonicTime next_at;  // when kWaiting ends
     MonotonicTime seal_after;
     std::uint64_t next_seq = 0;
     bool clean = false;
--- a/Source/Core/Claims/claim_registry.cc
+++ b/Source/Core/Claims/claim_registry.cc
@@ -114,8 +114,7 @@
 ClaimRegistry::Submit(const std::string& key,
                       const TaskId& task,
                       MonotonicTime now) {
-  const std::optional<EntryName> registrar =
-      ChooseRegistrar(key, this->roster);
+  const std::optional<EntryName> registrar = ChooseRegistrar(key, this->roster);
   if (!registrar || *registrar != this->self) {
     return {Answer{Outcome::kNotRegistrar, task, ClaimState::kNotRun,
                    registrar.value_or(EntryName())},
@@ -130,14 +129,14 @@
       this->entries.find(key);
   if (found != this->entries.end() &&
       found->second.state != ClaimState::kNotRun) {
-    return {Answer{Outcome::kDuplicate, found->second.task,
-                   found->second.state, this->self},
+    return {Answer{Outcome::kDuplicate, found->second.task, found->second.state,
+                   this->self},
             {}};
   }
   // An entry of this epoch was checked when it was claimed. An older one may
   // precede a claim that another registrar held only in memory.
-  const bool checked = found != this->entries.end() &&
-                       found->second.epoch == this->roster.epoch;
+  const bool checked =
+      found != this->entries.end() && found->second.epoch == this->roster.epoch;
   if (!checked && this->InUnknownKeys(key)) {
     return {Answer{Outcome::kUnknown, task, ClaimState::kUnknown, this->self},
             {}};
@@ -154,8 +153,8 @@
                                               const TaskId& task,
                                               MonotonicTime now) {
   Entry& entry = this->entries[key];
-  entry = Entry{task, ClaimState::kOpen, this->agreed_outage, false,
-                this->roster.epoch, now + this->options.log.retention};
+  entry = Entry{task,  ClaimState::kOpen,  this->agreed_outage,
+                false, this->roster.epoch, now + this->options.log.retention};
   this->Schedule(key, entry, now + this->options.log.retention / 2);
   this->FindLog({this->roster.epoch, this->self})
       ->Append(ClaimRecord{key, task, ClaimState::kOpen}, now);
@@ -237,10 +236,11 @@
   for (std::pair<const LogName, ClaimLog>& item : this->logs) {
     Join(&actions, this->Apply(item.second.Tick(now)));
   }
-  std::erase_if(this->logs, [this](const std::pair<const LogName, ClaimLog>& x) {
-    return x.second.sealed() && x.first.epoch < this->roster.epoch &&
-           x.second.unflushed() == 0;
-  });
+  std::erase_if(
+      this->logs, [this](const std::pair<const LogName, ClaimLog>& x) {
+        return x.second.sealed() && x.first.epoch < this->roster.epoch &&
+               x.second.unflushed() == 0;
+      });
   if (this->recovery) {
     Join(&actions, Widen(this->recovery->Tick(now)));
     if (!this->is_serving && this->recovery->done()) {
@@ -261,7 +261,8 @@
     actions = this->Apply(own->OnCreateAnswer(seq, outcome, now));
   }
   if (this->recovery) {
-    Join(&actions, Widen(this->recovery->OnCreateAnswer(log, seq, outcome, now)));
+    Join(&actions,
+         Widen(this->recovery->OnCreateAnswer(log, seq, outcome, now)));
   }
   return actions;
 }
--- a/Source/Core/Claims/claim_registry_recovery.cc
+++ b/Source/Core/Claims/claim_registry_recovery.cc
@@ -63,8 +63,9 @@
   }
   // With several tasks whose fate is open, learning that one did not run must
   // not free the key: no task is named, so that no fate applies.
-  Entry entry{TaskId(), ClaimState::kUnknown, true, true, this->roster.epoch,
-              now + this->options.log.retention};
+  Entry entry{
+      TaskId(), ClaimState::kUnknown, true,
+      true,     this->roster.epoch,   now + this->options.log.retention};
   if (blocking.size() == 1) {
     entry.task = blocking.begin()->first;
   }
@@ -110,9 +111,8 @@
 }
 
 void ClaimRegistry::Expire(MonotonicTime now) {
-  std::erase_if(this->unknown_keys, [now](const UnknownKeys& lost) {
-    return lost.until <= now;
-  });
+  std::erase_if(this->unknown_keys,
+                [now](const UnknownKeys& lost) { return lost.until <= now; });
   // Times differ by at most the retention, so the order is only approximate and
   // an entry may stay for up to one retention longer.
   while (!this->expiries.empty() && this->expiries.front().at <= now) {
--- a/Source/Core/Claims/registrar_choice.h
+++ b/Source/Core/Claims/registrar_choice.h
@@ -20,8 +20,9 @@
   std::vector<RosterMember> members;
 };
 
-// Rendezvous hashing of the key over the roster. A key `ZONE/...` is hashed over
-// the members of that zone if ZONE is a zone of the roster. Empty roster: none.
+// Rendezvous hashing of the key over the roster. A key `ZONE/...` is hashed
+// over the members of that zone if ZONE is a zone of the roster. Empty roster:
+// none.
 std::optional<EntryName> ChooseRegistrar(const std::string& key,
                                          const ClaimRoster& roster);
 
--- a/Source/Core/Limits/allotment_holder.cc
+++ b/Source/Core/Limits/allotment_holder.cc
@@ -11,9 +11,8 @@
 
 AllotmentHolder::Team& AllotmentHolder::Get(const TeamName& team) {
   return this->teams
-      .try_emplace(team, Team{TeamAllotment(this->self, team,
-                                            this->options.team),
-                              {}})
+      .try_emplace(
+          team, Team{TeamAllotment(this->self, team, this->options.team), {}})
       .first->second;
 }
 
@@ -86,8 +85,8 @@
 
 std::vector<EntryName> AllotmentHolder::Reclaimable(const LimitRecord& record,
                                                     MonotonicTime now) {
-  const Duration wait = this->options.freshness + this->options.task_lease +
-                        this->options.margin;
+  const Duration wait =
+      this->options.freshness + this->options.task_lease + this->options.margin;
   std::vector<EntryName> dead;
   for (const std::pair<const EntryName, Allotment>& item : record.allotments) {
     if (this->roster.contains(item.first)) {
--- a/Source/Core/Limits/allotment_holder.h
+++ b/Source/Core/Limits/allotment_holder.h
@@ -17,10 +17,10 @@
 // The allotments of one entry incarnation for all teams.
 //
 // A start must carry a start_before_ms, and a lease renewal a renew_before_ms,
-// of at most the holder's confirmed-at + F (design 3.2, 3.4); the worker refuses
-// later ones. A holder that was paused or cut off beyond that can therefore
-// neither start nor keep tasks when its allotment is reclaimed. An incarnation
-// that has left the roster never returns to it.
+// of at most the holder's confirmed-at + F (design 3.2, 3.4); the worker
+// refuses later ones. A holder that was paused or cut off beyond that can
+// therefore neither start nor keep tasks when its allotment is reclaimed. An
+// incarnation that has left the roster never returns to it.
 class AllotmentHolder {
  public:
   struct Options {
--- a/Source/Core/Limits/limit_ledger.cc
+++ b/Source/Core/Limits/limit_ledger.cc
@@ -42,8 +42,7 @@
 std::int64_t LimitLedger::Grant(LimitRecord* record,
                                 const EntryName& holder,
                                 std::int64_t count) {
-  const std::int64_t moved =
-      std::clamp<std::int64_t>(count, 0, Free(*record));
+  const std::int64_t moved = std::clamp<std::int64_t>(count, 0, Free(*record));
   record->allotments[holder].count += moved;
   return moved;
 }
--- a/Source/Core/Limits/limit_record.cc
+++ b/Source/Core/Limits/limit_record.cc
@@ -54,9 +54,8 @@
   if (!value["allotments"].isObject()) {
     return Invalid("allotments are required");
   }
-  LimitRecord record{limit.value(),
-                     static_cast<std::uint64_t>(version.value()),
-                     {}};
+  LimitRecord record{
+      limit.value(), static_cast<std::uint64_t>(version.value()), {}};
   for (const std::string& name : value["allotments"].getMemberNames()) {
     const Result<std::int64_t> count =
         ParseCount(value["allotments"][name], "count");
--- a/Source/Core/Limits/limit_record.h
+++ b/Source/Core/Limits/limit_record.h
@@ -14,7 +14,8 @@
 // What one entry incarnation may have starting and running.
 struct Allotment {
   std::int64_t count = 0;
-  // Number of changes this holder has made; finds a write whose answer was lost.
+  // Number of changes this holder has made; finds a write whose answer was
+  // lost.
   std::uint64_t serial = 0;
 
   bool operator==(const Allotment&) const = default;
--- a/Source/Core/Limits/team_allotment.cc
+++ b/Source/Core/Limits/team_allotment.cc
@@ -16,8 +16,8 @@
   }
   std::int64_t count = LimitLedger::Target(this->known.record, this->self);
   if (this->pending) {
-    count = std::min(count,
-                     LimitLedger::Count(this->pending->record, this->self));
+    count =
+        std::min(count, LimitLedger::Count(this->pending->record, this->self));
   }
   return count;
 }
@@ -200,8 +200,7 @@
   }
   // Each donor gives in proportion to its idle part, so that several donors
   // together do not give a peer far more than it needs.
-  std::int64_t budget =
-      std::min(idle, (need * idle + all_idle - 1) / all_idle);
+  std::int64_t budget = std::min(idle, (need * idle + all_idle - 1) / all_idle);
   const std::int64_t total = budget;
   for (const std::pair<const EntryName, PeerDemand>& peer : peers) {
     const std::int64_t lacks =
@@ -226,8 +225,8 @@
     if (have == 0 && peer.second.want > 0) {
       starving = &peer.first;
     }
-    largest = largest && (have < count ||
-                          (have == count && this->self < peer.first));
+    largest =
+        largest && (have < count || (have == count && this->self < peer.first));
   }
   this->reserved = starving != nullptr && largest ? 1 : 0;
   if (this->reserved == 0 || this->active >= count) {
--- a/Source/UnitTests/Claims/claims_model.cc
+++ b/Source/UnitTests/Claims/claims_model.cc
@@ -52,8 +52,8 @@
   node->zone = ZoneName(this->names % 2 == 0 ? "za" : "zb");
   this->names += 1;
   node->machine = std::make_shared<FakeMachine>(&this->queue, &this->random);
-  node->registry = std::make_unique<ClaimRegistry>(node->name,
-                                                   ClaimRegistry::Options());
+  node->registry =
+      std::make_unique<ClaimRegistry>(node->name, ClaimRegistry::Options());
   this->nodes.push_back(node);
   this->Every(Milliseconds(20), node);
 }
@@ -65,9 +65,8 @@
   if (!node->machine->paused) {
     this->Poll(node);
   }
-  this->queue.After(period, [this, period, node]() {
-    this->Every(period, node);
-  });
+  this->queue.After(period,
+                    [this, period, node]() { this->Every(period, node); });
 }
 
 bool ClaimsModel::AgreedOutage(const Node& node) const {
@@ -89,8 +88,7 @@
 void ClaimsModel::RandomFault() {
   const NodeRef node = this->nodes[this->random.Below(this->nodes.size())];
   const std::shared_ptr<FakeMachine> machine = node->machine;
-  const Duration length =
-      this->random.DurationBelow(std::chrono::seconds(8));
+  const Duration length = this->random.DurationBelow(std::chrono::seconds(8));
   switch (this->random.Below(6)) {
     case 0:
       machine->alive = false;
@@ -108,7 +106,8 @@
       break;
     case 3:
       this->had_outage = true;
-      this->outage_since = this->outage ? this->outage_since : this->queue.now();
+      this->outage_since =
+          this->outage ? this->outage_since : this->queue.now();
       this->outage = true;
       this->queue.After(length, [this]() { this->outage = false; });
       break;
@@ -142,10 +141,9 @@
 }
 
 void ClaimsModel::Learn(const NodeRef& node, std::uint64_t epoch) {
-  const Duration delay =
-      this->random.DurationBelow(this->random.Chance(0.5)
-                                     ? Duration(Milliseconds(20))
-                                     : Duration(std::chrono::seconds(2)));
+  const Duration delay = this->random.DurationBelow(
+      this->random.Chance(0.5) ? Duration(Milliseconds(20))
+                               : Duration(std::chrono::seconds(2)));
   this->queue.After(delay, [this, node, epoch]() {
     if (node->machine->cut) {
       this->Learn(node, epoch);
@@ -159,9 +157,9 @@
       const std::vector<ClaimRoster> previous(
           this->rosters.begin(),
           this->rosters.begin() + static_cast<std::ptrdiff_t>(epoch - 1));
-      this->Perform(node, node->registry->StartEpoch(
-                              this->rosters[epoch - 1], previous,
-                              this->had_outage, node->machine->Clock()));
+      this->Perform(node, node->registry->StartEpoch(this->rosters[epoch - 1],
+                                                     previous, this->had_outage,
+                                                     node->machine->Clock()));
     });
   });
 }
@@ -169,8 +167,7 @@
 void ClaimsModel::SubmitSomewhere() {
   const NodeRef node = this->nodes[this->random.Below(this->nodes.size())];
   const std::uint64_t number = this->random.Below(kKeys);
-  const std::string key =
-      (number < 2 ? "za/k" : "k") + std::to_string(number);
+  const std::string key = (number < 2 ? "za/k" : "k") + std::to_string(number);
   this->tasks += 1;
   const std::string task = "t" + std::to_string(this->tasks);
   node->machine->Deliver(
@@ -225,7 +222,9 @@
   struct Visitor {
     ClaimsModel* model;
     const NodeRef& node;
-    void operator()(const CreateBatch& a) { this->model->Create(this->node, a); }
+    void operator()(const CreateBatch& a) {
+      this->model->Create(this->node, a);
+    }
     void operator()(const ReadLog& a) { this->model->Read(this->node, a); }
     void operator()(const TrimLog& a) {
       std::map<std::uint64_t, Stored>& log = this->model->store[a.log];
@@ -283,9 +282,9 @@
         return page;
       },
       [this, node, action](const std::optional<LogPage>& page) {
-        this->Perform(node, node->registry->OnReadAnswer(
-                                action.log, action.from, page,
-                                node->machine->Clock()));
+        this->Perform(
+            node, node->registry->OnReadAnswer(action.log, action.from, page,
+                                               node->machine->Clock()));
       });
 }
 
--- a/Source/UnitTests/Claims/claims_model.h
+++ b/Source/UnitTests/Claims/claims_model.h
@@ -65,20 +65,29 @@
   void ChangeRoster();
   void Learn(const NodeRef& node, std::uint64_t epoch);
   void SubmitSomewhere();
-  void Submit(const NodeRef& node, const std::string& key,
-              const std::string& task, int hops);
+  void Submit(const NodeRef& node,
+              const std::string& key,
+              const std::string& task,
+              int hops);
   void Perform(const NodeRef& node, std::vector<ClaimAction> actions);
   void Create(const NodeRef& node, const CreateBatch& action);
   void Read(const NodeRef& node, const ReadLog& action);
   void Send(const NodeRef& node, const ClaimReady& action);
-  void Query(const NodeRef& node, const std::string& key,
-             const std::string& task, std::size_t worker, Duration deadline,
+  void Query(const NodeRef& node,
+             const std::string& key,
+             const std::string& task,
+             std::size_t worker,
+             Duration deadline,
              int attempts);
-  void Fate(const NodeRef& node, const std::string& key,
-            const std::string& task, ClaimState state);
+  void Fate(const NodeRef& node,
+            const std::string& key,
+            const std::string& task,
+            ClaimState state);
   void AnswerNotRun(const std::string& task);
-  StartAnswer Start(std::size_t worker, const std::string& key,
-                    const std::string& task, Duration deadline);
+  StartAnswer Start(std::size_t worker,
+                    const std::string& key,
+                    const std::string& task,
+                    Duration deadline);
   bool AgreedOutage(const Node& node) const;
   void Fail(const std::string& text);
 
@@ -93,9 +102,9 @@
   Duration outage_since = Duration::zero();
   int names = 0;
   int tasks = 0;
-  std::map<std::string, int> runs;   // by key
-  std::set<std::string> started;     // tasks
-  std::set<std::string> denied;      // tasks answered `not_run`
+  std::map<std::string, int> runs;  // by key
+  std::set<std::string> started;    // tasks
+  std::set<std::string> denied;     // tasks answered `not_run`
   std::string failure;
   Totals counts;
 };
--- a/Source/UnitTests/Claims/claims_property_test.cc
+++ b/Source/UnitTests/Claims/claims_property_test.cc
@@ -16,9 +16,8 @@
 TEST_CASE("A keyed request runs at most once", "[schedule]") {
   const ScheduleRunner runner(300);
   ClaimsModel::Totals totals;
-  const std::string failure = runner.Run([&totals](std::uint64_t seed) {
-    return ClaimsModel(seed).Run(&totals);
-  });
+  const std::string failure = runner.Run(
+      [&totals](std::uint64_t seed) { return ClaimsModel(seed).Run(&totals); });
   INFO("runs " << totals.runs << " of " << totals.keys << " keys, not_run "
                << totals.not_run << ", unknown " << totals.unknown
                << ", memory claims " << totals.memory_claims);
--- a/Source/UnitTests/Claims/claims_test.cc
+++ b/Source/UnitTests/Claims/claims_test.cc
@@ -101,8 +101,9 @@
   now += Milliseconds(100);
   CHECK(Only<ReadLog>(registry.Tick(now)).size() == 1);
   const LogPage page = {{0, write.batch}};
-  CHECK(Only<ClaimReady>(registry.OnReadAnswer(write.log, 0, page, now))
-            .size() == 1);
+  CHECK(
+      Only<ClaimReady>(registry.OnReadAnswer(write.log, 0, page, now)).size() ==
+      1);
 }
 
 // Guards against a paused registrar that claims in a log which others sealed.
@@ -148,8 +149,8 @@
         Outcome::kNotServing);
   const LogName log{1, kOther};
   const LogPage page = {
-      {0, ClaimBatch{kOther, false, false,
-                     {{"a", TaskId("t1"), ClaimState::kOpen}}}}};
+      {0, ClaimBatch{
+              kOther, false, false, {{"a", TaskId("t1"), ClaimState::kOpen}}}}};
   registry.OnReadAnswer(log, 0, page, kStart);
   const std::vector<CreateBatch> seals =
       Only<CreateBatch>(registry.OnReadAnswer(log, 1, LogPage(), kStart));
@@ -209,8 +210,8 @@
     now += Milliseconds(20);
     for (const ClaimAction& action : registry.Tick(now)) {
       if (const CreateBatch* write = std::get_if<CreateBatch>(&action)) {
-        registry.OnCreateAnswer(write->log, write->seq,
-                                CreateOutcome::kCreated, now);
+        registry.OnCreateAnswer(write->log, write->seq, CreateOutcome::kCreated,
+                                now);
       }
       if (const TrimLog* trim = std::get_if<TrimLog>(&action)) {
         trimmed = trim->below;
--- a/Source/UnitTests/Limits/limits_model.cc
+++ b/Source/UnitTests/Limits/limits_model.cc
@@ -74,8 +74,8 @@
   node->name = EntryName("e" + std::to_string(this->names));
   this->names += 1;
   node->machine = std::make_shared<FakeMachine>(&this->queue, &this->random);
-  node->holder = std::make_unique<AllotmentHolder>(
-      node->name, HolderOptions(), this->random.Below(1000000));
+  node->holder = std::make_unique<AllotmentHolder>(node->name, HolderOptions(),
+                                                   this->random.Below(1000000));
   this->nodes.push_back(node);
   this->queue.After(Duration::zero(), [this, node]() { this->Every(node); });
 }
@@ -129,8 +129,8 @@
           return;
         }
         node->epoch = answer->epoch;
-        // A roster without this instance confirms no authority: an instance that
-        // learns that it was dropped stops renewing its tasks' leases.
+        // A roster without this instance confirms no authority: an instance
+        // that learns that it was dropped stops renewing its tasks' leases.
         if (answer->members.contains(node->name)) {
           node->confirmed_at = std::max(node->confirmed_at, sent);
         }
@@ -166,8 +166,7 @@
       },
       [node, worker](std::optional<Duration> answer) {
         if (answer) {
-          node->clocks[worker] =
-              WorkerTime{*answer, node->machine->Clock()};
+          node->clocks[worker] = WorkerTime{*answer, node->machine->Clock()};
         }
       });
 }
@@ -176,8 +175,9 @@
   return this->workers[worker].machine->Clock().time_since_epoch();
 }
 
-// The authority deadline on the worker's clock. The worker read its clock before
-// the reply arrived, so counting from the arrival never yields a later time.
+// The authority deadline on the worker's clock. The worker read its clock
+// before the reply arrived, so counting from the arrival never yields a later
+// time.
 Duration LimitsModel::Deadline(const Node& node, std::size_t worker) const {
   const std::map<std::size_t, WorkerTime>::const_iterator found =
       node.clocks.find(worker);
@@ -191,8 +191,7 @@
 void LimitsModel::RandomFault() {
   const NodeRef node = this->nodes[this->random.Below(this->nodes.size())];
   const std::shared_ptr<FakeMachine> machine = node->machine;
-  const Duration length =
-      this->random.DurationBelow(std::chrono::seconds(15));
+  const Duration length = this->random.DurationBelow(std::chrono::seconds(15));
   switch (this->random.Below(7)) {
     case 0:
       machine->alive = false;
@@ -227,8 +226,8 @@
   this->ChangeRoster();
 }
 
-// Drops dead instances and most of those that are paused or cut off; an instance
-// that was dropped leaves for good and is replaced.
+// Drops dead instances and most of those that are paused or cut off; an
+// instance that was dropped leaves for good and is replaced.
 void LimitsModel::ChangeRoster() {
   if (this->outage) {
     this->queue.After(std::chrono::seconds(1),
@@ -286,8 +285,7 @@
           return std::nullopt;
         }
         std::size_t i = this->versions.size() - 1;
-        while (i > 0 &&
-               this->versions[i].at + staleness > this->queue.now()) {
+        while (i > 0 && this->versions[i].at + staleness > this->queue.now()) {
           i -= 1;
         }
         return this->versions[i].snapshot;
@@ -308,8 +306,8 @@
           return WriteAnswer{WriteOutcome::kConflict, last.revision};
         }
         const std::int64_t sum = LimitLedger::Sum(action.record);
-        if (sum > std::max(action.record.limit,
-                           LimitLedger::Sum(last.record))) {
+        if (sum >
+            std::max(action.record.limit, LimitLedger::Sum(last.record))) {
           this->Fail("the allotments exceed the limit");
         }
         for (const std::pair<const EntryName, Allotment>& item :
@@ -344,9 +342,8 @@
     // A pause between the check and the request.
     if (this->random.Chance(0.02)) {
       node->machine->paused = true;
-      this->queue.After(
-          this->random.DurationBelow(std::chrono::seconds(12)),
-          [node]() { node->machine->Resume(); });
+      this->queue.After(this->random.DurationBelow(std::chrono::seconds(12)),
+                        [node]() { node->machine->Resume(); });
     }
     node->machine->Deliver([=, this]() {
       node->machine->Call<StartAnswer>(
--- a/Source/UnitTests/Limits/limits_model.h
+++ b/Source/UnitTests/Limits/limits_model.h
@@ -92,7 +92,9 @@
   void Read(const NodeRef& node);
   void Write(const NodeRef& node, const WriteLimit& action);
   void StartTasks(const NodeRef& node);
-  void Query(const NodeRef& node, std::size_t worker, int task,
+  void Query(const NodeRef& node,
+             std::size_t worker,
+             int task,
              Duration deadline);
   StartAnswer Start(std::size_t worker, int task, Duration deadline);
   void Finish(std::size_t worker, int task);
--- a/Source/UnitTests/Limits/limits_property_test.cc
+++ b/Source/UnitTests/Limits/limits_property_test.cc
@@ -11,14 +11,13 @@
 namespace {
 
 // Guards against more running work than a team's limit, under crashes, pauses,
-// partitions, lost and reordered answers, stale reads, store outages, roster and
-// limit changes, and clocks that differ.
+// partitions, lost and reordered answers, stale reads, store outages, roster
+// and limit changes, and clocks that differ.
 TEST_CASE("The running count of a team never exceeds its limit", "[schedule]") {
   const ScheduleRunner runner(200);
   LimitsModel::Totals totals;
-  const std::string failure = runner.Run([&totals](std::uint64_t seed) {
-    return LimitsModel(seed).Run(&totals);
-  });
+  const std::string failure = runner.Run(
+      [&totals](std::uint64_t seed) { return LimitsModel(seed).Run(&totals); });
   INFO("started " << totals.started << ", fenced " << totals.fenced
                   << ", lapsed " << totals.lapsed << ", reclaimed "
                   << totals.reclaimed << ", limit reached " << totals.full);
--- a/Source/UnitTests/Limits/limits_test.cc
+++ b/Source/UnitTests/Limits/limits_test.cc
@@ -71,8 +71,8 @@
 // one negative.
 TEST_CASE("No ledger change exceeds the limit") {
   const bool holds = rc::check([]() {
-    const std::vector<int> steps = *rc::gen::container<std::vector<int>>(
-        rc::gen::inRange(0, 1000000));
+    const std::vector<int> steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000000));
     LimitRecord record{20, 1, {}};
     for (const int step : steps) {
       const std::int64_t before = LimitLedger::Sum(record);
@@ -130,8 +130,8 @@
   CHECK(StartAll(&holder) == 7);
 }
 
-// Guards against allotment that is used by both sides of a transfer whose answer
-// is lost.
+// Guards against allotment that is used by both sides of a transfer whose
+// answer is lost.
 TEST_CASE("A given part is not used while the transfer is open") {
   AllotmentHolder holder = Holder(Record(10, 10, 0));
   holder.OnPeerDemand(kTeam, kOther, PeerDemand{6, 0}, kStart);
@@ -209,8 +209,8 @@
   CHECK(holder.Find(kTeam)->evicted());
 }
 
-// Guards against an instance whose queue never moves because busy peers hold the
-// whole limit.
+// Guards against an instance whose queue never moves because busy peers hold
+// the whole limit.
 TEST_CASE("The largest busy holder feeds a peer that has nothing") {
   AllotmentHolder holder = Holder(Record(10, 10, 0));
   CHECK(StartAll(&holder) == 10);
--- a/Source/UnitTests/Schedule/fake_machine.h
+++ b/Source/UnitTests/Schedule/fake_machine.h
@@ -25,10 +25,10 @@
 
   // Own clock: an arbitrary start and a rate that is off by up to 0.5%.
   MonotonicTime Clock() const {
-    return MonotonicTime(this->offset +
-                         Duration(static_cast<Duration::rep>(
-                             static_cast<double>(this->queue->now().count()) *
-                             this->rate)));
+    return MonotonicTime(
+        this->offset +
+        Duration(static_cast<Duration::rep>(
+            static_cast<double>(this->queue->now().count()) * this->rate)));
   }
 
   void Deliver(std::function<void()> run) {
@@ -52,8 +52,8 @@
   }
 
   // A request to a server: `serve` runs there; `done` gets its answer, or
-  // nothing after the timeout. Both directions can lose or delay the message, so
-  // a request may take effect long after it was given up.
+  // nothing after the timeout. Both directions can lose or delay the message,
+  // so a request may take effect long after it was given up.
   template <typename Answer>
   void Call(std::function<std::optional<Answer>()> serve,
             std::function<void(std::optional<Answer>)> done) {
