Claims: write fates with later claims

A fate alone caused a batch of its own after 10 ms, though nobody waits for it. It now waits up to 1 s for a claim.

--- a/Source/Core/Claims/claim_log.cc
+++ b/Source/Core/Claims/claim_log.cc
@@ -13,9 +13,10 @@
 }
 
 void ClaimLog::Append(ClaimRecord record, MonotonicTime now) {
-  if (this->queue.empty()) {
-    this->batch_due = now + this->options.batch_time;
-  }
+  const MonotonicTime due =
+      now + (record.state == ClaimState::kOpen ? this->options.batch_time
+                                               : this->options.fate_time);
+  this->batch_due = this->queue.empty() ? due : std::min(this->batch_due, due);
   this->queue.push_back(std::move(record));
 }
 
--- a/Source/Core/Claims/claim_log.h
+++ b/Source/Core/Claims/claim_log.h
@@ -19,6 +19,8 @@
  public:
   struct Options {
     Duration batch_time = Milliseconds(10);
+    // Nobody waits for a fate to be durable; it goes along with later claims.
+    Duration fate_time = std::chrono::seconds(1);
     Duration retry_time = Milliseconds(100);
     Duration retention = std::chrono::minutes(10);
     Duration trim_interval = std::chrono::minutes(1);
