Claims: order log names without operator<=>

clang-tidy reports a false use-nullptr error on a defaulted operator<=> (it also reports the one in Common/strong_string.h, which is left as it is).

--- a/Source/Core/Claims/claim_record.h
+++ b/Source/Core/Claims/claim_record.h
@@ -1,10 +1,10 @@
 #ifndef SOURCE_CORE_CLAIMS_CLAIM_RECORD_H_
 #define SOURCE_CORE_CLAIMS_CLAIM_RECORD_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "Core/Common/identifiers.h"
@@ -38,7 +38,11 @@
   std::uint64_t epoch = 0;
   EntryName incarnation;
 
-  auto operator<=>(const LogName&) const = default;
+  bool operator==(const LogName&) const = default;
+  bool operator<(const LogName& other) const {
+    return std::tie(this->epoch, this->incarnation) <
+           std::tie(other.epoch, other.incarnation);
+  }
 };
 
 // Store key of a batch; SEQ has 12 digits so that keys sort by SEQ.
