Config: read the log level without the logging library

Including logging.h pulled easylogging++ into every user of Settings; the address sanitizer build of test_config then failed to link, because the library's storage is defined in an object that the archive order leaves out.

--- a/Source/Core/Config/all_settings.cc
+++ b/Source/Core/Config/all_settings.cc
@@ -2,15 +2,12 @@
 
 #include <chrono>
 
-#include "Core/Common/logging.h"
 #include "Core/Declaration/duration_text.h"
 
 namespace daisyroad {
 
 namespace {
 
-static_assert(LogLevel::kInfo == LogLevel{1}, "default of Settings::log_level");
-
 constexpr Milliseconds kMinute = std::chrono::minutes(1);
 constexpr Milliseconds kDay = std::chrono::hours(24);
 
@@ -101,17 +98,9 @@
     return text + "]";
   }
   std::string operator()(const LogLevelSetting& field) const {
-    switch (this->settings.*field.member) {
-      case LogLevel::kDebug:
-        return Quote("debug");
-      case LogLevel::kInfo:
-        return Quote("info");
-      case LogLevel::kWarning:
-        return Quote("warning");
-      case LogLevel::kError:
-        return Quote("error");
-    }
-    return Quote("info");
+    const std::size_t index =
+        static_cast<std::size_t>(this->settings.*field.member);
+    return Quote(LogLevelNames().at(index));
   }
   std::string operator()(const IntSetting& field) const {
     return std::to_string(this->settings.*field.member);
@@ -126,6 +115,12 @@
 
 }  // namespace
 
+const std::vector<std::string>& LogLevelNames() {
+  static const std::vector<std::string> names = {"debug", "info", "warning",
+                                                 "error"};
+  return names;
+}
+
 const std::vector<Setting>& AllSettings() {
   static const std::vector<Setting> settings = BuildSettings();
   return settings;
--- a/Source/Core/Config/all_settings.h
+++ b/Source/Core/Config/all_settings.h
@@ -11,6 +11,9 @@
 // Every setting of the daemon, in the order of the reference page.
 const std::vector<Setting>& AllSettings();
 
+// Names of the log levels, indexed by the value of LogLevel.
+const std::vector<std::string>& LogLevelNames();
+
 // Value as it stands in a settings file, for logs and comparisons.
 std::string SettingValue(const Setting& setting, const Settings& settings);
 
--- a/Source/Core/Config/settings.h
+++ b/Source/Core/Config/settings.h
@@ -10,8 +10,9 @@
 
 namespace daisyroad {
 
-// Declared here because logging.h brings in macros of the logging library
-// (CHECK, INFO) that clash with those of Catch2.
+// Declared here because logging.h brings in the logging library, whose macros
+// (CHECK, INFO) clash with those of Catch2 and whose symbols every program that
+// reads settings would have to link.
 enum class LogLevel;
 
 // Settings of the daemon, with their defaults. Names, ranges and whether a
--- a/Source/Core/Config/settings_reader.cc
+++ b/Source/Core/Config/settings_reader.cc
@@ -5,7 +5,6 @@
 #include <string>
 #include <variant>
 
-#include "Core/Common/logging.h"
 #include "Core/Config/all_settings.h"
 #include "Core/Config/ip_address.h"
 #include "Core/Declaration/table_reader.h"
@@ -72,7 +71,7 @@
   }
   void operator()(const LogLevelSetting& field) {
     const std::optional<std::size_t> level = this->reader.ReadChoice(
-        this->key, Presence::kOptional, {"debug", "info", "warning", "error"});
+        this->key, Presence::kOptional, LogLevelNames());
     if (level) {
       this->settings.*field.member = static_cast<LogLevel>(*level);
     }
