--- a/Source/Core/Entry/cell_dispatcher.cc
+++ b/Source/Core/Entry/cell_dispatcher.cc
@@ -110,6 +110,7 @@
   task.phase = Phase::kInquiring;
   task.sent_at = now;
   task.lease_confirmed = now;
+  this->TakeLimit(&task);
   this->Inquire(request.task);
 }
 
@@ -160,7 +161,10 @@
 std::vector<TaskId> CellDispatcher::RunningOn(const WorkerName& worker) const {
   std::vector<TaskId> found;
   for (const std::pair<const TaskId, Task>& entry : this->tasks) {
-    if (entry.second.phase != Phase::kQueued && entry.second.worker == worker) {
+    // A task taken over without allotment is not kept alive: the allotment of
+    // its former dispatcher is reclaimed on the premise that it ends.
+    if (entry.second.phase != Phase::kQueued &&
+        entry.second.worker == worker && entry.second.holds_limit) {
       found.push_back(entry.first);
     }
   }
@@ -202,6 +206,8 @@
 }
 
 void CellDispatcher::Tick() {
+  this->Unblock();
+  this->TakeMissingLimits();
   this->DropExpired();
   this->CheckLeases();
   this->Reclaim();
@@ -272,11 +278,16 @@
   }
   const std::optional<WorkerClock> start_before =
       WorkerDirectory::ClockAt(worker, std::min(*authority, task.valid_until));
-  if (!start_before || !this->hooks.take_limit(next.team)) {
+  if (!start_before) {
     this->queue.NotStarted(next.id, now);
     return false;
   }
-  task.holds_limit = true;
+  if (!this->TakeLimit(&task)) {
+    this->queue.NotStarted(next.id, now);
+    this->queue.SetBlocked(next.team, true, now);
+    this->blocked.insert(next.team);
+    return true;  // other teams may still start
+  }
   task.phase = Phase::kStarting;
   task.worker = worker.listed.name;
   task.incarnation = worker.incarnation;
@@ -515,11 +526,39 @@
   this->hooks.update(registrar, update);
 }
 
+bool CellDispatcher::TakeLimit(Task* task) {
+  // Work on queues that are open to all has no team and no upper limit.
+  task->holds_limit = task->request.team.empty() ||
+                      this->hooks.take_limit(task->request.team);
+  return task->holds_limit;
+}
+
 void CellDispatcher::ReleaseLimit(Task* task) {
-  if (task->holds_limit) {
-    task->holds_limit = false;
+  if (!task->holds_limit) {
+    return;
+  }
+  task->holds_limit = false;
+  if (!task->request.team.empty()) {
     this->hooks.return_limit(task->request.team);
   }
+  if (this->blocked.erase(task->request.team) != 0) {
+    this->queue.SetBlocked(task->request.team, false, Now());
+  }
+}
+
+void CellDispatcher::Unblock() {
+  for (const TeamName& team : this->blocked) {
+    this->queue.SetBlocked(team, false, Now());
+  }
+  this->blocked.clear();
+}
+
+void CellDispatcher::TakeMissingLimits() {
+  for (std::pair<const TaskId, Task>& entry : this->tasks) {
+    if (entry.second.phase != Phase::kQueued && !entry.second.holds_limit) {
+      this->TakeLimit(&entry.second);
+    }
+  }
 }
 
 void CellDispatcher::DropExpired() {
--- a/Source/Core/Entry/cell_dispatcher.h
+++ b/Source/Core/Entry/cell_dispatcher.h
@@ -105,7 +105,10 @@
   void WorkerLost(Task* task, const std::string& why);
   void End(const TaskId& id, DispatchState state, const std::string& reason);
   void EndWithReport(const TaskId& id, const TaskReport& report);
+  bool TakeLimit(Task* task);
   void ReleaseLimit(Task* task);
+  void Unblock();
+  void TakeMissingLimits();
   void DropExpired();
   void CheckLeases();
   void Reclaim();
@@ -122,6 +125,8 @@
   Pool declared;
   FairQueue queue;
   std::map<TaskId, Task> tasks;
+  // Teams without allotment, until the next tick or a task of theirs ends.
+  std::set<TeamName> blocked;
   // Workers that refused a start as full, until their next report.
   std::set<WorkerName> full;
   bool pumping = false;
--- a/Source/Core/Entry/control_service.cc
+++ b/Source/Core/Entry/control_service.cc
@@ -28,8 +28,6 @@
 constexpr Milliseconds kRpcTimeout{1000};
 constexpr Milliseconds kChangePatience{10000};
 constexpr Milliseconds kRejoinPause{1000};
-// A member that nobody hears for this long is removed from the roster.
-constexpr std::chrono::seconds kSilentMember{60};
 constexpr int kNotFoundCode = -32001;
 
 template <class... Visitors>
@@ -608,7 +606,6 @@
 }
 
 void ControlService::ReapMembers() {
-  const MonotonicTime now = Now();
   const std::vector<EntryName> live = this->peers->LiveNames();
   const bool elected =
       *std::min_element(live.begin(), live.end()) == this->context->self;
@@ -616,7 +613,6 @@
        this->document().roster().members) {
     const EntryName& name = member.first;
     if (std::find(live.begin(), live.end(), name) != live.end()) {
-      this->silent_since.erase(name);
       continue;
     }
     const std::string& address = member.second.address;
@@ -629,9 +625,9 @@
     if (replaced) {
       this->contacts.OnEnded(name);
     }
-    const MonotonicTime since =
-        this->silent_since.try_emplace(name, now).first->second;
-    if (elected && (replaced || now - since > kSilentMember)) {
+    // A silent member without such a proof may be cut off and still run tasks
+    // under its allotments, so it stays in the roster.
+    if (elected && replaced) {
       this->RemoveMember(name);
     }
   }
--- a/Source/Core/Entry/control_service.h
+++ b/Source/Core/Entry/control_service.h
@@ -124,7 +124,6 @@
   bool joining = false;
   bool leaving = false;
   std::set<EntryName> removing;
-  std::map<EntryName, MonotonicTime> silent_since;
   MonotonicTime last_read;
 };
 
--- a/Source/Core/Entry/dispatch_service.cc
+++ b/Source/Core/Entry/dispatch_service.cc
@@ -61,8 +61,12 @@
                                  WorkerDirectory* directory)
     : context(context), peers(peers), control(control), directory(directory) {}
 
-void DispatchService::Start(UpdateHandler update_handler) {
+void DispatchService::Start(UpdateHandler update_handler,
+                            LimitTaker taker,
+                            LimitReturner returner) {
   this->handler = std::move(update_handler);
+  this->take_limit = std::move(taker);
+  this->return_limit = std::move(returner);
   this->control->AddListener([this]() { this->ConfigureAll(); });
   this->directory->AddListener([this](const WorkerName& worker) {
     for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>&
@@ -252,6 +256,18 @@
   return count;
 }
 
+std::size_t DispatchService::Waiting(const TeamName& team) const {
+  std::size_t count = 0;
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    const std::map<TeamName, std::size_t> waiting =
+        entry.second->WaitingByTeam();
+    const auto found = waiting.find(team);
+    count += found == waiting.end() ? 0 : found->second;
+  }
+  return count;
+}
+
 CellDispatcher* DispatchService::Cell(const PoolName& pool,
                                       const ZoneName& zone) {
   std::unique_ptr<CellDispatcher>& cell = this->dispatchers[{pool, zone}];
@@ -261,8 +277,8 @@
                                   const ZoneName& where) {
       return this->StartDeadline(queue, where);
     };
-    hooks.take_limit = [](const TeamName&) { return true; };
-    hooks.return_limit = [](const TeamName&) {};
+    hooks.take_limit = this->take_limit;
+    hooks.return_limit = this->return_limit;
     hooks.update = [this](const EntryName& registrar,
                           const DispatchUpdate& update) {
       this->Deliver(registrar, update);
--- a/Source/Core/Entry/dispatch_service.h
+++ b/Source/Core/Entry/dispatch_service.h
@@ -29,6 +29,8 @@
  public:
   using UpdateHandler = std::function<void(const DispatchUpdate& update)>;
   using StatusCallback = std::function<void(const Status& status)>;
+  using LimitTaker = std::function<bool(const TeamName& team)>;
+  using LimitReturner = std::function<void(const TeamName& team)>;
   using StatesCallback = std::function<void(
       const Result<std::map<TaskId, std::optional<DispatchState>>>& states)>;
 
@@ -37,8 +39,11 @@
                   ControlService* control,
                   WorkerDirectory* directory);
 
-  // `handler` gets the updates of tasks whose registrar is this instance.
-  void Start(UpdateHandler handler);
+  // `handler` gets the updates of tasks whose registrar is this instance; the
+  // other two take and return one running task of a team's upper limit.
+  void Start(UpdateHandler handler,
+             LimitTaker take_limit,
+             LimitReturner return_limit);
 
   // The dispatcher of a cell: by rendezvous hashing among the live instances of
   // the zone, or of all zones if the zone has none.
@@ -71,6 +76,7 @@
     return this->dispatchers;
   }
   std::size_t Running(const TeamName& team) const;
+  std::size_t Waiting(const TeamName& team) const;
   // Stops starting; running tasks are followed to their end.
   void BeginShutdown() { this->stopping = true; }
 
@@ -99,6 +105,8 @@
   ControlService* control;
   WorkerDirectory* directory;
   UpdateHandler handler;
+  LimitTaker take_limit;
+  LimitReturner return_limit;
   std::map<CellKey, std::unique_ptr<CellDispatcher>> dispatchers;
   std::map<WorkerName, std::vector<TaskId>> acknowledged;
   std::set<WorkerName> polling;
--- a/Source/Core/Entry/peer_service.cc
+++ b/Source/Core/Entry/peer_service.cc
@@ -73,6 +73,13 @@
 
 PeerService::PeerService(EntryContext* context) : context(context) {}
 
+void PeerService::AddSection(const std::string& name,
+                             Section section_source,
+                             SectionHandler section_handler) {
+  this->sections[name] =
+      SectionHooks{std::move(section_source), std::move(section_handler)};
+}
+
 void PeerService::Start(ReportSource report_source,
                         ReplyHandler reply_handler) {
   this->source = std::move(report_source);
@@ -86,6 +93,10 @@
     throw RpcFailure{kInvalidParams, "malformed report"};
   }
   Json::Value result = ToJson(this->source());
+  for (const std::pair<const std::string, SectionHooks>& section :
+       this->sections) {
+    result[section.first] = section.second.source();
+  }
   result["clock_ms"] = Json::Int64(Clock().count());
   return result;
 }
@@ -182,6 +193,10 @@
         peer.round_trip = peer.replied_at - sent;
         peer.clock = Milliseconds(reply.value()["clock_ms"].asInt64());
         this->handler(*report, sent);
+        for (const std::pair<const std::string, SectionHooks>& section :
+             this->sections) {
+          section.second.handler(report->name, reply.value()[section.first]);
+        }
       });
 }
 
--- a/Source/Core/Entry/peer_service.h
+++ b/Source/Core/Entry/peer_service.h
@@ -34,8 +34,18 @@
   using ReplyHandler =
       std::function<void(const PeerReport& report, MonotonicTime request_sent)>;
 
+  // Further content of the exchange, by member name: what this instance says,
+  // and what it does with what a peer said.
+  using Section = std::function<Json::Value()>;
+  using SectionHandler =
+      std::function<void(const EntryName& peer, const Json::Value& section)>;
+
   explicit PeerService(EntryContext* context);
 
+  void AddSection(const std::string& name,
+                  Section section_source,
+                  SectionHandler section_handler);
+
   void Start(ReportSource source, ReplyHandler handler);
   // Serves the RPC method `peer.exchange`.
   Json::Value Exchange(const Json::Value& params);
@@ -60,8 +70,14 @@
   void Ask(const std::string& address);
 
   EntryContext* context;
+  struct SectionHooks {
+    Section source;
+    SectionHandler handler;
+  };
+
   ReportSource source;
   ReplyHandler handler;
+  std::map<std::string, SectionHooks> sections;
   std::map<std::string, Peer> peers;  // by address
 };
 
--- a/Source/Core/Shares/fair_queue.cc
+++ b/Source/Core/Shares/fair_queue.cc
@@ -30,6 +30,18 @@
   this->ledger.SetWeight(this->TeamIndex(team), weight);
 }
 
+void FairQueue::SetBlocked(const TeamName& team,
+                           bool blocked,
+                           MonotonicTime now) {
+  const std::size_t index = this->TeamIndex(team);
+  if (this->teams[index].blocked == blocked) {
+    return;
+  }
+  this->ledger.Accrue(now);
+  this->teams[index].blocked = blocked;
+  this->UpdateWaiting(index);
+}
+
 bool FairQueue::Cancel(const TaskId& id, MonotonicTime now) {
   const Index index = this->store.Find(id);
   if (index == TaskStore::kNone || this->store.At(index).running) {
@@ -84,7 +96,7 @@
     const bool urgent = only != TaskClass::kLong && state.urgent.count > 0;
     const bool background =
         only != TaskClass::kUrgent && state.background.count > 0;
-    if ((!urgent && !background) ||
+    if ((!urgent && !background) || state.blocked ||
         (only == TaskClass::kUrgent && !this->UrgentMayPass(team))) {
       continue;
     }
@@ -114,6 +126,9 @@
       continue;
     }
     --state.grants;
+    if (state.blocked) {
+      continue;
+    }
     Index index = this->FindFit(team, TaskClass::kUrgent, now, free);
     if (index == TaskStore::kNone) {
       index = this->FindFit(team, TaskClass::kLong, now, free);
--- a/Source/Core/Shares/fair_queue.h
+++ b/Source/Core/Shares/fair_queue.h
@@ -31,6 +31,10 @@
                    MonotonicTime now);
   void SetWeight(const TeamName& team, double weight, MonotonicTime now);
 
+  // A blocked team, for example one at its upper limit, starts nothing, makes
+  // others wait for nothing and gathers no claim to room that it cannot use.
+  void SetBlocked(const TeamName& team, bool blocked, MonotonicTime now);
+
   // Refusals: kConflict (identifier known), kInvalidArgument (bad size, or
   // larger than any worker), kResourceExhausted (queue full), kTimeout
   // (estimated wait exceeds the deadline). A refused task has not run.
@@ -81,6 +85,7 @@
     double promised = 0.0;    // usage that is being reclaimed for the team
     std::size_t running = 0;
     std::size_t grants = 0;  // reclaimed room that is now free
+    bool blocked = false;
   };
 
   // Room of the running task `victim` is to go to `team`.
--- a/Source/Core/Shares/fair_queue_accounts.cc
+++ b/Source/Core/Shares/fair_queue_accounts.cc
@@ -75,8 +75,8 @@
 
 void FairQueue::UpdateWaiting(std::size_t team) {
   const Team& state = this->teams[team];
-  this->ledger.SetWaiting(team,
-                          state.urgent.count + state.background.count > 0);
+  const bool waits = state.urgent.count + state.background.count > 0;
+  this->ledger.SetWaiting(team, waits && !state.blocked);
 }
 
 // Shares are fractions of the cell; when workers come or go, the tasks already
--- a/Source/Core/Shares/fair_queue_reclaim.cc
+++ b/Source/Core/Shares/fair_queue_reclaim.cc
@@ -98,7 +98,7 @@
   }
   for (std::size_t team = 0; team < this->teams.size(); ++team) {
     const Team& state = this->teams[team];
-    if (state.urgent.count == 0 ||
+    if (state.urgent.count == 0 || state.blocked ||
         this->OverdueUrgent(state, now) <= state.promised + kSmallestShare) {
       continue;
     }
@@ -138,7 +138,7 @@
   double best_score = 0.0;
   for (std::size_t team = 0; team < this->teams.size(); ++team) {
     const Team& state = this->teams[team];
-    if (state.background.count + state.urgent.count == 0) {
+    if (state.background.count + state.urgent.count == 0 || state.blocked) {
       continue;
     }
     const double score = this->ledger.Score(team, state.promised);
--- a/Source/UnitTests/Shares/fair_queue_test.cc
+++ b/Source/UnitTests/Shares/fair_queue_test.cc
@@ -278,5 +278,23 @@
   CHECK(ledger.Deficit(waiting) == Approx(30 * 0.6));
 }
 
+// Guards against a team at its upper limit whose waiting tasks keep other teams
+// from starting, or that piles up a claim while it cannot start.
+TEST_CASE("A blocked team does not hold up other teams") {
+  Cell cell;
+  cell.Add(kA, TaskClass::kUrgent, 3);
+  cell.Add(kB, TaskClass::kLong, 2);
+  cell.queue.SetBlocked(kA, true, cell.now);
+  const std::vector<FairTask> started = cell.Fill();
+  REQUIRE(started.size() == 2);
+  CHECK(started[0].team == kB);
+  CHECK(started[1].team == kB);
+  cell.now += seconds(20);
+  CHECK(cell.queue.Next(cell.now, kWorker) == std::nullopt);
+  CHECK(cell.queue.Deficit(kA) < 0.01);
+  cell.queue.SetBlocked(kA, false, cell.now);
+  CHECK(cell.Fill().size() == 3);
+}
+
 }  // namespace
 }  // namespace daisyroad
