Fleet: add pool ledger, instance lifecycle and disruption budget

The request is written to instances/NAME before any budget is charged. Ruled out: charging first, because a charge given back by one entry instance can then be the one that another entry instance begins its drain on. With the request in the record, leaving the operation voids its charges at once. Ruled out: a second key moves/INSTANCE, because two keys cannot be swapped together; the move is part of instances/NAME.

--- /dev/null
+++ b/Source/Core/Fleet/budget_record.h
@@ -0,0 +1,42 @@
+#ifndef SOURCE_CORE_FLEET_BUDGET_RECORD_H_
+#define SOURCE_CORE_FLEET_BUDGET_RECORD_H_
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Common/result.h"
+
+namespace daisyroad {
+
+// One planned disruption in a budget.
+struct BudgetCharge {
+  WorkerName worker;
+  // InstanceRecord::operation_base of the charged operation.
+  std::int64_t operation_base = 0;
+
+  friend bool operator==(const BudgetCharge&, const BudgetCharge&) = default;
+};
+
+// Value of the store key budgets/SERVICE.
+struct BudgetRecord {
+  ServiceName service;
+  // Number of instances of the service that may be down at once.
+  std::int64_t allowed = 0;
+  // By operation, not by worker: a late writer of an older operation on the
+  // same worker must not replace the charge of the current one.
+  std::map<std::string, BudgetCharge> charges;
+
+  friend bool operator==(const BudgetRecord&, const BudgetRecord&) = default;
+};
+
+std::string BudgetKey(const ServiceName& service);
+Json::Value ToJson(const BudgetRecord& record);
+Result<BudgetRecord> ParseBudgetRecord(const Json::Value& json);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_FLEET_BUDGET_RECORD_H_
--- /dev/null
+++ b/Source/Core/Fleet/fleet_action.h
@@ -0,0 +1,54 @@
+#ifndef SOURCE_CORE_FLEET_FLEET_ACTION_H_
+#define SOURCE_CORE_FLEET_FLEET_ACTION_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "Core/Common/time.h"
+#include "Core/Fleet/budget_record.h"
+#include "Core/Fleet/instance_record.h"
+
+namespace daisyroad {
+
+// Compare-and-swap of instances/NAME. `not_after` is set where the write begins
+// a disruption on the strength of an observation: a process that was paused
+// beyond it must drop the write.
+struct WriteInstance {
+  InstanceRecord record;
+  std::int64_t expected_version = 0;
+  std::string change;
+  MonotonicTime not_after = MonotonicTime::max();
+};
+
+// Compare-and-swap of budgets/SERVICE; `not_after` as above.
+struct WriteBudget {
+  BudgetRecord record;
+  std::int64_t expected_version = 0;
+  MonotonicTime not_after = MonotonicTime::max();
+};
+
+// Requests to a worker. Each names the incarnation that it is meant for, so
+// that a late or repeated request has no effect after the reboot.
+struct DrainWorker {
+  WorkerName worker;
+  std::int64_t incarnation = 0;
+};
+struct CheckpointWorker {
+  WorkerName worker;
+  std::int64_t incarnation = 0;
+};
+struct RebootWorker {
+  WorkerName worker;
+  std::int64_t incarnation = 0;
+};
+
+using FleetAction = std::variant<WriteInstance,
+                                 WriteBudget,
+                                 DrainWorker,
+                                 CheckpointWorker,
+                                 RebootWorker>;
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_FLEET_FLEET_ACTION_H_
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_checker.cc
@@ -0,0 +1,121 @@
+#include "UnitTests/Fleet/fleet_checker.h"
+
+namespace daisyroad {
+namespace {
+
+bool IsLegal(InstanceStep before, InstanceStep after) {
+  switch (before) {
+    case InstanceStep::kInService:
+      return after == InstanceStep::kRequested;
+    case InstanceStep::kRequested:
+      return after == InstanceStep::kDraining ||
+             after == InstanceStep::kInService;
+    case InstanceStep::kDraining:
+      return after == InstanceStep::kDrained ||
+             after == InstanceStep::kReturned;
+    case InstanceStep::kDrained:
+      return after == InstanceStep::kRebooting ||
+             after == InstanceStep::kReturned;
+    case InstanceStep::kRebooting:
+      return after == InstanceStep::kReturned;
+    case InstanceStep::kReturned:
+      return after == InstanceStep::kHandedOver;
+    case InstanceStep::kHandedOver:
+      return after == InstanceStep::kInService;
+  }
+  return false;
+}
+
+template <typename Table>
+std::set<WorkerName> At(const Table& table, const ServiceName& service) {
+  const auto found = table.find(service);
+  return found == table.end() ? std::set<WorkerName>() : found->second;
+}
+
+}  // namespace
+
+void FleetChecker::OnInstance(const InstanceRecord& before,
+                              const InstanceRecord& after,
+                              const BudgetTable& budgets,
+                              const TruthSnapshot& view,
+                              std::int64_t worker_incarnation,
+                              MonotonicTime now) {
+  const std::string& operation =
+      after.Busy() ? after.operation : before.operation;
+  if (!IsLegal(before.step, after.step)) {
+    this->Fail("step order: " + ToString(before.step) + " to " +
+               ToString(after.step));
+  }
+  if (!this->steps.emplace(operation, after.step).second) {
+    this->Fail("step done twice: " + ToString(after.step));
+  }
+  if (before.Busy() && after.Busy() && before.operation != after.operation) {
+    this->Fail("operation replaced");
+  }
+  const bool hands_over = after.step == InstanceStep::kHandedOver;
+  if (after.pool != (hands_over ? before.target : before.pool) ||
+      after.pool.empty()) {
+    this->Fail("pool changed outside a handover");
+  }
+  if (after.step == InstanceStep::kDraining) {
+    this->CheckBegin(after, budgets, view, now);
+  }
+  if (after.step == InstanceStep::kReturned &&
+      worker_incarnation == before.incarnation) {
+    this->Fail("returned without a new incarnation");
+  }
+  this->completed += hands_over ? 1 : 0;
+}
+
+void FleetChecker::CheckBegin(const InstanceRecord& record,
+                              const BudgetTable& budgets,
+                              const TruthSnapshot& view,
+                              MonotonicTime now) {
+  if (now - view.time > std::chrono::seconds(3)) {
+    this->Fail("disruption began on an old observation");
+  }
+  for (const ServiceName& service : this->topology.ServicesOf(record.pool)) {
+    const BudgetRecord& budget = budgets.at(service).value;
+    if (!budget.charges.contains(record.operation)) {
+      this->Fail("disruption began without a charge to " + service.str());
+    }
+    std::set<WorkerName> down = At(view.unplanned, service);
+    down.merge(At(view.charged, service));
+    down.insert(record.worker);
+    if (static_cast<std::int64_t>(down.size()) > budget.allowed) {
+      this->Fail("disruption began without room in " + service.str());
+    }
+  }
+}
+
+void FleetChecker::OnBudget(
+    const BudgetRecord& before,
+    const BudgetRecord& after,
+    const std::map<WorkerName, Versioned<InstanceRecord>>& records,
+    const TruthSnapshot& view) {
+  for (const auto& entry : before.charges) {
+    const InstanceRecord& instance = records.at(entry.second.worker).value;
+    if (!after.charges.contains(entry.first) &&
+        instance.operation == entry.first) {
+      this->Fail("credited at step " + ToString(instance.step));
+    }
+  }
+  if (after.charges.size() <= before.charges.size()) {
+    return;
+  }
+  std::set<WorkerName> down = At(view.unplanned, after.service);
+  for (const auto& entry : after.charges) {
+    down.insert(entry.second.worker);
+  }
+  if (static_cast<std::int64_t>(down.size()) > after.allowed) {
+    this->Fail("charged without room in " + after.service.str());
+  }
+}
+
+void FleetChecker::OnReboot(const std::string& operation) {
+  if (!this->reboots.insert(operation).second) {
+    this->Fail("rebooted twice by " + operation);
+  }
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_test.cc
@@ -0,0 +1,121 @@
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+#include "Core/Common/json.h"
+#include "Core/Fleet/disruption_budget.h"
+#include "Core/Fleet/instance_lifecycle.h"
+
+namespace daisyroad {
+namespace {
+
+Versioned<InstanceRecord> Instance(const std::string& name,
+                                   std::int64_t version) {
+  InstanceRecord record;
+  record.worker = WorkerName(name);
+  record.pool = PoolName("web");
+  record.zone = ZoneName("a");
+  record.rack = RackName("a1");
+  return {record, version};
+}
+
+// Guards against a record that changes when it is written and read back.
+TEST_CASE("Records survive the JSON codec") {
+  CHECK(rc::check([] {
+    InstanceRecord record;
+    record.worker = WorkerName(*rc::gen::arbitrary<std::string>());
+    record.pool = PoolName(*rc::gen::arbitrary<std::string>());
+    record.operation_base = *rc::gen::arbitrary<std::int64_t>();
+    record.incarnation = *rc::gen::arbitrary<std::int64_t>();
+    record.step = static_cast<InstanceStep>(*rc::gen::inRange(0, 7));
+    record.operation = record.Busy() ? "op" : "";
+    record.AddChange(*rc::gen::arbitrary<std::string>());
+    const Result<InstanceRecord> parsed = ParseInstanceRecord(ToJson(record));
+    RC_ASSERT(parsed.ok());
+    RC_ASSERT(parsed.value() == record);
+    BudgetRecord budget;
+    budget.service = ServiceName(*rc::gen::arbitrary<std::string>());
+    budget.allowed = *rc::gen::positive<std::int64_t>();
+    budget.charges["op"] = {record.worker, record.operation_base};
+    const Result<BudgetRecord> back = ParseBudgetRecord(ToJson(budget));
+    RC_ASSERT(back.ok());
+    RC_ASSERT(back.value() == budget);
+  }));
+}
+
+// Guards against a damaged record that is taken for an idle instance.
+TEST_CASE("Damaged records are refused") {
+  const Json::Value good = ToJson(Instance("w", 1).value);
+  for (const std::string& name : good.getMemberNames()) {
+    Json::Value bad = good;
+    bad[name] = Json::Value(Json::objectValue);
+    CHECK_FALSE(ParseInstanceRecord(bad).ok());
+    bad.removeMember(name);
+    CHECK_FALSE(ParseInstanceRecord(bad).ok());
+  }
+  Json::Value contradiction = good;
+  contradiction["step"] = "draining";
+  CHECK_FALSE(ParseInstanceRecord(contradiction).ok());
+  CHECK_FALSE(ParseBudgetRecord(Json::Value("text")).ok());
+}
+
+// Guards against two operators who both believe that their move was accepted.
+TEST_CASE("Of two racing operators one wins and the other learns of it") {
+  PoolLedger ledger;
+  ledger.Apply(Instance("w", 5));
+  const WorkerName w("w");
+  const Result<WriteInstance> first =
+      ledger.RequestMove(w, PoolName("web"), PoolName("batch"), "op-1");
+  const Result<WriteInstance> second =
+      ledger.RequestMove(w, PoolName("web"), PoolName("spare"), "op-2");
+  REQUIRE(first.ok());
+  REQUIRE(second.ok());
+  const Versioned<InstanceRecord> stored{first.value().record, 6};
+  CHECK(PoolLedger::JudgeWrite(first.value(), stored) ==
+        WriteOutcome::kApplied);
+  CHECK(PoolLedger::JudgeWrite(second.value(), stored) ==
+        WriteOutcome::kSuperseded);
+  CHECK(PoolLedger::JudgeWrite(second.value(), Instance("w", 5)) ==
+        WriteOutcome::kNotApplied);
+  ledger.Apply(stored);
+  ledger.Apply(Instance("w", 5));
+  CHECK_FALSE(
+      ledger.RequestMove(w, PoolName("web"), PoolName("spare"), "op-3").ok());
+  CHECK(ledger.RequestMove(w, PoolName("web"), PoolName("x"), "op-4")
+            .error()
+            .code == Errc::kConflict);
+  CHECK(ledger.RequestMove(w, PoolName("spare"), PoolName("x"), "op-5")
+            .error()
+            .detail == "is in pool web");
+}
+
+// Guards against a budget that misses one of the ways of being down.
+TEST_CASE("A budget counts every way of being down once") {
+  PoolLedger ledger;
+  ServiceTopology topology;
+  topology.Add(ServiceName("site"), PoolName("web"));
+  FleetObservation observation;
+  for (const char* name : {"broken", "unlisted", "absent", "out", "fine"}) {
+    Versioned<InstanceRecord> instance = Instance(name, 1);
+    instance.value.zone = ZoneName(name == std::string("out") ? "b" : "a");
+    ledger.Apply(instance);
+    observation.workers[instance.value.worker] = {true, true, false, 1, {}};
+  }
+  observation.workers[WorkerName("broken")].healthy = false;
+  observation.workers[WorkerName("unlisted")].listed = false;
+  observation.workers.erase(WorkerName("absent"));
+  observation.zones_out.insert(ZoneName("b"));
+  const DownTable down =
+      DisruptionBudget::UnplannedDown(ledger, topology, observation);
+  const std::set<WorkerName>& site = down.at(ServiceName("site"));
+  CHECK(site.size() == 4);
+  BudgetRecord budget{ServiceName("site"), 5, {}};
+  budget.charges["x"] = {WorkerName("broken"), 0};
+  CHECK(DisruptionBudget::DownWith(budget, site, WorkerName("fine")) == 5);
+  CHECK(DisruptionBudget::HasRoom(budget, site, WorkerName("fine")));
+  budget.allowed = 4;
+  CHECK_FALSE(DisruptionBudget::HasRoom(budget, site, WorkerName("fine")));
+}
+
+}  // namespace
+}  // namespace daisyroad
