--- /dev/null
+++ b/Source/Core/Maintenance/baseline_planner.cc
@@ -0,0 +1,54 @@
+#include "Core/Maintenance/baseline_planner.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace daisyroad {
+namespace {
+
+MaintenancePlan InGroups(const MaintenanceInput& input, std::size_t size) {
+  std::set<WorkerName> names;
+  for (const InstanceRecord& instance : input.instances) {
+    names.insert(instance.worker);
+  }
+  MaintenancePlan plan;
+  plan.cycle = input.cycle;
+  plan.barrier = true;
+  for (const WorkerName& name : names) {
+    if (plan.waves.empty() || plan.waves.back().size() >= size) {
+      plan.waves.emplace_back();
+    }
+    plan.waves.back().push_back(name);
+  }
+  return plan;
+}
+
+}  // namespace
+
+MaintenancePlan BaselinePlanner::OneAtATime(const MaintenanceInput& input) {
+  return InGroups(input, 1);
+}
+
+MaintenancePlan BaselinePlanner::FixedFraction(const MaintenanceInput& input,
+                                               double fraction) {
+  const double size = fraction * static_cast<double>(input.instances.size());
+  return InGroups(input,
+                  std::max<std::size_t>(1, static_cast<std::size_t>(size)));
+}
+
+MaintenancePlan BaselinePlanner::OneRackPerWave(const MaintenanceInput& input) {
+  std::map<std::pair<ZoneName, RackName>, std::vector<WorkerName>> racks;
+  for (const InstanceRecord& instance : input.instances) {
+    racks[{instance.zone, instance.rack}].push_back(instance.worker);
+  }
+  MaintenancePlan plan;
+  plan.cycle = input.cycle;
+  plan.barrier = true;
+  for (auto& rack : racks) {
+    plan.waves.push_back(std::move(rack.second));
+  }
+  return plan;
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Maintenance/wave_executor.cc
@@ -0,0 +1,177 @@
+#include "Core/Maintenance/wave_executor.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace daisyroad {
+namespace {
+
+struct Candidate {
+  std::size_t group = 0;
+  Duration remaining = Duration::zero();
+  std::size_t position = 0;
+  const Versioned<InstanceRecord>* instance = nullptr;
+
+  bool operator<(const Candidate& other) const {
+    return std::tie(this->group, this->remaining, this->position) <
+           std::tie(other.group, other.remaining, other.position);
+  }
+};
+
+// The candidate of an instance that may be requested now.
+std::optional<Candidate> Consider(const Versioned<InstanceRecord>& instance,
+                                  const FleetObservation& observation,
+                                  Duration patience) {
+  const auto seen = observation.workers.find(instance.value.worker);
+  if (instance.value.Busy() || seen == observation.workers.end() ||
+      !seen->second.healthy) {
+    return std::nullopt;
+  }
+  Candidate candidate;
+  // Tasks beyond the patience are checkpointed and cost the patience at most.
+  candidate.remaining = std::min(seen->second.remaining, patience);
+  candidate.instance = &instance;
+  return candidate;
+}
+
+std::vector<Candidate> Candidates(const MaintenancePlan& plan,
+                                  const ExecutorInput& input,
+                                  Duration patience) {
+  std::vector<Candidate> candidates;
+  std::size_t position = 0;
+  std::size_t first = plan.waves.size();  // first wave that is not complete
+  for (std::size_t wave = 0; wave < plan.waves.size(); ++wave) {
+    if (plan.barrier && wave > first) {
+      break;
+    }
+    for (const WorkerName& worker : plan.waves[wave]) {
+      ++position;
+      const Versioned<InstanceRecord>* instance = input.ledger.Find(worker);
+      if (instance == nullptr ||
+          instance->value.maintained_cycle >= plan.cycle) {
+        continue;
+      }
+      first = std::min(first, wave);
+      std::optional<Candidate> candidate =
+          Consider(*instance, input.observation, patience);
+      if (candidate) {
+        candidate->group = (wave - first) / WaveExecutor::kLookaheadWaves;
+        candidate->position = position;
+        candidates.push_back(*candidate);
+      }
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  return candidates;
+}
+
+// Everything that is down or about to be, by service.
+DownTable WithPlanned(DownTable down, const ExecutorInput& input) {
+  for (const auto& budget : input.budgets) {
+    for (const auto& charge : budget.second.value.charges) {
+      down[budget.first].insert(charge.second.worker);
+    }
+  }
+  for (const auto& instance : input.ledger.instances()) {
+    const InstanceRecord& record = instance.second.value;
+    if (record.step != InstanceStep::kRequested) {
+      continue;
+    }
+    for (const ServiceName& service : input.topology.ServicesOf(record.pool)) {
+      down[service].insert(record.worker);
+    }
+  }
+  return down;
+}
+
+bool HasRoom(const InstanceRecord& record,
+             const ExecutorInput& input,
+             const DownTable& down) {
+  for (const ServiceName& service : input.topology.ServicesOf(record.pool)) {
+    const auto budget = input.budgets.find(service);
+    if (budget == input.budgets.end()) {
+      return false;
+    }
+    const auto found = down.find(service);
+    std::size_t count = 1;
+    if (found != down.end()) {
+      count = found->second.size() +
+              (found->second.contains(record.worker) ? 0 : 1);
+    }
+    if (static_cast<std::int64_t>(count) > budget->second.value.allowed) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+WaveExecutor::WaveExecutor(EntryName entry, Duration task_patience)
+    : self(std::move(entry)), patience(task_patience) {}
+
+std::vector<FleetAction> WaveExecutor::Next(const MaintenancePlan& plan,
+                                            const ExecutorInput& input,
+                                            MonotonicTime now) const {
+  const DownTable unplanned = DisruptionBudget::UnplannedDown(
+      input.ledger, input.topology, input.observation);
+  std::vector<FleetAction> actions;
+  this->CarryOn(input, unplanned, now, actions);
+  if (input.window_open) {
+    this->RequestMore(plan, input, WithPlanned(unplanned, input), actions);
+  }
+  return actions;
+}
+
+void WaveExecutor::CarryOn(const ExecutorInput& input,
+                           const DownTable& unplanned,
+                           MonotonicTime now,
+                           std::vector<FleetAction>& actions) const {
+  const InstanceLifecycle lifecycle(this->self, this->patience);
+  const LifecycleInput lifecycle_input{input.budgets, unplanned,
+                                       input.observation, input.topology,
+                                       input.window_open};
+  for (const auto& instance : input.ledger.instances()) {
+    if (!instance.second.value.Busy()) {
+      continue;
+    }
+    for (FleetAction& action :
+         lifecycle.Next(instance.second, lifecycle_input, now)) {
+      actions.push_back(std::move(action));
+    }
+  }
+  for (const auto& budget : input.budgets) {
+    std::optional<BudgetRecord> credited =
+        DisruptionBudget::Credit(budget.second.value, input.ledger);
+    if (credited) {
+      actions.emplace_back(
+          WriteBudget{std::move(*credited), budget.second.version});
+    }
+  }
+}
+
+void WaveExecutor::RequestMore(const MaintenancePlan& plan,
+                               const ExecutorInput& input,
+                               DownTable down,
+                               std::vector<FleetAction>& actions) const {
+  for (const Candidate& candidate : Candidates(plan, input, this->patience)) {
+    const InstanceRecord& record = candidate.instance->value;
+    if (!HasRoom(record, input, down)) {
+      continue;
+    }
+    const Result<WriteInstance> request = input.ledger.RequestMaintenance(
+        record.worker, plan.cycle,
+        this->self.str() + "@" + std::to_string(candidate.instance->version));
+    if (!request.ok()) {
+      continue;
+    }
+    actions.emplace_back(request.value());
+    for (const ServiceName& service : input.topology.ServicesOf(record.pool)) {
+      down[service].insert(record.worker);
+    }
+  }
+}
+
+}  // namespace daisyroad
