--- a/Source/UnitTests/Fleet/fake_fleet.cc
+++ b/Source/UnitTests/Fleet/fake_fleet.cc
@@ -137,6 +137,13 @@
   entry.truth = this->Truth();
 }
 
+// Watches of different keys are not in step: budgets may be newer than
+// instances.
+void FakeFleet::RefreshBudgets(Entry& entry) {
+  entry.view.budgets = this->budgets;
+  entry.truth.charged = this->Truth().charged;
+}
+
 void FakeFleet::Crash(Entry& entry) {
   entry.queue.clear();
   entry.view.ledger = PoolLedger();
@@ -155,6 +162,8 @@
   }
   if (this->outage_left == 0 && (!faults || this->random.Chance(0.7))) {
     this->Refresh(entry);
+  } else if (this->outage_left == 0 && this->random.Chance(0.5)) {
+    this->RefreshBudgets(entry);
   }
   if (entry.queue.empty()) {
     for (FleetAction& action :
--- a/Source/UnitTests/Fleet/fake_fleet.h
+++ b/Source/UnitTests/Fleet/fake_fleet.h
@@ -56,6 +56,7 @@
   void InjectFaults();
   void FailWorkers();
   void Refresh(Entry& entry);
+  void RefreshBudgets(Entry& entry);
   void Act(Entry& entry, bool faults);
   void Crash(Entry& entry);
   void Execute(const FleetAction& action, const TruthSnapshot& truth);
