--- a/Source/UnitTests/Fleet/fake_fleet.cc
+++ b/Source/UnitTests/Fleet/fake_fleet.cc
@@ -242,7 +242,8 @@
   if (stored.version != write.expected_version) {
     return;
   }
-  this->checker.OnBudget(stored.value, write.record, this->records, truth);
+  this->checker.OnBudget(stored.value, write.record, this->records, truth,
+                         this->now);
   stored = {write.record, ++this->revision};
 }
 
--- a/Source/UnitTests/Fleet/fleet_checker.cc
+++ b/Source/UnitTests/Fleet/fleet_checker.cc
@@ -92,7 +92,8 @@
     const BudgetRecord& before,
     const BudgetRecord& after,
     const std::map<WorkerName, Versioned<InstanceRecord>>& records,
-    const TruthSnapshot& view) {
+    const TruthSnapshot& view,
+    MonotonicTime now) {
   for (const auto& entry : before.charges) {
     const InstanceRecord& instance = records.at(entry.second.worker).value;
     if (!after.charges.contains(entry.first) &&
@@ -103,6 +104,9 @@
   if (after.charges.size() <= before.charges.size()) {
     return;
   }
+  if (now - view.time > std::chrono::seconds(3)) {
+    this->Fail("charged on an old observation");
+  }
   std::set<WorkerName> down = At(view.unplanned, after.service);
   for (const auto& entry : after.charges) {
     down.insert(entry.second.worker);
--- a/Source/UnitTests/Fleet/fleet_checker.h
+++ b/Source/UnitTests/Fleet/fleet_checker.h
@@ -34,7 +34,8 @@
   void OnBudget(const BudgetRecord& before,
                 const BudgetRecord& after,
                 const std::map<WorkerName, Versioned<InstanceRecord>>& records,
-                const TruthSnapshot& view);
+                const TruthSnapshot& view,
+                MonotonicTime now);
   void OnReboot(const std::string& operation);
   void Fail(const std::string& rule) { this->failures.push_back(rule); }
 
