--- a/Source/Bench/capacity_bench.cc
+++ b/Source/Bench/capacity_bench.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -22,7 +21,7 @@
   for (int zone = 0; zone < zones; ++zone) {
     input.zones.emplace_back("z" + std::to_string(zone));
   }
-  std::map<PoolName, std::int64_t> members;
+  PoolCounts members;
   for (int i = 0; i < workers; ++i) {
     const int rack = i / 4;
     const PoolName pool("p" + std::to_string(rack / zones % pools));
@@ -30,7 +29,7 @@
                              RackName("r" + std::to_string(rack))});
     ++members[pool];
   }
-  for (const auto& entry : members) {
+  for (const PoolCounts::value_type& entry : members) {
     input.needed[entry.first] =
         static_cast<std::int64_t>(level * static_cast<double>(entry.second));
   }
--- a/Source/Bench/maintenance_world.h
+++ b/Source/Bench/maintenance_world.h
@@ -14,6 +14,8 @@
 
 namespace daisyroad {
 
+using ServiceCounts = std::map<ServiceName, std::int64_t>;
+
 // Sizes and rates of a bench run.
 struct WorldConfig {
   int workers = 0;
@@ -71,17 +73,23 @@
     Duration idle_until = Duration::zero();
   };
 
+  using WorkerTable = std::map<WorkerName, Worker>;
+
   void Build();
   void ScheduleFaults(Duration limit);
   void Advance();
   void UpdateLoad(Worker& worker);
   std::map<ServiceName, Duration> NeededTime(Duration downtime) const;
-  std::map<ServiceName, std::int64_t> RoomLeft(Duration downtime) const;
+  ServiceCounts RoomLeft(Duration downtime) const;
   void TakeDown(Worker& worker, Duration downtime);
   void ApplyFaults();
   void Observe();
   bool Decide(const MaintenancePlan& plan);
-  void Execute(const FleetAction& action);
+  void Execute(const WriteInstance& write);
+  void Execute(const WriteBudget& write);
+  void Execute(const DrainWorker& drain);
+  void Execute(const CheckpointWorker& checkpoint);
+  void Execute(const RebootWorker& reboot);
   void OnDrainBegins(const InstanceRecord& record);
   bool IsComplete(const MaintenancePlan& plan) const;
 
@@ -91,7 +99,7 @@
   BudgetTable budgets;
   ServiceTopology topology;
   FleetObservation observation;
-  std::map<WorkerName, Worker> workers;
+  WorkerTable workers;
   std::vector<WorkerName> names;
   struct Fault {
     WorkerName worker;
--- a/Source/Bench/maintenance_world_bench.cc
+++ b/Source/Bench/maintenance_world_bench.cc
@@ -31,7 +31,7 @@
 }
 
 void MaintenanceWorld::Build() {
-  std::map<ServiceName, std::int64_t> members;
+  ServiceCounts members;
   for (int pool = 0; pool < this->config.pools; ++pool) {
     const PoolName name("p" + std::to_string(pool));
     this->topology.Add(ServiceName("own-" + std::to_string(pool)), name);
@@ -52,7 +52,7 @@
     this->workers[record.worker];
     this->names.push_back(record.worker);
   }
-  for (const auto& entry : members) {
+  for (const ServiceCounts::value_type& entry : members) {
     BudgetRecord budget;
     budget.service = entry.first;
     budget.allowed = std::max<std::int64_t>(
@@ -66,10 +66,10 @@
   MaintenanceInput input;
   input.cycle = 1;
   input.topology = this->topology;
-  for (const auto& entry : this->ledger.instances()) {
+  for (const InstanceTable::value_type& entry : this->ledger.instances()) {
     input.instances.push_back(entry.second.value);
   }
-  for (const auto& entry : this->budgets) {
+  for (const BudgetTable::value_type& entry : this->budgets) {
     input.allowed[entry.first] = entry.second.value.allowed;
   }
   return input;
@@ -137,7 +137,7 @@
 
 void MaintenanceWorld::Observe() {
   this->observation.observed_at = At(this->now);
-  for (auto& entry : this->workers) {
+  for (WorkerTable::value_type& entry : this->workers) {
     Worker& worker = entry.second;
     this->UpdateLoad(worker);
     WorkerObservation& seen = this->observation.workers[entry.first];
@@ -154,10 +154,11 @@
   for (const ServiceName& service : this->topology.ServicesOf(record.pool)) {
     const BudgetRecord& budget = this->budgets.at(service).value;
     std::set<WorkerName> down = {record.worker};
-    for (const auto& charge : budget.charges) {
+    for (const ChargeTable::value_type& charge : budget.charges) {
       down.insert(charge.second.worker);
     }
-    for (const auto& entry : this->observation.workers) {
+    for (const ObservationTable::value_type& entry :
+         this->observation.workers) {
       const PoolName& pool = this->ledger.Find(entry.first)->value.pool;
       if (this->topology.services().at(service).contains(pool) &&
           (!entry.second.healthy || !entry.second.listed)) {
@@ -169,37 +170,44 @@
   }
 }
 
-void MaintenanceWorld::Execute(const FleetAction& action) {
-  if (const auto* instance = std::get_if<WriteInstance>(&action)) {
-    if (this->ledger.Find(instance->record.worker)->version ==
-        instance->expected_version) {
-      ++this->result.store_writes;
-      this->ledger.Apply({instance->record, ++this->revision});
-      if (instance->record.step == InstanceStep::kDraining) {
-        this->OnDrainBegins(instance->record);
-      }
-    }
-  } else if (const auto* budget = std::get_if<WriteBudget>(&action)) {
-    Versioned<BudgetRecord>& stored = this->budgets.at(budget->record.service);
-    if (stored.version == budget->expected_version) {
-      ++this->result.store_writes;
-      stored = {budget->record, ++this->revision};
-    }
-  } else if (const auto* drain = std::get_if<DrainWorker>(&action)) {
-    Worker& worker = this->workers.at(drain->worker);
-    worker.draining |= worker.up;
-    this->events.push(std::max(this->now, worker.busy_until));
-  } else if (const auto* checkpoint = std::get_if<CheckpointWorker>(&action)) {
-    Worker& worker = this->workers.at(checkpoint->worker);
-    worker.busy_until = this->now + kCheckpoint;
-    this->events.push(worker.busy_until);
-    ++this->result.checkpoints;
-  } else if (const auto* reboot = std::get_if<RebootWorker>(&action)) {
-    Worker& worker = this->workers.at(reboot->worker);
-    if (worker.up && worker.incarnation == reboot->incarnation) {
-      this->TakeDown(worker, kReboot);
-      ++this->result.reboots;
-    }
+void MaintenanceWorld::Execute(const WriteInstance& write) {
+  if (this->ledger.Find(write.record.worker)->version !=
+      write.expected_version) {
+    return;
+  }
+  ++this->result.store_writes;
+  this->ledger.Apply({write.record, ++this->revision});
+  if (write.record.step == InstanceStep::kDraining) {
+    this->OnDrainBegins(write.record);
+  }
+}
+
+void MaintenanceWorld::Execute(const WriteBudget& write) {
+  Versioned<BudgetRecord>& stored = this->budgets.at(write.record.service);
+  if (stored.version == write.expected_version) {
+    ++this->result.store_writes;
+    stored = {write.record, ++this->revision};
+  }
+}
+
+void MaintenanceWorld::Execute(const DrainWorker& drain) {
+  Worker& worker = this->workers.at(drain.worker);
+  worker.draining |= worker.up;
+  this->events.push(std::max(this->now, worker.busy_until));
+}
+
+void MaintenanceWorld::Execute(const CheckpointWorker& checkpoint) {
+  Worker& worker = this->workers.at(checkpoint.worker);
+  worker.busy_until = this->now + kCheckpoint;
+  this->events.push(worker.busy_until);
+  ++this->result.checkpoints;
+}
+
+void MaintenanceWorld::Execute(const RebootWorker& reboot) {
+  Worker& worker = this->workers.at(reboot.worker);
+  if (worker.up && worker.incarnation == reboot.incarnation) {
+    this->TakeDown(worker, kReboot);
+    ++this->result.reboots;
   }
 }
 
@@ -218,7 +226,7 @@
   const int writes = this->result.store_writes;
   const int reboots = this->result.reboots;
   for (const FleetAction& action : actions) {
-    this->Execute(action);
+    std::visit([this](const auto& request) { this->Execute(request); }, action);
   }
   return this->result.store_writes > writes || this->result.reboots > reboots;
 }
@@ -226,7 +234,7 @@
 bool MaintenanceWorld::IsComplete(const MaintenancePlan& plan) const {
   return std::all_of(this->ledger.instances().begin(),
                      this->ledger.instances().end(),
-                     [&plan](const auto& entry) {
+                     [&plan](const InstanceTable::value_type& entry) {
                        return entry.second.value.maintained_cycle >= plan.cycle;
                      });
 }
@@ -248,7 +256,7 @@
 std::map<ServiceName, Duration> MaintenanceWorld::NeededTime(
     Duration downtime) const {
   std::map<ServiceName, Duration> needed;
-  for (const auto& entry : this->ledger.instances()) {
+  for (const InstanceTable::value_type& entry : this->ledger.instances()) {
     for (const ServiceName& service :
          this->topology.ServicesOf(entry.second.value.pool)) {
       needed[service] += downtime;
@@ -257,13 +265,12 @@
   return needed;
 }
 
-std::map<ServiceName, std::int64_t> MaintenanceWorld::RoomLeft(
-    Duration downtime) const {
-  std::map<ServiceName, std::int64_t> room;
-  for (const auto& budget : this->budgets) {
+ServiceCounts MaintenanceWorld::RoomLeft(Duration downtime) const {
+  ServiceCounts room;
+  for (const BudgetTable::value_type& budget : this->budgets) {
     room[budget.first] = budget.second.value.allowed;
   }
-  for (const auto& entry : this->workers) {
+  for (const WorkerTable::value_type& entry : this->workers) {
     const Worker& worker = entry.second;
     const bool down = !worker.up || worker.listed_at > this->now;
     if (down && this->now - worker.down_since > downtime) {
@@ -286,7 +293,7 @@
     this->ApplyFaults();
     this->Observe();
     const Duration before = this->now;
-    for (const auto& room : this->RoomLeft(downtime)) {
+    for (const ServiceCounts::value_type& room : this->RoomLeft(downtime)) {
       for (std::int64_t level = 1; level <= room.second; ++level) {
         last[{room.first, level}] = before;
       }
--- a/Source/Core/Capacity/buffer_planner.cc
+++ b/Source/Core/Capacity/buffer_planner.cc
@@ -13,15 +13,14 @@
   return std::chrono::duration<double, std::ratio<3600>>(duration).count();
 }
 
-std::int64_t Count(const std::map<PoolName, std::int64_t>& counts,
-                   const PoolName& pool) {
+std::int64_t Count(const PoolCounts& counts, const PoolName& pool) {
   const auto found = counts.find(pool);
   return found == counts.end() ? 0 : found->second;
 }
 
 std::int64_t Total(const SpareByZone& spare) {
   std::int64_t total = 0;
-  for (const auto& entry : spare) {
+  for (const SpareByZone::value_type& entry : spare) {
     total += entry.second;
   }
   return total;
@@ -42,10 +41,9 @@
   }
 }
 
-std::int64_t BufferPlanner::Missing(
-    const std::map<PoolName, std::int64_t>& lost) const {
+std::int64_t BufferPlanner::Missing(const PoolCounts& lost) const {
   std::int64_t missing = 0;
-  for (const auto& entry : this->input.needed) {
+  for (const PoolCounts::value_type& entry : this->input.needed) {
     const std::int64_t left =
         Count(this->members, entry.first) - Count(lost, entry.first);
     missing += std::max<std::int64_t>(0, entry.second - left);
@@ -55,8 +53,11 @@
 
 std::vector<BufferPlanner::Loss> BufferPlanner::Losses(
     FailureDomain domain) const {
-  using Key = std::tuple<ZoneName, RackName, std::int64_t>;
-  std::map<Key, std::map<PoolName, std::int64_t>> lost;
+  // By zone, rack and position; what does not matter is left empty.
+  using LostWorkers =
+      std::map<std::tuple<ZoneName, RackName, std::int64_t>, PoolCounts>;
+  using LossCounts = std::map<std::pair<ZoneName, std::int64_t>, std::int64_t>;
+  LostWorkers lost;
   std::int64_t index = 0;
   for (const CapacityWorker& worker : this->input.workers) {
     ++index;
@@ -65,8 +66,8 @@
     ++lost[{worker.zone, zone ? RackName() : worker.rack, single ? index : 0}]
           [worker.pool];
   }
-  std::map<std::pair<ZoneName, std::int64_t>, std::int64_t> counts;
-  for (const auto& entry : lost) {
+  LossCounts counts;
+  for (const LostWorkers::value_type& entry : lost) {
     ++counts[{std::get<0>(entry.first), this->Missing(entry.second)}];
   }
   // Losing a zone that holds only spare is a loss too.
@@ -78,7 +79,7 @@
   }
   std::vector<Loss> result;
   result.reserve(counts.size());
-  for (const auto& entry : counts) {
+  for (const LossCounts::value_type& entry : counts) {
     result.push_back(
         Loss{domain, entry.first.first, entry.first.second, entry.second});
   }
@@ -121,7 +122,7 @@
 
 double BufferPlanner::ExpectedHours(const SpareByZone& spare) const {
   double hours = 0.0;
-  for (const auto& rate : this->input.rates) {
+  for (const LossRates::value_type& rate : this->input.rates) {
     double sum = 0.0;
     double count = 0.0;
     for (const Loss& loss : this->losses) {
@@ -176,7 +177,7 @@
 BufferPlan BufferPlanner::Plan() const {
   BufferPlan plan;
   std::int64_t bound = 2 * this->input.workers_per_rack;
-  for (const auto& entry : this->input.needed) {
+  for (const PoolCounts::value_type& entry : this->input.needed) {
     bound += 2 * entry.second;
   }
   while (this->WorstShortfall(plan.spare) > 0 && Total(plan.spare) < bound) {
@@ -184,7 +185,7 @@
   }
   plan.feasible = this->WorstShortfall(plan.spare) <= 0;
   plan.total = Total(plan.spare);
-  for (const auto& entry : this->input.needed) {
+  for (const PoolCounts::value_type& entry : this->input.needed) {
     plan.separate[entry.first] = this->Separate(entry.first);
     plan.separate_total += plan.separate[entry.first];
   }
--- a/Source/Core/Capacity/buffer_planner.h
+++ b/Source/Core/Capacity/buffer_planner.h
@@ -1,7 +1,6 @@
 #ifndef SOURCE_CORE_CAPACITY_BUFFER_PLANNER_H_
 #define SOURCE_CORE_CAPACITY_BUFFER_PLANNER_H_
 
-#include <map>
 #include <vector>
 
 #include "Core/Capacity/buffer_plan.h"
@@ -37,7 +36,7 @@
     std::int64_t count = 1;
   };
 
-  std::int64_t Missing(const std::map<PoolName, std::int64_t>& lost) const;
+  std::int64_t Missing(const PoolCounts& lost) const;
   std::vector<Loss> Losses(FailureDomain domain) const;
   std::int64_t Shortfall(const Loss& loss, const SpareByZone& spare) const;
   double ExpectedHours(const SpareByZone& spare) const;
@@ -47,7 +46,7 @@
   bool IsSurvived(FailureDomain domain) const;
 
   CapacityInput input;
-  std::map<PoolName, std::int64_t> members;
+  PoolCounts members;
   std::vector<Loss> losses;
 };
 
--- a/Source/Core/Capacity/capacity_input.h
+++ b/Source/Core/Capacity/capacity_input.h
@@ -24,17 +24,20 @@
   Duration repair = Duration::zero();
 };
 
+using PoolCounts = std::map<PoolName, std::int64_t>;
+using LossRates = std::map<FailureDomain, LossRate>;
+
 struct CapacityInput {
   // Workers in service, without the spare.
   std::vector<CapacityWorker> workers;
   // Instances that each pool needs for the declared service level.
-  std::map<PoolName, std::int64_t> needed;
+  PoolCounts needed;
   std::vector<ZoneName> zones;  // where spare may stand
   std::int64_t workers_per_rack = 4;
   // Losses that the spare must cover; one domain at a time.
   std::vector<FailureDomain> survive = {
       FailureDomain::kWorker, FailureDomain::kRack, FailureDomain::kZone};
-  std::map<FailureDomain, LossRate> rates;
+  LossRates rates;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Fleet/budget_record.cc
+++ b/Source/Core/Fleet/budget_record.cc
@@ -20,8 +20,7 @@
   json["service"] = record.service.str();
   json["allowed"] = Json::Int64(record.allowed);
   json["charges"] = Json::Value(Json::objectValue);
-  for (const std::pair<const std::string, BudgetCharge>& entry :
-       record.charges) {
+  for (const ChargeTable::value_type& entry : record.charges) {
     Json::Value charge(Json::objectValue);
     charge["worker"] = entry.second.worker.str();
     charge["operation_base"] = Json::Int64(entry.second.operation_base);
--- a/Source/Core/Fleet/budget_record.h
+++ b/Source/Core/Fleet/budget_record.h
@@ -21,6 +21,9 @@
   friend bool operator==(const BudgetCharge&, const BudgetCharge&) = default;
 };
 
+// By operation.
+using ChargeTable = std::map<std::string, BudgetCharge>;
+
 // Value of the store key budgets/SERVICE.
 struct BudgetRecord {
   ServiceName service;
@@ -28,7 +31,7 @@
   std::int64_t allowed = 0;
   // By operation, not by worker: a late writer of an older operation on the
   // same worker must not replace the charge of the current one.
-  std::map<std::string, BudgetCharge> charges;
+  ChargeTable charges;
 
   friend bool operator==(const BudgetRecord&, const BudgetRecord&) = default;
 };
--- a/Source/Core/Fleet/disruption_budget.cc
+++ b/Source/Core/Fleet/disruption_budget.cc
@@ -30,7 +30,7 @@
                                           const ServiceTopology& topology,
                                           const FleetObservation& observation) {
   DownTable down;
-  for (const auto& entry : ledger.instances()) {
+  for (const InstanceTable::value_type& entry : ledger.instances()) {
     const InstanceRecord& instance = entry.second.value;
     if (!IsDown(instance, observation)) {
       continue;
@@ -47,7 +47,7 @@
                                         const WorkerName& worker) {
   std::set<WorkerName> down = unplanned;
   down.insert(worker);
-  for (const auto& entry : budget.charges) {
+  for (const ChargeTable::value_type& entry : budget.charges) {
     down.insert(entry.second.worker);
   }
   return static_cast<std::int64_t>(down.size());
@@ -79,7 +79,7 @@
 std::optional<BudgetRecord> DisruptionBudget::Credit(const BudgetRecord& budget,
                                                      const PoolLedger& ledger) {
   BudgetRecord credited = budget;
-  for (const auto& entry : budget.charges) {
+  for (const ChargeTable::value_type& entry : budget.charges) {
     if (IsOver(entry.first, entry.second, ledger)) {
       credited.charges.erase(entry.first);
     }
--- a/Source/Core/Fleet/fleet_observation.h
+++ b/Source/Core/Fleet/fleet_observation.h
@@ -20,12 +20,14 @@
   Duration remaining = Duration::zero();
 };
 
+using ObservationTable = std::map<WorkerName, WorkerObservation>;
+
 // A worker that is absent counts as down.
 struct FleetObservation {
   // Time at which the oldest probe, or the oldest read of the records used
   // with it, was sent.
   MonotonicTime observed_at;
-  std::map<WorkerName, WorkerObservation> workers;
+  ObservationTable workers;
   std::set<ZoneName> zones_out;
 };
 
--- a/Source/Core/Fleet/pool_ledger.cc
+++ b/Source/Core/Fleet/pool_ledger.cc
@@ -26,7 +26,7 @@
 
 std::vector<WorkerName> PoolLedger::Members(const PoolName& pool) const {
   std::vector<WorkerName> members;
-  for (const auto& entry : this->records) {
+  for (const InstanceTable::value_type& entry : this->records) {
     if (entry.second.value.pool == pool) {
       members.push_back(entry.first);
     }
--- a/Source/Core/Fleet/pool_ledger.h
+++ b/Source/Core/Fleet/pool_ledger.h
@@ -14,6 +14,8 @@
 
 namespace daisyroad {
 
+using InstanceTable = std::map<WorkerName, Versioned<InstanceRecord>>;
+
 // What became of a write whose answer was lost, judged from a later read.
 enum class WriteOutcome {
   kApplied,
@@ -28,9 +30,7 @@
   // is ignored.
   void Apply(const Versioned<InstanceRecord>& record);
 
-  const std::map<WorkerName, Versioned<InstanceRecord>>& instances() const {
-    return this->records;
-  }
+  const InstanceTable& instances() const { return this->records; }
   const Versioned<InstanceRecord>* Find(const WorkerName& worker) const;
   // In order of name. Derived, so never in contradiction to the records.
   std::vector<WorkerName> Members(const PoolName& pool) const;
@@ -57,7 +57,7 @@
                                 std::int64_t cycle,
                                 const std::string& change) const;
 
-  std::map<WorkerName, Versioned<InstanceRecord>> records;
+  InstanceTable records;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Fleet/service_topology.h
+++ b/Source/Core/Fleet/service_topology.h
@@ -12,16 +12,16 @@
 // Which pools each service depends on; from the declaration.
 class ServiceTopology {
  public:
+  using PoolTable = std::map<ServiceName, std::set<PoolName>>;
+
   void Add(const ServiceName& service, const PoolName& pool);
 
   // In order of name, which is the order in which budgets are charged.
   const std::vector<ServiceName>& ServicesOf(const PoolName& pool) const;
-  const std::map<ServiceName, std::set<PoolName>>& services() const {
-    return this->pools_of_service;
-  }
+  const PoolTable& services() const { return this->pools_of_service; }
 
  private:
-  std::map<ServiceName, std::set<PoolName>> pools_of_service;
+  PoolTable pools_of_service;
   std::map<PoolName, std::vector<ServiceName>> services_of_pool;
 };
 
--- a/Source/Core/Maintenance/baseline_planner.cc
+++ b/Source/Core/Maintenance/baseline_planner.cc
@@ -38,14 +38,16 @@
 }
 
 MaintenancePlan BaselinePlanner::OneRackPerWave(const MaintenanceInput& input) {
-  std::map<std::pair<ZoneName, RackName>, std::vector<WorkerName>> racks;
+  using RackMembers =
+      std::map<std::pair<ZoneName, RackName>, std::vector<WorkerName>>;
+  RackMembers racks;
   for (const InstanceRecord& instance : input.instances) {
     racks[{instance.zone, instance.rack}].push_back(instance.worker);
   }
   MaintenancePlan plan;
   plan.cycle = input.cycle;
   plan.barrier = true;
-  for (auto& rack : racks) {
+  for (RackMembers::value_type& rack : racks) {
     plan.waves.push_back(std::move(rack.second));
   }
   return plan;
--- a/Source/Core/Maintenance/maintenance_planner.cc
+++ b/Source/Core/Maintenance/maintenance_planner.cc
@@ -47,7 +47,7 @@
                                 const MaintenanceInput& input,
                                 const Allowance& left) {
   std::vector<std::pair<double, PoolName>> order;
-  for (const auto& queue : queues) {
+  for (const PoolQueues::value_type& queue : queues) {
     if (!queue.second.empty()) {
       order.emplace_back(-Urgency(queue.first, input, left), queue.first);
     }
@@ -119,7 +119,7 @@
     }
   }
   Duration bound = input.instances.empty() ? Duration::zero() : downtime;
-  for (const auto& entry : members) {
+  for (const Allowance::value_type& entry : members) {
     const std::int64_t allowed = At(input.allowed, entry.first);
     if (allowed > 0) {
       bound = std::max(bound, downtime * entry.second / allowed);
--- a/Source/Core/Maintenance/wave_executor.cc
+++ b/Source/Core/Maintenance/wave_executor.cc
@@ -69,12 +69,12 @@
 
 // Everything that is down or about to be, by service.
 DownTable WithPlanned(DownTable down, const ExecutorInput& input) {
-  for (const auto& budget : input.budgets) {
-    for (const auto& charge : budget.second.value.charges) {
+  for (const BudgetTable::value_type& budget : input.budgets) {
+    for (const ChargeTable::value_type& charge : budget.second.value.charges) {
       down[budget.first].insert(charge.second.worker);
     }
   }
-  for (const auto& instance : input.ledger.instances()) {
+  for (const InstanceTable::value_type& instance : input.ledger.instances()) {
     const InstanceRecord& record = instance.second.value;
     if (record.step != InstanceStep::kRequested) {
       continue;
@@ -133,7 +133,7 @@
   const LifecycleInput lifecycle_input{input.budgets, unplanned,
                                        input.observation, input.topology,
                                        input.window_open};
-  for (const auto& instance : input.ledger.instances()) {
+  for (const InstanceTable::value_type& instance : input.ledger.instances()) {
     if (!instance.second.value.Busy()) {
       continue;
     }
@@ -142,7 +142,7 @@
       actions.push_back(std::move(action));
     }
   }
-  for (const auto& budget : input.budgets) {
+  for (const BudgetTable::value_type& budget : input.budgets) {
     std::optional<BudgetRecord> credited =
         DisruptionBudget::Credit(budget.second.value, input.ledger);
     if (credited) {
--- a/Source/UnitTests/Capacity/capacity_test.cc
+++ b/Source/UnitTests/Capacity/capacity_test.cc
@@ -16,14 +16,14 @@
     input.zones.emplace_back("z" + std::to_string(zone));
   }
   const std::uint64_t count = 4 + random.Below(16);
-  std::map<PoolName, std::int64_t> members;
+  PoolCounts members;
   for (std::uint64_t i = 0; i < count; ++i) {
     const PoolName pool("p" + std::to_string(random.Below(3)));
     input.workers.push_back({pool, input.zones[i / 4 % zones],
                              RackName("r" + std::to_string(i / 4))});
     ++members[pool];
   }
-  for (const auto& entry : members) {
+  for (const PoolCounts::value_type& entry : members) {
     input.needed[entry.first] =
         static_cast<std::int64_t>(random.Below(entry.second + 2));
   }
@@ -35,7 +35,7 @@
 template <typename Predicate>
 std::int64_t Missing(const CapacityInput& input, const Predicate& is_lost) {
   std::int64_t missing = 0;
-  for (const auto& entry : input.needed) {
+  for (const PoolCounts::value_type& entry : input.needed) {
     std::int64_t left = 0;
     for (std::size_t i = 0; i < input.workers.size(); ++i) {
       left += input.workers[i].pool == entry.first && !is_lost(i) ? 1 : 0;
@@ -48,7 +48,7 @@
 // Tries the loss of every domain, without the code under test.
 bool KeepsLevel(const CapacityInput& input, const SpareByZone& spare) {
   std::int64_t total = 0;
-  for (const auto& entry : spare) {
+  for (const SpareByZone::value_type& entry : spare) {
     total += entry.second;
   }
   const std::vector<CapacityWorker>& all = input.workers;
--- a/Source/UnitTests/Fleet/fake_fleet.cc
+++ b/Source/UnitTests/Fleet/fake_fleet.cc
@@ -1,5 +1,6 @@
 #include "UnitTests/Fleet/fake_fleet.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace daisyroad {
@@ -41,7 +42,8 @@
     this->workers[record.worker].running =
         static_cast<int>(this->random.Below(12));
   }
-  for (const auto& service : this->services.services()) {
+  for (const ServiceTopology::PoolTable::value_type& service :
+       this->services.services()) {
     BudgetRecord budget;
     budget.service = service.first;
     budget.allowed = 1 + static_cast<std::int64_t>(this->random.Below(3));
@@ -64,7 +66,7 @@
     if (faults) {
       this->InjectFaults();
     }
-    for (auto& worker : this->workers) {
+    for (std::map<WorkerName, FakeWorker>::value_type& worker : this->workers) {
       worker.second.Tick(kListLag);
     }
     for (Entry& entry : this->entries) {
@@ -73,6 +75,13 @@
   }
 }
 
+bool FakeFleet::HasDraining() const {
+  return std::any_of(this->workers.begin(), this->workers.end(),
+                     [](const std::pair<const WorkerName, FakeWorker>& worker) {
+                       return worker.second.up && worker.second.draining;
+                     });
+}
+
 void FakeFleet::InjectFaults() {
   this->outage_left -= this->outage_left > 0 ? 1 : 0;
   if (this->random.Chance(0.01)) {
@@ -93,7 +102,7 @@
   const int index = static_cast<int>(this->random.Below(this->workers.size()));
   const InstanceRecord cause = MakeInstance(index);
   const std::uint64_t scope = this->random.Below(8);
-  for (auto& entry : this->workers) {
+  for (std::map<WorkerName, FakeWorker>::value_type& entry : this->workers) {
     const InstanceRecord& record = this->records.at(entry.first).value;
     if (record.worker == cause.worker ||
         (scope == 1 && record.rack == cause.rack) ||
@@ -106,7 +115,7 @@
 TruthSnapshot FakeFleet::Truth() const {
   TruthSnapshot truth;
   truth.time = this->now;
-  for (const auto& entry : this->records) {
+  for (const InstanceTable::value_type& entry : this->records) {
     const InstanceRecord& record = entry.second.value;
     const FakeWorker& worker = this->workers.at(entry.first);
     if (worker.up && worker.listed && !this->zones_out.contains(record.zone)) {
@@ -116,8 +125,8 @@
       truth.unplanned[service].insert(entry.first);
     }
   }
-  for (const auto& entry : this->budgets) {
-    for (const auto& charge : entry.second.value.charges) {
+  for (const BudgetTable::value_type& entry : this->budgets) {
+    for (const ChargeTable::value_type& charge : entry.second.value.charges) {
       truth.charged[entry.first].insert(charge.second.worker);
     }
   }
@@ -125,12 +134,13 @@
 }
 
 void FakeFleet::Refresh(Entry& entry) {
-  for (const auto& record : this->records) {
+  for (const InstanceTable::value_type& record : this->records) {
     entry.view.ledger.Apply(record.second);
   }
   entry.view.budgets = this->budgets;
   entry.view.observation.observed_at = this->now;
-  for (const auto& worker : this->workers) {
+  for (const std::map<WorkerName, FakeWorker>::value_type& worker :
+       this->workers) {
     entry.view.observation.workers[worker.first] = worker.second.Observe();
   }
   entry.view.observation.zones_out = this->zones_out;
@@ -182,68 +192,72 @@
     }
     const std::pair<FleetAction, TruthSnapshot> next = entry.queue.front();
     entry.queue.pop_front();
-    this->Execute(next.first, next.second);
+    std::visit([this, &next](
+                   const auto& action) { this->Execute(action, next.second); },
+               next.first);
   }
 }
 
-void FakeFleet::Execute(const FleetAction& action, const TruthSnapshot& truth) {
-  if (const auto* instance = std::get_if<WriteInstance>(&action)) {
-    const bool in_time = this->now <= instance->not_after;
-    if (!in_time || this->outage_left > 0) {
-      return;
-    }
-    const Versioned<InstanceRecord>& stored =
-        this->records.at(instance->record.worker);
-    const bool expected = stored.version == instance->expected_version;
-    // The entry instance may have sent the same change before.
-    const bool repeated = stored.value.HasChange(instance->change);
-    // The request may be lost on the way, or the answer on the way back.
-    const bool request_lost = this->random.Chance(0.03);
-    if (!request_lost) {
-      this->Write(*instance, truth);
-    }
-    if (request_lost || this->random.Chance(0.05)) {
-      ++this->lost_answers;
-      const WriteOutcome outcome = PoolLedger::JudgeWrite(*instance, stored);
-      const bool applied = repeated || (expected && !request_lost);
-      if ((outcome == WriteOutcome::kApplied) != applied) {
-        this->checker.Fail("lost answer judged wrongly");
-      }
-    }
-  } else if (const auto* budget = std::get_if<WriteBudget>(&action)) {
-    if (this->now <= budget->not_after && this->outage_left == 0) {
-      this->Write(*budget, truth);
-    }
-  } else if (const auto* drain = std::get_if<DrainWorker>(&action)) {
-    this->workers.at(drain->worker).Drain(drain->incarnation);
-  } else if (const auto* checkpoint = std::get_if<CheckpointWorker>(&action)) {
-    this->workers.at(checkpoint->worker).Checkpoint(checkpoint->incarnation);
-  } else if (const auto* reboot = std::get_if<RebootWorker>(&action)) {
-    const int late = this->random.Chance(0.1) ? 40 : 6;
-    if (this->workers.at(reboot->worker).Reboot(reboot->incarnation, late)) {
-      this->checker.OnReboot(this->records.at(reboot->worker).value.operation);
+void FakeFleet::Execute(const WriteInstance& write,
+                        const TruthSnapshot& truth) {
+  if (this->now > write.not_after || this->outage_left > 0) {
+    return;
+  }
+  const Versioned<InstanceRecord>& stored =
+      this->records.at(write.record.worker);
+  const bool expected = stored.version == write.expected_version;
+  // The entry instance may have sent the same change before.
+  const bool repeated = stored.value.HasChange(write.change);
+  // The request may be lost on the way, or the answer on the way back.
+  const bool request_lost = this->random.Chance(0.03);
+  if (!request_lost) {
+    this->Write(write, truth);
+  }
+  if (request_lost || this->random.Chance(0.05)) {
+    ++this->lost_answers;
+    const bool applied = repeated || (expected && !request_lost);
+    if ((PoolLedger::JudgeWrite(write, stored) == WriteOutcome::kApplied) !=
+        applied) {
+      this->checker.Fail("lost answer judged wrongly");
     }
   }
 }
 
-void FakeFleet::Write(const WriteInstance& write, const TruthSnapshot& truth) {
-  Versioned<InstanceRecord>& stored = this->records.at(write.record.worker);
-  if (stored.version != write.expected_version) {
+void FakeFleet::Execute(const WriteBudget& write, const TruthSnapshot& truth) {
+  Versioned<BudgetRecord>& stored = this->budgets.at(write.record.service);
+  if (this->now > write.not_after || this->outage_left > 0 ||
+      stored.version != write.expected_version) {
     return;
   }
-  this->checker.OnInstance(stored.value, write.record, this->budgets, truth,
-                           this->workers.at(write.record.worker).incarnation,
-                           this->now);
+  this->checker.OnBudget(stored.value, write.record, this->records, truth,
+                         this->now);
   stored = {write.record, ++this->revision};
 }
 
-void FakeFleet::Write(const WriteBudget& write, const TruthSnapshot& truth) {
-  Versioned<BudgetRecord>& stored = this->budgets.at(write.record.service);
+void FakeFleet::Execute(const DrainWorker& drain, const TruthSnapshot&) {
+  this->workers.at(drain.worker).Drain(drain.incarnation);
+}
+
+void FakeFleet::Execute(const CheckpointWorker& checkpoint,
+                        const TruthSnapshot&) {
+  this->workers.at(checkpoint.worker).Checkpoint(checkpoint.incarnation);
+}
+
+void FakeFleet::Execute(const RebootWorker& reboot, const TruthSnapshot&) {
+  const int late = this->random.Chance(0.1) ? 40 : 6;
+  if (this->workers.at(reboot.worker).Reboot(reboot.incarnation, late)) {
+    this->checker.OnReboot(this->records.at(reboot.worker).value.operation);
+  }
+}
+
+void FakeFleet::Write(const WriteInstance& write, const TruthSnapshot& truth) {
+  Versioned<InstanceRecord>& stored = this->records.at(write.record.worker);
   if (stored.version != write.expected_version) {
     return;
   }
-  this->checker.OnBudget(stored.value, write.record, this->records, truth,
-                         this->now);
+  this->checker.OnInstance(stored.value, write.record, this->budgets, truth,
+                           this->workers.at(write.record.worker).incarnation,
+                           this->now);
   stored = {write.record, ++this->revision};
 }
 
--- a/Source/UnitTests/Fleet/fake_fleet.h
+++ b/Source/UnitTests/Fleet/fake_fleet.h
@@ -37,9 +37,11 @@
   FakeFleet(std::uint64_t seed, Policy decide);
 
   void Run(int ticks, bool faults);
+  // True if some worker refuses work although it is up.
+  bool HasDraining() const;
 
   FleetChecker checker;
-  std::map<WorkerName, Versioned<InstanceRecord>> records;
+  InstanceTable records;
   BudgetTable budgets;
   const ServiceTopology& topology() const { return this->services; }
   int lost_answers = 0;
@@ -59,9 +61,12 @@
   void RefreshBudgets(Entry& entry);
   void Act(Entry& entry, bool faults);
   void Crash(Entry& entry);
-  void Execute(const FleetAction& action, const TruthSnapshot& truth);
+  void Execute(const WriteInstance& write, const TruthSnapshot& truth);
+  void Execute(const WriteBudget& write, const TruthSnapshot& truth);
+  void Execute(const DrainWorker& drain, const TruthSnapshot& truth);
+  void Execute(const CheckpointWorker& checkpoint, const TruthSnapshot& truth);
+  void Execute(const RebootWorker& reboot, const TruthSnapshot& truth);
   void Write(const WriteInstance& write, const TruthSnapshot& truth);
-  void Write(const WriteBudget& write, const TruthSnapshot& truth);
   TruthSnapshot Truth() const;
 
   ServiceTopology services;
--- a/Source/UnitTests/Fleet/fleet_checker.cc
+++ b/Source/UnitTests/Fleet/fleet_checker.cc
@@ -88,13 +88,12 @@
   }
 }
 
-void FleetChecker::OnBudget(
-    const BudgetRecord& before,
-    const BudgetRecord& after,
-    const std::map<WorkerName, Versioned<InstanceRecord>>& records,
-    const TruthSnapshot& view,
-    MonotonicTime now) {
-  for (const auto& entry : before.charges) {
+void FleetChecker::OnBudget(const BudgetRecord& before,
+                            const BudgetRecord& after,
+                            const InstanceTable& records,
+                            const TruthSnapshot& view,
+                            MonotonicTime now) {
+  for (const ChargeTable::value_type& entry : before.charges) {
     const InstanceRecord& instance = records.at(entry.second.worker).value;
     if (!after.charges.contains(entry.first) &&
         instance.operation == entry.first) {
@@ -108,7 +107,7 @@
     this->Fail("charged on an old observation");
   }
   std::set<WorkerName> down = At(view.unplanned, after.service);
-  for (const auto& entry : after.charges) {
+  for (const ChargeTable::value_type& entry : after.charges) {
     down.insert(entry.second.worker);
   }
   if (static_cast<std::int64_t>(down.size()) > after.allowed) {
--- a/Source/UnitTests/Fleet/fleet_checker.h
+++ b/Source/UnitTests/Fleet/fleet_checker.h
@@ -33,7 +33,7 @@
                   MonotonicTime now);
   void OnBudget(const BudgetRecord& before,
                 const BudgetRecord& after,
-                const std::map<WorkerName, Versioned<InstanceRecord>>& records,
+                const InstanceTable& records,
                 const TruthSnapshot& view,
                 MonotonicTime now);
   void OnReboot(const std::string& operation);
--- a/Source/UnitTests/Fleet/fleet_property_test.cc
+++ b/Source/UnitTests/Fleet/fleet_property_test.cc
@@ -50,14 +50,14 @@
   if (request && random.Chance(0.5)) {
     AddRandomRequest(view, random, actions);
   }
-  for (const auto& instance : view.ledger.instances()) {
+  for (const InstanceTable::value_type& instance : view.ledger.instances()) {
     for (FleetAction& action : lifecycle.Next(
              instance.second,
              {view.budgets, unplanned, view.observation, topology}, now)) {
       actions.push_back(std::move(action));
     }
   }
-  for (const auto& budget : view.budgets) {
+  for (const BudgetTable::value_type& budget : view.budgets) {
     if (std::optional<BudgetRecord> credited =
             DisruptionBudget::Credit(budget.second.value, view.ledger)) {
       actions.emplace_back(WriteBudget{*credited, budget.second.version});
@@ -83,17 +83,17 @@
   if (!world.checker.failures.empty()) {
     return world.checker.failures.front();
   }
-  for (const auto& record : world.records) {
+  for (const InstanceTable::value_type& record : world.records) {
     if (record.second.value.Busy()) {
       return "operation stuck at " + ToString(record.second.value.step);
     }
   }
-  for (const auto& budget : world.budgets) {
+  for (const BudgetTable::value_type& budget : world.budgets) {
     if (!budget.second.value.charges.empty()) {
       return "charge never credited in " + budget.first.str();
     }
   }
-  return "";
+  return world.HasDraining() ? "worker left draining" : "";
 }
 
 // Guards against a disruption without room in a budget, a step done twice, an
--- a/Source/UnitTests/Maintenance/maintenance_test.cc
+++ b/Source/UnitTests/Maintenance/maintenance_test.cc
@@ -128,10 +128,10 @@
   MaintenanceInput input;
   input.cycle = 1;
   input.topology = topology;
-  for (const auto& instance : view.ledger.instances()) {
+  for (const InstanceTable::value_type& instance : view.ledger.instances()) {
     input.instances.push_back(instance.second.value);
   }
-  for (const auto& budget : view.budgets) {
+  for (const BudgetTable::value_type& budget : view.budgets) {
     input.allowed[budget.first] = budget.second.value.allowed;
   }
   return MaintenancePlanner::Plan(input);
@@ -140,7 +140,7 @@
 bool IsComplete(const FakeFleet& fleet) {
   return fleet.checker.completed == static_cast<int>(fleet.records.size()) &&
          std::all_of(fleet.budgets.begin(), fleet.budgets.end(),
-                     [](const auto& budget) {
+                     [](const BudgetTable::value_type& budget) {
                        return budget.second.value.charges.empty();
                      });
 }
@@ -169,7 +169,7 @@
     return "maintained " + std::to_string(world->checker.completed) + " of " +
            std::to_string(world->records.size());
   }
-  return "";
+  return world->HasDraining() ? "worker left draining" : "";
 }
 
 // Guards against a roll-out by several entry instances that exceeds a budget,
