Fleet: keep operators' moves alive outside maintenance windows

Cause: a requested move was dropped when the window was closed, because the lifecycle treated it like maintenance.

--- a/Source/Bench/maintenance_world_bench.cc
+++ b/Source/Bench/maintenance_world_bench.cc
@@ -92,7 +92,8 @@
   schedule(this->config.failures_per_day, kRepair);
   schedule(this->config.restarts_per_day, kReboot);
   if (this->config.zone_loss) {
-    const Duration at = std::chrono::hours(1);
+    // Early enough to hit the shortest roll-out.
+    const Duration at = std::chrono::minutes(15);
     for (const WorkerName& name : this->names) {
       if (this->ledger.Find(name)->value.zone == ZoneName("z0")) {
         this->faults.emplace(at, Fault{name, kZoneLoss});
--- a/Source/Core/Fleet/instance_lifecycle.cc
+++ b/Source/Core/Fleet/instance_lifecycle.cc
@@ -61,7 +61,8 @@
   if (now > not_after) {
     return {};
   }
-  if (!input.may_begin || seen == nullptr || !seen->healthy) {
+  const bool too_late = record.operation_cycle > 0 && !input.window_open;
+  if (too_late || seen == nullptr || !seen->healthy) {
     return {this->Finish(instance)};
   }
   for (const ServiceName& service : input.topology.ServicesOf(record.pool)) {
--- a/Source/Core/Fleet/instance_lifecycle.h
+++ b/Source/Core/Fleet/instance_lifecycle.h
@@ -21,9 +21,9 @@
   const DownTable& unplanned;
   const FleetObservation& observation;
   const ServiceTopology& topology;
-  // False outside the maintenance windows: nothing new begins, what has begun
-  // is carried on.
-  bool may_begin = true;
+  // Outside the maintenance windows no maintenance begins; moves, and what has
+  // begun, are carried on.
+  bool window_open = true;
 };
 
 // Next step of the operation on one instance. It keeps no state of its own, so
--- a/Source/UnitTests/Fleet/fleet_test.cc
+++ b/Source/UnitTests/Fleet/fleet_test.cc
@@ -117,5 +117,50 @@
   CHECK_FALSE(DisruptionBudget::HasRoom(budget, site, WorkerName("fine")));
 }
 
+// Guards against a maintenance window that drops the moves of operators, and
+// against maintenance that begins after its window has closed.
+TEST_CASE("A closed window stops maintenance and no move") {
+  PoolLedger ledger;
+  ledger.Apply(Instance("w", 5));
+  const WorkerName w("w");
+  FleetObservation observation;
+  observation.workers[w] = {true, true, false, 7, {}};
+  const BudgetTable budgets;
+  const DownTable unplanned;
+  const ServiceTopology topology;
+  const LifecycleInput closed{budgets, unplanned, observation, topology, false};
+  const InstanceLifecycle lifecycle(EntryName("e"), std::chrono::seconds(60));
+  const auto next_step = [&](const WriteInstance& request) {
+    const std::vector<FleetAction> actions =
+        lifecycle.Next({request.record, 6}, closed, observation.observed_at);
+    REQUIRE(actions.size() == 1);
+    return std::get<WriteInstance>(actions.front()).record.step;
+  };
+  CHECK(next_step(ledger.RequestMaintenance(w, 1, "m").value()) ==
+        InstanceStep::kInService);
+  CHECK(next_step(ledger.RequestMove(w, PoolName("web"), PoolName("batch"), "o")
+                      .value()) == InstanceStep::kDraining);
+}
+
+// Guards against a long task that holds up a drain, and against a checkpoint
+// of a task that ends soon anyway.
+TEST_CASE("Only a task that outlasts the patience is checkpointed") {
+  Versioned<InstanceRecord> draining = Instance("w", 5);
+  draining.value.step = InstanceStep::kDraining;
+  draining.value.operation = "w@4";
+  draining.value.incarnation = 7;
+  const InstanceLifecycle lifecycle(EntryName("e"), std::chrono::seconds(60));
+  for (const int seconds : {60, 61}) {
+    FleetObservation observation;
+    observation.workers[WorkerName("w")] = {true, true, false, 7,
+                                            std::chrono::seconds(seconds)};
+    const std::vector<FleetAction> actions = lifecycle.Next(
+        draining, {BudgetTable(), DownTable(), observation, ServiceTopology()},
+        observation.observed_at);
+    REQUIRE(actions.size() == (seconds > 60 ? 2 : 1));
+    CHECK(std::get<DrainWorker>(actions.front()).incarnation == 7);
+  }
+}
+
 }  // namespace
 }  // namespace daisyroad
