Maintenance: maintain a pool without a budget one instance at a time

Cause: the plan takes such a pool, for example the spare, one at a time, but the executor, which does not wait for waves, requested all of it at once. The new test saw five requests before.

--- a/Source/Core/Maintenance/wave_executor.cc
+++ b/Source/Core/Maintenance/wave_executor.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -86,6 +87,16 @@
   return down;
 }
 
+std::set<PoolName> BusyPools(const PoolLedger& ledger) {
+  std::set<PoolName> busy;
+  for (const InstanceTable::value_type& instance : ledger.instances()) {
+    if (instance.second.value.Busy()) {
+      busy.insert(instance.second.value.pool);
+    }
+  }
+  return busy;
+}
+
 bool HasRoom(const InstanceRecord& record,
              const ExecutorInput& input,
              const DownTable& down) {
@@ -156,9 +167,14 @@
                                const ExecutorInput& input,
                                DownTable down,
                                std::vector<FleetAction>& actions) const {
+  std::set<PoolName> busy = BusyPools(input.ledger);
   for (const Candidate& candidate : Candidates(plan, input, this->patience)) {
     const InstanceRecord& record = candidate.instance->value;
-    if (!HasRoom(record, input, down)) {
+    // A pool that no service depends on, such as a spare, has no budget; one of
+    // its instances at a time then.
+    const bool unbudgeted = input.topology.ServicesOf(record.pool).empty();
+    if ((unbudgeted && busy.contains(record.pool)) ||
+        !HasRoom(record, input, down)) {
       continue;
     }
     const Result<WriteInstance> request = input.ledger.RequestMaintenance(
@@ -168,6 +184,7 @@
       continue;
     }
     actions.emplace_back(request.value());
+    busy.insert(record.pool);
     for (const ServiceName& service : input.topology.ServicesOf(record.pool)) {
       down[service].insert(record.worker);
     }
--- a/Source/UnitTests/Maintenance/maintenance_test.cc
+++ b/Source/UnitTests/Maintenance/maintenance_test.cc
@@ -123,6 +123,36 @@
         hours(-3));
 }
 
+// Guards against a spare pool, which no service depends on, that is drained as
+// a whole.
+TEST_CASE("A pool without a budget is maintained one at a time") {
+  PoolLedger ledger;
+  FleetObservation observation;
+  MaintenanceInput input;
+  input.cycle = 1;
+  for (int i = 0; i < 5; ++i) {
+    InstanceRecord record;
+    record.worker = WorkerName("w" + std::to_string(i));
+    record.pool = PoolName("spare");
+    observation.workers[record.worker] = {true, true, false, 1, {}};
+    ledger.Apply({record, 1 + i});
+    input.instances.push_back(record);
+  }
+  const WaveExecutor executor(EntryName("e"), std::chrono::seconds(8));
+  const MaintenancePlan plan = MaintenancePlanner::Plan(input);
+  const BudgetTable budgets;
+  const ExecutorInput view{ledger, budgets, observation, input.topology};
+  const std::vector<FleetAction> first =
+      executor.Next(plan, view, observation.observed_at);
+  REQUIRE(first.size() == 1);
+  ledger.Apply({std::get<WriteInstance>(first.front()).record, 9});
+  const std::vector<FleetAction> second =
+      executor.Next(plan, view, observation.observed_at);
+  REQUIRE(second.size() == 1);
+  CHECK(std::get<WriteInstance>(second.front()).record.step ==
+        InstanceStep::kDraining);
+}
+
 MaintenancePlan PlanFor(const EntryView& view,
                         const ServiceTopology& topology) {
   MaintenanceInput input;
