--- a/Source/Bench/maintenance_world_bench.cc
+++ b/Source/Bench/maintenance_world_bench.cc
@@ -194,7 +194,10 @@
 void MaintenanceWorld::Execute(const DrainWorker& drain) {
   Worker& worker = this->workers.at(drain.worker);
   worker.draining |= worker.up;
-  this->events.push(std::max(this->now, worker.busy_until));
+  // An idle worker is seen drained at the next observation, which must not wait
+  // for an event elsewhere.
+  this->events.push(
+      std::max(this->now + std::chrono::seconds(1), worker.busy_until));
 }
 
 void MaintenanceWorld::Execute(const CheckpointWorker& checkpoint) {
