--- a/Source/Core/Maintenance/wave_executor.h
+++ b/Source/Core/Maintenance/wave_executor.h
@@ -23,10 +23,9 @@
 // and several entry instances may run it at once.
 class WaveExecutor {
  public:
-  // Waves among which an instance that is idle goes first. With 4, the
-  // roll-out of 50 workers takes 18% longer than the lower bound, because the
-  // last few are all busy; with 8, 3%. More would spread a roll-out over many
-  // racks and zones at once.
+  // Waves among which an instance that is idle goes first. In the bench of 50
+  // workers, 8 disturbs 74 tasks in four seeds and 4 disturbs 87, in the same
+  // time. More would spread a roll-out over many racks and zones at once.
   static constexpr std::size_t kLookaheadWaves = 8;
 
   WaveExecutor(EntryName entry, Duration task_patience);
