--- a/Source/Core/Entry/cell_dispatcher.cc
+++ b/Source/Core/Entry/cell_dispatcher.cc
@@ -163,8 +163,8 @@
   for (const std::pair<const TaskId, Task>& entry : this->tasks) {
     // A task taken over without allotment is not kept alive: the allotment of
     // its former dispatcher is reclaimed on the premise that it ends.
-    if (entry.second.phase != Phase::kQueued &&
-        entry.second.worker == worker && entry.second.holds_limit) {
+    if (entry.second.phase != Phase::kQueued && entry.second.worker == worker &&
+        entry.second.holds_limit) {
       found.push_back(entry.first);
     }
   }
@@ -528,8 +528,8 @@
 
 bool CellDispatcher::TakeLimit(Task* task) {
   // Work on queues that are open to all has no team and no upper limit.
-  task->holds_limit = task->request.team.empty() ||
-                      this->hooks.take_limit(task->request.team);
+  task->holds_limit =
+      task->request.team.empty() || this->hooks.take_limit(task->request.team);
   return task->holds_limit;
 }
 
--- a/Source/Core/Entry/entry_instance.cc
+++ b/Source/Core/Entry/entry_instance.cc
@@ -13,6 +13,7 @@
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/limit_service.h"
 #include "Core/Entry/operator_api.h"
 #include "Core/Entry/peer_service.h"
 #include "Core/Entry/problem.h"
@@ -103,6 +104,7 @@
                  &this->peers,
                  &this->control,
                  &this->directory),
+        limits(&this->context, &this->peers, &this->control, &this->dispatch),
         tasks(&this->context,
               &this->peers,
               &this->control,
@@ -140,7 +142,10 @@
     this->control.Start();
     this->directory.Start();
     this->dispatch.Start(
-        [this](const DispatchUpdate& update) { this->tasks.OnUpdate(update); });
+        [this](const DispatchUpdate& update) { this->tasks.OnUpdate(update); },
+        [this](const TeamName& team) { return this->limits.TryStart(team); },
+        [this](const TeamName& team) { this->limits.OnFinished(team); });
+    this->limits.Start();
     this->tasks.Start();
     this->peers.Start([this]() { return this->control.Report(); },
                       [this](const PeerReport& report, MonotonicTime sent) {
@@ -292,6 +297,7 @@
   ControlService control;
   WorkerDirectory directory;
   DispatchService dispatch;
+  LimitService limits;
   TaskService tasks;
   CallerApi caller_api;
   OperatorApi operator_api;
--- a/Source/Core/Entry/limit_service.cc
+++ b/Source/Core/Entry/limit_service.cc
@@ -85,8 +85,7 @@
        this->control->document().roster().members) {
     members.insert(member.first);
   }
-  const std::optional<Duration> age =
-      this->control->Report().confirmation_age;
+  const std::optional<Duration> age = this->control->Report().confirmation_age;
   // An instance takes allotments only once it is in the roster: others could
   // not tell its entry from that of an ended instance.
   if (members.count(this->context->self) == 0) {
@@ -96,9 +95,8 @@
     this->holder.SetRoster(members, now - *age, now);
   }
   for (const Team& team : this->control->declaration().teams) {
-    this->holder.SetWaiting(
-        team.name,
-        static_cast<std::int64_t>(this->dispatch->Waiting(team.name)));
+    this->holder.SetWaiting(team.name, static_cast<std::int64_t>(
+                                           this->dispatch->Waiting(team.name)));
   }
   this->Apply(this->holder.Tick(now));
 }
@@ -145,8 +143,8 @@
         }
         this->Apply(this->holder.OnWriteAnswer(
             write.team, write.serial,
-            written.ok() ? WriteOutcome::kConflict : WriteOutcome::kNoAnswer,
-            0, Now()));
+            written.ok() ? WriteOutcome::kConflict : WriteOutcome::kNoAnswer, 0,
+            Now()));
       });
 }
 
@@ -155,8 +153,8 @@
   this->context->store->Get(
       LimitKey(write.team),
       [this, write, text](const Result<std::optional<StoreEntry>>& entry) {
-        const bool unchanged = entry.ok() && entry.value() &&
-                               entry.value()->value == text;
+        const bool unchanged =
+            entry.ok() && entry.value() && entry.value()->value == text;
         // If another write followed, the holder finds its own by its serial.
         this->Apply(this->holder.OnWriteAnswer(
             write.team, write.serial,
