--- a/Source/Bench/claims_bench.cc
+++ b/Source/Bench/claims_bench.cc
@@ -78,9 +78,9 @@
     roster.epoch = 1;
     for (int i = 0; i < kInstances; ++i) {
       const EntryName name("e" + std::to_string(i));
-      roster.members.push_back(RosterMember{name, ZoneName("za")});
+      roster.members.push_back(ClaimMember{name, ZoneName("za")});
     }
-    for (const RosterMember& member : roster.members) {
+    for (const ClaimMember& member : roster.members) {
       ClaimRegistry& registry =
           this->registries
               .emplace(
--- a/Source/Core/Claims/claim_registry.cc
+++ b/Source/Core/Claims/claim_registry.cc
@@ -21,7 +21,7 @@
 
 bool Contains(const ClaimRoster& roster, const EntryName& name) {
   return std::any_of(roster.members.begin(), roster.members.end(),
-                     [&name](const RosterMember& member) {
+                     [&name](const ClaimMember& member) {
                        return member.incarnation == name;
                      });
 }
@@ -76,7 +76,7 @@
   this->logs.emplace(own, ClaimLog(own, this->options.log));
   std::vector<ClaimRecovery::Source> sources;
   for (const ClaimRoster& old : previous) {
-    for (const RosterMember& member : old.members) {
+    for (const ClaimMember& member : old.members) {
       // The entries hold what this incarnation claimed itself.
       if (member.incarnation == this->self) {
         continue;
--- a/Source/Core/Claims/claim_registry_recovery.cc
+++ b/Source/Core/Claims/claim_registry_recovery.cc
@@ -85,7 +85,7 @@
     return;
   }
   for (const ClaimRoster& old : this->earlier) {
-    for (const RosterMember& member : old.members) {
+    for (const ClaimMember& member : old.members) {
       const LogName log{old.epoch, member.incarnation};
       if (member.incarnation != this->self &&
           !this->recovery->logs().at(log).clean) {
--- a/Source/Core/Claims/registrar_choice.cc
+++ b/Source/Core/Claims/registrar_choice.cc
@@ -9,7 +9,7 @@
   const std::size_t slash = key.find('/');
   std::vector<std::string> all;
   std::vector<std::string> in_zone;
-  for (const RosterMember& member : roster.members) {
+  for (const ClaimMember& member : roster.members) {
     all.push_back(member.incarnation.str());
     if (slash != std::string::npos &&
         key.compare(0, slash, member.zone.str()) == 0) {
--- a/Source/Core/Claims/registrar_choice.h
+++ b/Source/Core/Claims/registrar_choice.h
@@ -10,14 +10,14 @@
 
 namespace daisyroad {
 
-struct RosterMember {
+struct ClaimMember {
   EntryName incarnation;
   ZoneName zone;
 };
 
 struct ClaimRoster {
   std::uint64_t epoch = 0;
-  std::vector<RosterMember> members;
+  std::vector<ClaimMember> members;
 };
 
 // Rendezvous hashing of the key over the roster. A key `ZONE/...` is hashed
--- /dev/null
+++ b/Source/Core/Entry/claim_service.h
@@ -0,0 +1,90 @@
+#ifndef SOURCE_CORE_ENTRY_CLAIM_SERVICE_H_
+#define SOURCE_CORE_ENTRY_CLAIM_SERVICE_H_
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Core/Claims/claim_actions.h"
+#include "Core/Claims/claim_registry.h"
+#include "Core/Claims/registrar_choice.h"
+#include "Core/Common/identifiers.h"
+#include "Core/Common/time.h"
+
+namespace daisyroad {
+
+struct EntryContext;
+class ControlService;
+class PeerService;
+
+// Carries out the decisions of ClaimRegistry: reads and writes the claim logs
+// of the store and starts an epoch whenever the roster changes.
+class ClaimService {
+ public:
+  // True: the task may be sent. False: it was not and will not be.
+  using ReadyHandler = std::function<void(const TaskId& task, bool ready)>;
+
+  ClaimService(EntryContext* context,
+               PeerService* peers,
+               ControlService* control);
+
+  void Start(ReadyHandler handler);
+  ClaimRegistry::Answer Submit(const std::string& key, const TaskId& task);
+  void OnFate(const std::string& key, const TaskId& task, ClaimState state);
+  // Registrar of the key in the roster in force; empty before the first roster.
+  std::optional<EntryName> RegistrarOf(const std::string& key) const;
+  // True if the incarnation was removed from the roster: it has ended.
+  bool HasEnded(const EntryName& incarnation) const;
+
+  // RPC method `claims.witness`: earlier rosters, and whether this instance was
+  // without the store at any time within the retention.
+  Json::Value ServeWitness() const;
+
+ private:
+  struct KnownRoster {
+    ClaimRoster roster;
+    MonotonicTime seen;  // last time it was in force, as far as known
+  };
+  // Answers to `claims.witness` while an epoch is being prepared.
+  struct Preparation {
+    std::uint64_t epoch = 0;
+    std::size_t pending = 0;
+    std::vector<EntryName> without_outage;
+    bool outage_seen = false;
+  };
+
+  void Tick();
+  void OnVersion();
+  void Prepare();
+  void OnWitness(std::uint64_t epoch,
+                 const EntryName& peer,
+                 const std::optional<Json::Value>& witness);
+  void StartEpoch();
+  bool AgreedOutage();
+  bool WasWithoutStore() const;
+  void Learn(const ClaimRoster& roster, MonotonicTime seen);
+  void Apply(const std::vector<ClaimAction>& actions);
+  void Create(const CreateBatch& create);
+  void Read(const ReadLog& read);
+  void Trim(const TrimLog& trim);
+
+  EntryContext* context;
+  PeerService* peers;
+  ControlService* control;
+  ReadyHandler handler;
+  ClaimRegistry registry;
+  ClaimRoster roster;
+  std::map<std::uint64_t, KnownRoster> rosters;
+  Preparation preparation;
+  std::optional<MonotonicTime> outage_since;
+  std::optional<MonotonicTime> last_without_store;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_ENTRY_CLAIM_SERVICE_H_
--- a/Source/Core/Entry/entry_instance.cc
+++ b/Source/Core/Entry/entry_instance.cc
@@ -9,6 +9,7 @@
 #include "Core/Common/random.h"
 #include "Core/Control/control_document.h"
 #include "Core/Entry/caller_api.h"
+#include "Core/Entry/claim_service.h"
 #include "Core/Entry/control_service.h"
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
@@ -105,11 +106,13 @@
                  &this->control,
                  &this->directory),
         limits(&this->context, &this->peers, &this->control, &this->dispatch),
+        claims(&this->context, &this->peers, &this->control),
         tasks(&this->context,
               &this->peers,
               &this->control,
               &this->dispatch,
-              &this->directory),
+              &this->directory,
+              &this->claims),
         caller_api(&this->context, &this->control, &this->tasks),
         operator_api(
             &this->context,
@@ -204,6 +207,9 @@
     this->rpc_server.AddMethod("dispatch.cancel", [this](const Json::Value& p) {
       return this->dispatch.ServeCancel(p);
     });
+    this->rpc_server.AddMethod("claims.witness", [this](const Json::Value&) {
+      return this->claims.ServeWitness();
+    });
     this->rpc_server.AddMethod("task.submit", [this](const Json::Value& p) {
       return this->tasks.ServeSubmit(p);
     });
@@ -298,6 +304,7 @@
   WorkerDirectory directory;
   DispatchService dispatch;
   LimitService limits;
+  ClaimService claims;
   TaskService tasks;
   CallerApi caller_api;
   OperatorApi operator_api;
--- a/Source/Core/Entry/task_record.cc
+++ b/Source/Core/Entry/task_record.cc
@@ -43,6 +43,19 @@
   }
 }
 
+bool TaskRecord::NeedsClaim() const {
+  return !this->idempotent && !this->submission.idempotency_key.empty();
+}
+
+std::string TaskRecord::ClaimKey() const {
+  return this->submission.ClaimKey();
+}
+
+std::string TaskSubmission::ClaimKey() const {
+  // The key comes first, because a key may name its zone by a prefix.
+  return this->idempotency_key + "@" + this->team.str();
+}
+
 RunOutcome TaskRecord::Outcome() const {
   switch (this->state) {
     case DispatchState::kDone:
--- a/Source/Core/Entry/task_record.h
+++ b/Source/Core/Entry/task_record.h
@@ -27,6 +27,7 @@
 
   // Equal for the same request; an idempotency key must not be used for two.
   std::string Fingerprint() const;
+  std::string ClaimKey() const;
   Json::Value ToJson() const;
   static std::optional<TaskSubmission> FromJson(const Json::Value& value);
 };
@@ -34,6 +35,7 @@
 // A task at its registrar.
 struct TaskRecord {
   TaskId id;
+  TaskId earlier;  // identifier under an earlier registrar, if recovered
   TaskSubmission submission;
   PoolName pool;
   bool urgent = false;
@@ -46,10 +48,15 @@
   WorkerName worker;
   ZoneName zone;
   EntryName dispatcher;
+  MonotonicTime registered;
   MonotonicTime deadline;
   MonotonicTime ended;
   // Until when the dispatcher may start it by the grants given so far.
   MonotonicTime granted_until;
+  // Its claim is being written: it must not be sent yet.
+  bool claiming = false;
+  // Known from the claim log of an earlier registrar only.
+  bool recovered = false;
   // It may have been sent to the dispatcher.
   bool sent = false;
   bool recovering = false;
@@ -57,6 +64,10 @@
   int attempts = 0;
   std::vector<std::function<void()>> waiters;
 
+  // Keyed and not idempotent: it runs under a claim.
+  bool NeedsClaim() const;
+  // The caller's key and its team, as the claim log knows them.
+  std::string ClaimKey() const;
   RunOutcome Outcome() const;
   // The form that callers see, see docs/api.md.
   Json::Value ToJson() const;
--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -10,6 +10,7 @@
 #include "Core/Common/metrics_registry.h"
 #include "Core/Common/random.h"
 #include "Core/Control/control_document.h"
+#include "Core/Entry/claim_service.h"
 #include "Core/Entry/control_service.h"
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
@@ -34,11 +35,18 @@
 // An inquiry that some worker leaves unanswered is given up after this time.
 constexpr Milliseconds kInquiryPatience{15000};
 constexpr int kMaxAttempts = 8;
+// Wall clocks of instances are assumed to agree within this time. Used only to
+// tell whether a worker restarted during the life of an ended registrar.
+constexpr Milliseconds kClockSkew{200};
+// A claim that cannot be written within this time is refused, so that the
+// caller can try again while its own patience lasts.
+constexpr Milliseconds kClaimPatience{5000};
+constexpr Milliseconds kClaimPause{50};
 constexpr int kRefusedCode = -32010;
 constexpr std::size_t kMaxRecords = 200000;
 
 std::string KeyOf(const TaskSubmission& submission) {
-  return submission.team.str() + "/" + submission.idempotency_key;
+  return submission.ClaimKey();
 }
 
 // The registrar is part of the identifier: NAME.INCARNATION-DIGITS.
@@ -46,6 +54,24 @@
   return EntryName(id.str().substr(0, id.str().rfind('-')));
 }
 
+// Time since the incarnation in the name started, by the wall clocks of both
+// instances.
+Duration AgeOfIncarnation(const EntryName& name) {
+  const Milliseconds started(std::strtoll(
+      name.str().c_str() + name.str().rfind('.') + 1, nullptr, 10));
+  return std::chrono::system_clock::now().time_since_epoch() - started +
+         kClockSkew;
+}
+
+// True if the worker has run without a restart since before the task can have
+// been sent. Its clock starts with its incarnation.
+bool RemembersAll(const TaskRecord& record, const TaskReport& report) {
+  const Duration since_sent =
+      record.recovered ? AgeOfIncarnation(RegistrarFromId(record.earlier))
+                       : Now() - record.registered;
+  return report.now >= since_sent;
+}
+
 Error RefusalOf(const Json::Value& task) {
   return Error{static_cast<Errc>(task["refusal"].asInt()), "task.submit", "",
                task["reason"].asString()};
@@ -57,14 +83,18 @@
                          PeerService* peers,
                          ControlService* control,
                          DispatchService* dispatch,
-                         WorkerDirectory* directory)
+                         WorkerDirectory* directory,
+                         ClaimService* claims)
     : context(context),
       peers(peers),
       control(control),
       dispatch(dispatch),
-      directory(directory) {}
+      directory(directory),
+      claims(claims) {}
 
 void TaskService::Start() {
+  this->claims->Start(
+      [this](const TaskId& id, bool ready) { this->OnClaim(id, ready); });
   this->context->loop->Every(kRenewPeriod, [this]() {
     this->Renew();
     this->Forget();
@@ -262,35 +292,126 @@
   record.pool = service->pool;
   record.urgent = queue->queue_class == QueueClass::kUrgent;
   record.idempotent = queue->idempotent;
-  record.deadline = Now() + submission.deadline;
+  record.registered = Now();
+  record.deadline = record.registered + submission.deadline;
   if (!submission.idempotency_key.empty()) {
     this->by_key[KeyOf(submission)] = id;
   }
-  this->Dispatch(id, std::nullopt);
+  if (record.NeedsClaim()) {
+    this->Claim(id);
+  } else {
+    this->Dispatch(id, std::nullopt);
+  }
   return &record;
 }
 
-EntryName TaskService::RegistrarOf(const TaskSubmission& submission) const {
-  const std::string& key = submission.idempotency_key;
-  if (key.empty()) {
-    return this->context->self;
+void TaskService::Claim(const TaskId& id) {
+  TaskRecord* const record = this->Find(id);
+  if (record == nullptr || IsFinal(record->state)) {
+    return;
   }
-  std::vector<std::string> all;
-  std::vector<std::string> in_zone;
-  const std::string zone = key.substr(0, key.find('/'));
-  const bool has_zone = key.find('/') != std::string::npos;
-  for (const std::pair<const EntryName, RosterMember>& member :
-       this->control->document().roster().members) {
-    all.push_back(member.first.str());
-    if (has_zone && member.second.zone.str() == zone) {
-      in_zone.push_back(member.first.str());
-    }
+  const MonotonicTime now = Now();
+  if (now >= record->deadline || now - record->registered > kClaimPatience) {
+    this->OnClaim(id, false);
+    return;
+  }
+  record->claiming = true;
+  const ClaimRegistry::Answer answer =
+      this->claims->Submit(KeyOf(record->submission), id);
+  switch (answer.outcome) {
+    case ClaimRegistry::Outcome::kClaiming:
+      return;
+    case ClaimRegistry::Outcome::kDuplicate:
+      this->RecoverClaimed(id, answer.task);
+      return;
+    case ClaimRegistry::Outcome::kUnknown:
+      this->Finish(record, DispatchState::kUnknown,
+                   "the key may have been used with a lost registrar");
+      return;
+    case ClaimRegistry::Outcome::kNotServing:
+    case ClaimRegistry::Outcome::kFull:
+      this->context->loop->After(kClaimPause,
+                                 [this, id]() { this->Claim(id); });
+      return;
+    case ClaimRegistry::Outcome::kNotRegistrar:
+      this->OnClaim(id, false);
+      return;
+  }
+}
+
+void TaskService::OnClaim(const TaskId& id, bool ready) {
+  TaskRecord* const record = this->Find(id);
+  if (record == nullptr || IsFinal(record->state)) {
+    return;
+  }
+  record->claiming = false;
+  if (ready) {
+    this->Dispatch(id, std::nullopt);
+    return;
   }
-  const std::vector<std::string>& candidates = in_zone.empty() ? all : in_zone;
-  if (candidates.empty()) {
+  record->refusal = Error{Errc::kUnavailable, "task.claim", "",
+                          "the claim of the key could not be written"};
+  this->Finish(record, DispatchState::kNotRun, record->refusal.ToString());
+}
+
+void TaskService::RecoverClaimed(const TaskId& id, const TaskId& earlier) {
+  TaskRecord* const record = this->Find(id);
+  record->claiming = false;
+  record->recovered = true;
+  record->recovering = true;
+  record->earlier = earlier;
+  const EntryName registrar = RegistrarFromId(earlier);
+  const std::optional<std::string> address = this->peers->AddressOf(registrar);
+  if (this->claims->HasEnded(registrar)) {
+    // Its last grants and starts must have run out before workers are asked.
+    record->granted_until = Now() + kGrant;
+    this->context->loop->After(kGrant, [this, id]() { this->AskWorkers(id); });
+    return;
+  }
+  if (!address) {
+    this->Finish(record, DispatchState::kUnknown,
+                 "earlier registrar is silent");
+    return;
+  }
+  this->WaitRemote(*address, earlier, record->deadline,
+                   [this, id](const Result<Json::Value>& task) {
+                     TaskRecord* const found = this->Find(id);
+                     if (found == nullptr || IsFinal(found->state)) {
+                       return;
+                     }
+                     if (task.ok()) {
+                       this->AdoptEarlier(id, task.value());
+                     } else {
+                       this->Finish(found, DispatchState::kUnknown,
+                                    task.error().ToString());
+                     }
+                   });
+}
+
+void TaskService::AdoptEarlier(const TaskId& id, const Json::Value& earlier) {
+  TaskRecord* const record = this->Find(id);
+  const std::string state = earlier["state"].asString();
+  record->worker = WorkerName(earlier["worker"].asString());
+  record->zone = ZoneName(earlier["zone"].asString());
+  record->answer = earlier["answer"].asString();
+  record->digest = earlier["digest"].asString();
+  DispatchState known = DispatchState::kUnknown;
+  if (state == "done") {
+    known = DispatchState::kDone;
+  } else if (state == "failed") {
+    known = DispatchState::kFailed;
+  } else if (earlier["outcome"].asString() == "not_run") {
+    known = DispatchState::kNotRun;
+  }
+  this->Finish(record, known, earlier["reason"].asString());
+}
+
+EntryName TaskService::RegistrarOf(const TaskSubmission& submission) const {
+  if (submission.idempotency_key.empty()) {
     return this->context->self;
   }
-  return EntryName(candidates[RendezvousIndex(KeyOf(submission), candidates)]);
+  return this->claims->RegistrarOf(KeyOf(submission))
+      .value_or(this->context->self);
 }
 
 std::optional<ZoneName> TaskService::ChooseZone(
@@ -319,11 +440,15 @@
 void TaskService::Dispatch(const TaskId& id,
                            const std::optional<WorkerName>& running_on) {
   TaskRecord* const record = this->Find(id);
-  if (record == nullptr || IsFinal(record->state)) {
+  if (record == nullptr || IsFinal(record->state) || record->claiming) {
     return;
   }
   ++record->attempts;
   const MonotonicTime now = Now();
+  if (record->cancelled && !running_on) {
+    this->Finish(record, DispatchState::kNotRun, "cancelled");
+    return;
+  }
   if (!running_on) {
     if (now >= record->deadline) {
       this->Finish(record, DispatchState::kNotRun, "deadline_passed");
@@ -477,6 +602,10 @@
   this->context->loop->After(pause, [this, id]() { this->AskWorkers(id); });
 }
 
+TaskId TaskService::WorkerTaskId(const TaskRecord& record) const {
+  return record.recovered ? record.earlier : record.id;
+}
+
 void TaskService::AskWorkers(const TaskId& id) {
   TaskRecord* const record = this->Find(id);
   if (record == nullptr || IsFinal(record->state)) {
@@ -486,15 +615,17 @@
   inquiry = Inquiry();
   for (const std::pair<const WorkerName, WorkerInfo>& entry :
        this->directory->workers()) {
+    // Where an earlier registrar sent the task is not known.
     if (entry.second.pool == record->pool &&
-        entry.second.listed.zone == record->zone) {
+        (record->recovered || entry.second.listed.zone == record->zone)) {
       inquiry.pending.insert(entry.first);
     }
   }
   const std::set<WorkerName> asked = inquiry.pending;
   for (const WorkerName& name : asked) {
     this->context->workers->Report(
-        this->directory->Find(name)->listed.address, id, true,
+        this->directory->Find(name)->listed.address,
+        this->WorkerTaskId(*record), true,
         [this, id, name](const Result<TaskReport>& report) {
           this->OnWorkerAsked(id, name, report);
         });
@@ -518,6 +649,12 @@
     found->second.silent.insert(worker);
   } else if (report.value().state == WorkerTaskState::kRunning) {
     this->inquiries.erase(found);
+    if (record->recovered) {
+      // Nobody renews its lease any more; it ends, or the lease ends it.
+      this->context->loop->After(kInquiryPause,
+                                 [this, id]() { this->AskWorkers(id); });
+      return;
+    }
     record->recovering = false;
     this->Dispatch(id, worker);
     return;
@@ -537,6 +674,10 @@
                    whole ? "" : "answer_incomplete");
     }
     return;
+  } else if (report.value().state == WorkerTaskState::kUnknown &&
+             !RemembersAll(*record, report.value())) {
+    // It restarted since the task may have been sent, and forgot what it ran.
+    found->second.silent.insert(worker);
   } else if (report.value().state == WorkerTaskState::kStopped &&
              !record->idempotent) {
     this->inquiries.erase(found);
@@ -552,6 +693,12 @@
   TaskRecord* const record = this->Find(id);
   const bool complete = this->inquiries[id].silent.empty();
   this->inquiries.erase(id);
+  if (complete && record->recovered) {
+    record->refusal = Error{Errc::kUnavailable, "task.claim", "",
+                            "the earlier registrar ended before it was sent"};
+    this->Finish(record, DispatchState::kNotRun, record->refusal.ToString());
+    return;
+  }
   if (complete || record->idempotent) {
     // No worker of the cell has it and none can start it any more.
     record->recovering = false;
@@ -573,6 +720,16 @@
   record->state = state;
   record->reason = reason;
   record->ended = Now();
+  if (record->NeedsClaim()) {
+    ClaimState fate = ClaimState::kRan;
+    if (state == DispatchState::kNotRun) {
+      fate = ClaimState::kNotRun;
+    } else if (state == DispatchState::kUnknown) {
+      fate = ClaimState::kUnknown;
+    }
+    this->claims->OnFate(KeyOf(record->submission), this->WorkerTaskId(*record),
+                         fate);
+  }
   this->context->decisions->Write(kTasksLog,
                                   LogDecision("end")
                                       .Field("task", record->id.str())
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -18,6 +18,7 @@
 
 struct EntryContext;
 struct WorkerInfo;
+class ClaimService;
 class ControlService;
 class DispatchService;
 class PeerService;
@@ -33,7 +34,8 @@
               PeerService* peers,
               ControlService* control,
               DispatchService* dispatch,
-              WorkerDirectory* directory);
+              WorkerDirectory* directory,
+              ClaimService* claims);
 
   void Start();
 
@@ -65,6 +67,11 @@
 
   Result<TaskRecord*> Register(const TaskSubmission& submission);
   EntryName RegistrarOf(const TaskSubmission& submission) const;
+  void Claim(const TaskId& id);
+  void OnClaim(const TaskId& id, bool ready);
+  // The claim log of an earlier registrar holds the key.
+  void RecoverClaimed(const TaskId& id, const TaskId& earlier);
+  void AdoptEarlier(const TaskId& id, const Json::Value& earlier);
   void Dispatch(const TaskId& id, const std::optional<WorkerName>& running_on);
   void OnSent(const TaskId& id, const EntryName& owner, const Status& status);
   std::optional<ZoneName> ChooseZone(const TaskRecord& record) const;
@@ -74,6 +81,8 @@
       const EntryName& owner,
       const Result<std::map<TaskId, std::optional<DispatchState>>>& states);
   void Recover(TaskRecord* record);
+  // Id under which workers know the task.
+  TaskId WorkerTaskId(const TaskRecord& record) const;
   void AskWorkers(const TaskId& id);
   void OnWorkerAsked(const TaskId& id,
                      const WorkerName& worker,
@@ -96,6 +105,7 @@
   ControlService* control;
   DispatchService* dispatch;
   WorkerDirectory* directory;
+  ClaimService* claims;
   std::map<TaskId, TaskRecord> records;
   std::map<std::string, TaskId> by_key;
   std::map<TaskId, Inquiry> inquiries;
--- a/Source/UnitTests/Claims/claims_model.cc
+++ b/Source/UnitTests/Claims/claims_model.cc
@@ -128,7 +128,7 @@
   for (const NodeRef& node : this->nodes) {
     const bool in_doubt = node->machine->paused || node->machine->cut;
     if (this->rosters.empty() || !this->random.Chance(in_doubt ? 0.8 : 0.2)) {
-      roster.members.push_back(RosterMember{node->name, node->zone});
+      roster.members.push_back(ClaimMember{node->name, node->zone});
     }
   }
   if (roster.members.empty()) {
--- a/Source/UnitTests/Claims/claims_test.cc
+++ b/Source/UnitTests/Claims/claims_test.cc
@@ -18,7 +18,7 @@
   ClaimRoster roster;
   roster.epoch = epoch;
   for (const EntryName& name : names) {
-    roster.members.push_back(RosterMember{name, ZoneName("za")});
+    roster.members.push_back(ClaimMember{name, ZoneName("za")});
   }
   return roster;
 }
@@ -59,7 +59,7 @@
 // Guards against a cut-off zone whose keys belong to another zone.
 TEST_CASE("A key with a zone prefix stays in its zone") {
   ClaimRoster roster = Roster(1, {kSelf, EntryName("e2"), EntryName("e3")});
-  roster.members.push_back(RosterMember{kOther, ZoneName("zb")});
+  roster.members.push_back(ClaimMember{kOther, ZoneName("zb")});
   for (int i = 0; i < 50; ++i) {
     CHECK(ChooseRegistrar("zb/" + std::to_string(i), roster) == kOther);
     CHECK(ChooseRegistrar("za/" + std::to_string(i), roster) != kOther);
