Entry: recover claimed keys after a registrar is lost

A key that the claim log of a lost registrar holds is looked up at the workers and its answer returned; it is never started again. The registrar of a silent instance's keys changes after 5 s, while its allotments are reclaimed only on proof that it has ended. Transport: responders share the server's context. The stand-ins crashed on exit (segmentation fault) because kept long polls outlived it; a new test covers it.

--- a/Source/Core/Entry/claim_service.cc
+++ b/Source/Core/Entry/claim_service.cc
@@ -138,6 +138,8 @@
   for (const std::pair<const std::uint64_t, KnownRoster>& known :
        this->rosters) {
     Json::Value item = ToJson(known.second.roster);
+    item["lasted_ms"] = Json::Int64(
+        std::chrono::duration_cast<Milliseconds>(known.second.lasted).count());
     item["age_ms"] = Json::Int64(
         std::chrono::duration_cast<Milliseconds>(Now() - known.second.seen)
             .count());
@@ -152,7 +154,9 @@
     this->last_without_store = now;
   }
   if (!this->roster.members.empty()) {
-    this->rosters[this->roster.epoch].seen = now;
+    KnownRoster& current = this->rosters[this->roster.epoch];
+    current.lasted += now - current.seen;
+    current.seen = now;
   }
   this->Apply(this->registry.Tick(now));
 }
@@ -168,11 +172,11 @@
   if (!document.roster().previous.empty()) {
     this->Learn(
         ToClaimRoster(document.roster_epoch() - 1, document.roster().previous),
-        now);
+        now, Duration::zero());
   }
   this->roster =
       ToClaimRoster(document.roster_epoch(), document.roster().members);
-  this->Learn(this->roster, now);
+  this->Learn(this->roster, now, Duration::zero());
   this->Prepare();
 }
 
@@ -219,7 +223,8 @@
     for (const Json::Value& item : (*witness)["rosters"]) {
       const std::optional<ClaimRoster> known = FromJson(item);
       if (known) {
-        this->Learn(*known, Now() - Milliseconds(item["age_ms"].asInt64()));
+        this->Learn(*known, Now() - Milliseconds(item["age_ms"].asInt64()),
+                    Milliseconds(item["lasted_ms"].asInt64()));
       }
     }
   }
@@ -240,6 +245,10 @@
       continue;
     }
     previous.push_back(known.second.roster);
+    // Claims are kept in memory only after an agreed outage of kFreshness.
+    if (known.second.lasted < kFreshness) {
+      continue;
+    }
     // An agreed outage takes more than half of the members of the roster in
     // force; if more than half say that they always reached the store, there
     // was none under this roster.
@@ -285,8 +294,11 @@
              Now();
 }
 
-void ClaimService::Learn(const ClaimRoster& known, MonotonicTime seen) {
+void ClaimService::Learn(const ClaimRoster& known,
+                         MonotonicTime seen,
+                         Duration lasted) {
   KnownRoster& entry = this->rosters[known.epoch];
+  entry.lasted = std::max(entry.lasted, lasted);
   entry.roster = known;
   entry.seen = std::max(entry.seen, seen);
 }
--- a/Source/Core/Entry/claim_service.h
+++ b/Source/Core/Entry/claim_service.h
@@ -49,6 +49,7 @@
   struct KnownRoster {
     ClaimRoster roster;
     MonotonicTime seen;  // last time it was in force, as far as known
+    Duration lasted{0};  // time in force, as far as known
   };
   // Answers to `claims.witness` while an epoch is being prepared.
   struct Preparation {
@@ -67,7 +68,7 @@
   void StartEpoch();
   bool AgreedOutage();
   bool WasWithoutStore() const;
-  void Learn(const ClaimRoster& roster, MonotonicTime seen);
+  void Learn(const ClaimRoster& roster, MonotonicTime seen, Duration lasted);
   void Apply(const std::vector<ClaimAction>& actions);
   void Create(const CreateBatch& create);
   void Read(const ReadLog& read);
--- a/Source/Core/Entry/control_service.cc
+++ b/Source/Core/Entry/control_service.cc
@@ -28,6 +28,8 @@
 constexpr Milliseconds kRpcTimeout{1000};
 constexpr Milliseconds kChangePatience{10000};
 constexpr Milliseconds kRejoinPause{1000};
+// Design 3.8: removal of a member that has not been heard for this long.
+constexpr Milliseconds kSilentMember{5000};
 constexpr int kNotFoundCode = -32001;
 
 template <class... Visitors>
@@ -606,6 +608,7 @@
 }
 
 void ControlService::ReapMembers() {
+  const MonotonicTime now = Now();
   const std::vector<EntryName> live = this->peers->LiveNames();
   const bool elected =
       *std::min_element(live.begin(), live.end()) == this->context->self;
@@ -613,6 +616,7 @@
        this->document().roster().members) {
     const EntryName& name = member.first;
     if (std::find(live.begin(), live.end(), name) != live.end()) {
+      this->silent_since.erase(name);
       continue;
     }
     const std::string& address = member.second.address;
@@ -622,12 +626,14 @@
     const bool replaced =
         address == this->context->settings.peers_address ||
         (peer != this->peers->known().end() && peer->second.name != name);
-    if (replaced) {
+    if (replaced && this->ended.insert(name).second) {
       this->contacts.OnEnded(name);
     }
-    // A silent member without such a proof may be cut off and still run tasks
-    // under its allotments, so it stays in the roster.
-    if (elected && replaced) {
+    const MonotonicTime since =
+        this->silent_since.try_emplace(name, now).first->second;
+    // A silent member without such a proof may be cut off: its claim logs are
+    // sealed, but its allotments stay its own, see LimitService.
+    if (elected && (replaced || now - since > kSilentMember)) {
       this->RemoveMember(name);
     }
   }
--- a/Source/Core/Entry/control_service.h
+++ b/Source/Core/Entry/control_service.h
@@ -67,6 +67,12 @@
   void FetchHistory(std::size_t limit,
                     std::function<void(Result<Json::Value>)> callback);
 
+  // True if the incarnation is proved to have ended: its address answers as
+  // another one.
+  bool HasEnded(const EntryName& name) const {
+    return this->ended.count(name) != 0;
+  }
+
   // Leaves the roster, then calls back; gives up after `kChangePatience`.
   void Leave(std::function<void()> callback);
 
@@ -123,6 +129,8 @@
   bool joining = false;
   bool leaving = false;
   std::set<EntryName> removing;
+  std::set<EntryName> ended;
+  std::map<EntryName, MonotonicTime> silent_since;
   MonotonicTime last_read;
 };
 
--- a/Source/Core/Entry/limit_service.cc
+++ b/Source/Core/Entry/limit_service.cc
@@ -85,10 +85,12 @@
        this->control->document().roster().members) {
     members.insert(member.first);
   }
+  this->AddUnprovedHolders(&members);
   const std::optional<Duration> age = this->control->Report().confirmation_age;
   // An instance takes allotments only once it is in the roster: others could
   // not tell its entry from that of an ended instance.
-  if (members.count(this->context->self) == 0) {
+  if (this->control->document().roster().members.count(this->context->self) ==
+      0) {
     return;
   }
   if (age) {
@@ -101,6 +103,23 @@
   this->Apply(this->holder.Tick(now));
 }
 
+// Holders that left the roster without proof that they have ended may be cut
+// off and still run tasks: their allotments are not reclaimed.
+void LimitService::AddUnprovedHolders(std::set<EntryName>* members) const {
+  for (const Team& team : this->control->declaration().teams) {
+    const TeamAllotment* const allotment = this->holder.Find(team.name);
+    if (allotment == nullptr) {
+      continue;
+    }
+    for (const std::pair<const EntryName, Allotment>& held :
+         allotment->snapshot().record.allotments) {
+      if (!this->control->HasEnded(held.first)) {
+        members->insert(held.first);
+      }
+    }
+  }
+}
+
 void LimitService::Apply(const std::vector<LimitAction>& actions) {
   for (const LimitAction& action : actions) {
     if (const ReadLimit* const read = std::get_if<ReadLimit>(&action)) {
--- a/Source/Core/Entry/limit_service.h
+++ b/Source/Core/Entry/limit_service.h
@@ -3,6 +3,7 @@
 
 #include <json/value.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,7 @@
  private:
   void Configure();
   void Tick();
+  void AddUnprovedHolders(std::set<EntryName>* members) const;
   void Apply(const std::vector<LimitAction>& actions);
   void Read(const TeamName& team);
   void Write(const WriteLimit& write);
--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -104,6 +104,29 @@
 void TaskService::Submit(const TaskSubmission& submission,
                          Milliseconds wait,
                          Callback callback) {
+  const MonotonicTime now = Now();
+  this->SubmitUntil(submission, now + kClaimPatience, now + wait,
+                    std::move(callback));
+}
+
+// While the roster changes, a key may have no registrar for a moment. A refusal
+// that is certainly "not run" is therefore tried again until `retry_until`.
+void TaskService::SubmitUntil(const TaskSubmission& submission,
+                              MonotonicTime retry_until,
+                              MonotonicTime wait_until,
+                              const Callback& final_callback) {
+  const Callback callback = [this, submission, retry_until, wait_until,
+                             final_callback](const Result<Json::Value>& task) {
+    if (task.ok() || task.error().code != Errc::kUnavailable ||
+        submission.idempotency_key.empty() || Now() >= retry_until) {
+      final_callback(task);
+      return;
+    }
+    this->context->loop->After(kClaimPause, [this, submission, retry_until,
+                                             wait_until, final_callback]() {
+      this->SubmitUntil(submission, retry_until, wait_until, final_callback);
+    });
+  };
   const EntryName registrar = this->RegistrarOf(submission);
   if (registrar == this->context->self) {
     const Result<TaskRecord*> record = this->Register(submission);
@@ -111,7 +134,9 @@
       callback(record.error());
       return;
     }
-    this->WaitHere(record.value()->id, wait, std::move(callback));
+    this->WaitHere(record.value()->id,
+                   std::chrono::duration_cast<Milliseconds>(wait_until - Now()),
+                   callback);
     return;
   }
   const std::optional<std::string> address = this->peers->AddressOf(registrar);
@@ -120,18 +145,17 @@
                    "the registrar of the key is not known"});
     return;
   }
-  const MonotonicTime until = Now() + wait;
   this->context->rpc->Call(
       *address, "task.submit", submission.ToJson(), kRpcTimeout,
-      [this, callback = std::move(callback), address = *address,
-       until](const Result<Json::Value>& reply) {
+      [this, callback, address = *address,
+       wait_until](const Result<Json::Value>& reply) {
         if (!reply.ok()) {
           callback(reply.error());
         } else if (reply.value()["refusal"].isInt()) {
           callback(RefusalOf(reply.value()));
         } else {
           this->WaitRemote(address, TaskId(reply.value()["id"].asString()),
-                           until, callback);
+                           wait_until, callback);
         }
       });
 }
@@ -362,17 +386,12 @@
   record->earlier = earlier;
   const EntryName registrar = RegistrarFromId(earlier);
   const std::optional<std::string> address = this->peers->AddressOf(registrar);
-  if (this->claims->HasEnded(registrar)) {
+  if (!address || this->claims->HasEnded(registrar)) {
     // Its last grants and starts must have run out before workers are asked.
     record->granted_until = Now() + kGrant;
     this->context->loop->After(kGrant, [this, id]() { this->AskWorkers(id); });
     return;
   }
-  if (!address) {
-    this->Finish(record, DispatchState::kUnknown,
-                 "earlier registrar is silent");
-    return;
-  }
   this->WaitRemote(*address, earlier, record->deadline,
                    [this, id](const Result<Json::Value>& task) {
                      TaskRecord* const found = this->Find(id);
@@ -693,6 +712,13 @@
   TaskRecord* const record = this->Find(id);
   const bool complete = this->inquiries[id].silent.empty();
   this->inquiries.erase(id);
+  if (complete && record->recovered &&
+      !this->control->HasEnded(RegistrarFromId(record->earlier))) {
+    // The earlier registrar is silent but may still run and send the task.
+    this->Finish(record, DispatchState::kUnknown,
+                 "earlier registrar is silent");
+    return;
+  }
   if (complete && record->recovered) {
     record->refusal = Error{Errc::kUnavailable, "task.claim", "",
                             "the earlier registrar ended before it was sent"};
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -65,6 +65,10 @@
     std::set<WorkerName> silent;
   };
 
+  void SubmitUntil(const TaskSubmission& submission,
+                   MonotonicTime retry_until,
+                   MonotonicTime wait_until,
+                   const Callback& callback);
   Result<TaskRecord*> Register(const TaskSubmission& submission);
   EntryName RegistrarOf(const TaskSubmission& submission) const;
   void Claim(const TaskId& id);
--- a/Source/Core/Transport/http_server.cc
+++ b/Source/Core/Transport/http_server.cc
@@ -3,8 +3,12 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <future>
+#include <memory>
 #include <restinio/all.hpp>
+#include <thread>
 #include <utility>
+#include <vector>
 
 namespace daisyroad {
 namespace {
@@ -15,7 +19,14 @@
   static constexpr bool use_connection_count_limiter = true;
 };
 
-using RunningServer = restinio::running_server_handle_t<ServerTraits>;
+using Server = restinio::http_server_t<ServerTraits>;
+
+// What a connection needs to live. Responders share it, since they may be kept
+// longer than the HttpServer.
+struct ServerCore {
+  asio::io_context context;
+  std::unique_ptr<Server> server;
+};
 
 std::string LowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
@@ -85,6 +96,7 @@
 
 restinio::request_handling_status_t Dispatch(
     const HttpHandler& handler,
+    const std::shared_ptr<ServerCore>& core,
     const restinio::request_handle_t& source) {
   HttpRequest request = ReadRequest(*source);
   if (!ReadTarget(*source, &request)) {
@@ -93,11 +105,19 @@
   }
   const std::shared_ptr<std::atomic<bool>> answered =
       std::make_shared<std::atomic<bool>>(false);
-  handler(std::move(request), [source, answered](const HttpResponse& response) {
-    if (!answered->exchange(true)) {
-      Answer(source, response);
-    }
-  });
+  // Members are destroyed in reverse order: the request before the core.
+  struct Pending {
+    std::shared_ptr<ServerCore> core;
+    restinio::request_handle_t request;
+  };
+  const std::shared_ptr<Pending> pending =
+      std::make_shared<Pending>(Pending{core, source});
+  handler(std::move(request),
+          [pending, answered](const HttpResponse& response) {
+            if (!answered->exchange(true)) {
+              Answer(pending->request, response);
+            }
+          });
   return restinio::request_accepted();
 }
 
@@ -105,7 +125,8 @@
 
 class HttpServer::Impl {
  public:
-  RunningServer server;
+  std::shared_ptr<ServerCore> core;
+  std::vector<std::thread> threads;
   std::uint16_t port = 0;
 };
 
@@ -120,9 +141,12 @@
   const std::shared_ptr<const HttpHandler> shared_handler =
       std::make_shared<const HttpHandler>(std::move(handler));
   std::uint16_t* const bound_port = &this->impl->port;
+  const std::shared_ptr<ServerCore> core = std::make_shared<ServerCore>();
+  // Weak, because the core owns the server that owns this handler.
+  const std::weak_ptr<ServerCore> weak_core = core;
   try {
-    this->impl->server = restinio::run_async<ServerTraits>(
-        restinio::own_io_context(),
+    core->server = std::make_unique<Server>(
+        restinio::external_io_context(core->context),
         restinio::server_settings_t<ServerTraits>()
             .address(options.address)
             .port(options.port)
@@ -141,16 +165,22 @@
                 [bound_port](asio::ip::tcp::acceptor& acceptor) {
                   *bound_port = acceptor.local_endpoint().port();
                 })
-            .request_handler(
-                [shared_handler](const restinio::request_handle_t& request) {
-                  return Dispatch(*shared_handler, request);
-                }),
-        std::max<std::size_t>(options.threads, 1));
+            .request_handler([shared_handler, weak_core](
+                                 const restinio::request_handle_t& request) {
+              const std::shared_ptr<ServerCore> alive = weak_core.lock();
+              return alive ? Dispatch(*shared_handler, alive, request)
+                           : restinio::request_rejected();
+            }));
+    core->server->open_sync();
   } catch (const std::exception& exception) {
     return Error{Errc::kUnavailable, "http.listen",
                  options.address + ":" + std::to_string(options.port),
                  exception.what()};
   }
+  this->impl->core = core;
+  for (std::size_t i = 0; i < std::max<std::size_t>(options.threads, 1); ++i) {
+    this->impl->threads.emplace_back([core]() { core->context.run(); });
+  }
   return OkStatus();
 }
 
@@ -159,11 +189,20 @@
 }
 
 void HttpServer::Stop() {
-  if (this->impl->server) {
-    this->impl->server->stop();
-    this->impl->server->wait();
-    this->impl->server.reset();
+  if (!this->impl->core) {
+    return;
+  }
+  std::promise<void> closed;
+  this->impl->core->server->close_async(
+      [&closed]() { closed.set_value(); },
+      [&closed](const std::exception_ptr&) { closed.set_value(); });
+  closed.get_future().wait();
+  this->impl->core->context.stop();
+  for (std::thread& thread : this->impl->threads) {
+    thread.join();
   }
+  this->impl->threads.clear();
+  this->impl->core.reset();
 }
 
 }  // namespace daisyroad
--- a/Source/UnitTests/Transport/transport_test.cc
+++ b/Source/UnitTests/Transport/transport_test.cc
@@ -99,6 +99,29 @@
   CHECK(calls == 0);
 }
 
+// Guards against a crash on exit: requests that wait for an answer are kept
+// longer than the server, as by the long polls of the stand-ins.
+TEST_CASE("A responder may outlive its server") {
+  std::vector<HttpResponder> kept;
+  {
+    HttpServer server;
+    REQUIRE(
+        server
+            .Start(HttpServerOptions(),
+                   [&kept](const HttpRequest&, const HttpResponder& respond) {
+                     kept.push_back(respond);
+                   })
+            .ok());
+    HttpClientRequest request;
+    request.url = Url(server, "/");
+    request.timeout = Milliseconds(100);
+    CHECK_FALSE(Fetch(request).ok());
+  }
+  REQUIRE(kept.size() == 1);
+  kept.front()(HttpResponse());
+  kept.clear();
+}
+
 // Guards against method errors and unknown methods that look like results.
 TEST_CASE("RPC carries results and errors") {
   RpcServer rpc;
