Entry: say not_run about a keyed request only on the registrar's word

Cause: a retry whose registrar had been killed was answered not_run because the connection was refused, although the first request with the key had run (kill -9 trial). Only the registrar of a key knows; without its word the outcome is unknown.

--- a/Source/Core/Entry/caller_api.cc
+++ b/Source/Core/Entry/caller_api.cc
@@ -118,14 +118,24 @@
   const Result<TaskSubmission> submission = this->ReadSubmission(request);
   if (!submission.ok()) {
     ++this->context->metrics->Counter("daisyroad_refused_total");
-    respond(NotRunProblem(submission.error()));
+    // An earlier request with the same idempotency key may have run.
+    respond(request.Header("idempotency-key").empty()
+                ? NotRunProblem(submission.error())
+                : Problem(HttpStatusOf(submission.error()),
+                          RunOutcome::kUnknown,
+                          submission.error().code.message(),
+                          submission.error().ToString()));
     return;
   }
   const TeamName team = submission.value().team;
-  this->tasks->Submit(submission.value(), PreferredWait(request),
-                      [this, team, respond](const Result<Json::Value>& task) {
-                        this->Answer(team, task, true, respond);
-                      });
+  const AnswerKind kind = submission.value().idempotency_key.empty()
+                              ? AnswerKind::kSubmission
+                              : AnswerKind::kKeyedSubmission;
+  this->tasks->Submit(
+      submission.value(), PreferredWait(request),
+      [this, team, kind, respond](const Result<Json::Value>& task) {
+        this->Answer(team, task, kind, respond);
+      });
 }
 
 void CallerApi::Lookup(const HttpRequest& request,
@@ -140,7 +150,7 @@
   this->tasks->Lookup(
       id, ReadWait(request.Query("wait")),
       [this, team = team.value(), respond](const Result<Json::Value>& task) {
-        this->Answer(team, task, false, respond);
+        this->Answer(team, task, AnswerKind::kLookup, respond);
       });
 }
 
@@ -159,12 +169,12 @@
       [this, id, team = team.value(),
        respond](const Result<Json::Value>& found) {
         if (!found.ok() || found.value()["team"].asString() != team.str()) {
-          this->Answer(team, found, false, respond);
+          this->Answer(team, found, AnswerKind::kLookup, respond);
           return;
         }
         this->tasks->Cancel(
             id, [this, team, respond](const Result<Json::Value>& task) {
-              this->Answer(team, task, false, respond);
+              this->Answer(team, task, AnswerKind::kLookup, respond);
             });
       });
 }
@@ -272,13 +282,14 @@
 
 void CallerApi::Answer(const TeamName& team,
                        const Result<Json::Value>& task,
-                       bool submitted,
+                       AnswerKind kind,
                        const HttpResponder& respond) const {
+  const bool submitted = kind != AnswerKind::kLookup;
   if (!task.ok()) {
     const Error& error = task.error();
-    const bool unknown_receipt =
-        error.step.rfind("rpc.", 0) == 0 && error.code != Errc::kUnavailable;
-    if (submitted && unknown_receipt) {
+    // Only the registrar of a key knows whether it has run.
+    if (kind == AnswerKind::kKeyedSubmission &&
+        !TaskService::IsFromRegistrar(error)) {
       respond(Problem(503, RunOutcome::kUnknown, "outcome not known",
                       error.ToString()));
     } else if (submitted) {
--- a/Source/Core/Entry/caller_api.h
+++ b/Source/Core/Entry/caller_api.h
@@ -24,6 +24,8 @@
   void Handle(const HttpRequest& request, const HttpResponder& respond);
 
  private:
+  enum class AnswerKind { kLookup, kSubmission, kKeyedSubmission };
+
   void Submit(const HttpRequest& request, const HttpResponder& respond);
   void Lookup(const HttpRequest& request,
               const TaskId& id,
@@ -39,7 +41,7 @@
   // Answers with the task if the team may see it.
   void Answer(const TeamName& team,
               const Result<Json::Value>& task,
-              bool submitted,
+              AnswerKind kind,
               const HttpResponder& respond) const;
 
   EntryContext* context;
--- a/Source/Core/Entry/control_service.cc
+++ b/Source/Core/Entry/control_service.cc
@@ -371,6 +371,11 @@
   for (const Listener& listener : this->listeners) {
     listener();
   }
+  this->ContinueCaughtUp();
+}
+
+void ControlService::ContinueCaughtUp() {
+  const ControlDocument& adopted = this->document();
   std::vector<ChangeId> ids;
   for (const std::pair<const ChangeId, Running>& entry : this->running) {
     if (entry.second.waits_for_document &&
@@ -379,7 +384,11 @@
     }
   }
   for (const ChangeId& id : ids) {
-    Running& run = this->running[id];
+    const auto found = this->running.find(id);
+    if (found == this->running.end()) {
+      continue;
+    }
+    Running& run = found->second;
     run.waits_for_document = false;
     this->Apply(id, run.acceptance->OnDocument(adopted, this->contacts, Now()));
   }
@@ -421,6 +430,9 @@
                    run.waits_for_document = true;
                    run.wanted_version = catch_up.version;
                    this->ReadHead();
+                   // The version may be in force already.
+                   this->context->loop->Post(
+                       [this]() { this->ContinueCaughtUp(); });
                  },
                  [this, &id](const TellWritten& tell) {
                    this->running[id].outcome.version = tell.version;
--- a/Source/Core/Entry/control_service.h
+++ b/Source/Core/Entry/control_service.h
@@ -100,6 +100,7 @@
   void FetchHeadFrom(const ControlSource& source);
   void FetchPartFrom(const PartDigest& digest, const ControlSource& source);
   void OnAdopted();
+  void ContinueCaughtUp();
   void Apply(const ChangeId& id, const std::vector<ChangeAction>& actions);
   void Apply(const ChangeId& id, const ChangeAction& action);
   void WriteParts(const ChangeId& id,
--- a/Source/Core/Entry/task_record.cc
+++ b/Source/Core/Entry/task_record.cc
@@ -91,6 +91,7 @@
   }
   if (this->state == DispatchState::kNotRun && this->refusal.code) {
     value["refusal"] = this->refusal.code.value();
+    value["refusal_step"] = this->refusal.step;
   }
   return value;
 }
--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -40,9 +40,11 @@
 constexpr Milliseconds kClockSkew{200};
 // A claim that cannot be written within this time is refused, so that the
 // caller can try again while its own patience lasts.
-constexpr Milliseconds kClaimPatience{5000};
+// It covers the 5 s after which the keys of a silent instance are taken over.
+constexpr Milliseconds kClaimPatience{9000};
 constexpr Milliseconds kClaimPause{50};
 constexpr int kRefusedCode = -32010;
+constexpr char kRouteStep[] = "task.route";
 constexpr std::size_t kMaxRecords = 200000;
 
 std::string KeyOf(const TaskSubmission& submission) {
@@ -73,8 +75,8 @@
 }
 
 Error RefusalOf(const Json::Value& task) {
-  return Error{static_cast<Errc>(task["refusal"].asInt()), "task.submit", "",
-               task["reason"].asString()};
+  return Error{static_cast<Errc>(task["refusal"].asInt()),
+               task["refusal_step"].asString(), "", task["reason"].asString()};
 }
 
 }  // namespace
@@ -101,6 +103,10 @@
   });
 }
 
+bool TaskService::IsFromRegistrar(const Error& error) {
+  return error.step.rfind("rpc.", 0) != 0 && error.step != kRouteStep;
+}
+
 void TaskService::Submit(const TaskSubmission& submission,
                          Milliseconds wait,
                          Callback callback) {
@@ -141,7 +147,7 @@
   }
   const std::optional<std::string> address = this->peers->AddressOf(registrar);
   if (!address) {
-    callback(Error{Errc::kUnavailable, "task.submit", registrar.str(),
+    callback(Error{Errc::kUnavailable, kRouteStep, registrar.str(),
                    "the registrar of the key is not known"});
     return;
   }
@@ -218,6 +224,7 @@
   if (!record.ok()) {
     Json::Value refused;
     refused["refusal"] = record.error().code.value();
+    refused["refusal_step"] = record.error().step;
     refused["reason"] = record.error().ToString();
     return refused;
   }
@@ -336,7 +343,8 @@
   }
   const MonotonicTime now = Now();
   if (now >= record->deadline || now - record->registered > kClaimPatience) {
-    this->OnClaim(id, false);
+    this->RefuseClaim(id, Error{Errc::kUnavailable, kRouteStep, "",
+                                "earlier claims are still being read"});
     return;
   }
   record->claiming = true;
@@ -352,13 +360,17 @@
       this->Finish(record, DispatchState::kUnknown,
                    "the key may have been used with a lost registrar");
       return;
-    case ClaimRegistry::Outcome::kNotServing:
     case ClaimRegistry::Outcome::kFull:
+      this->RefuseClaim(id, Error{Errc::kResourceExhausted, "task.claim", "",
+                                  "too many claims are held"});
+      return;
+    case ClaimRegistry::Outcome::kNotServing:
       this->context->loop->After(kClaimPause,
                                  [this, id]() { this->Claim(id); });
       return;
     case ClaimRegistry::Outcome::kNotRegistrar:
-      this->OnClaim(id, false);
+      this->RefuseClaim(id, Error{Errc::kUnavailable, kRouteStep, "",
+                                  "another instance is the registrar"});
       return;
   }
 }
@@ -373,9 +385,15 @@
     this->Dispatch(id, std::nullopt);
     return;
   }
-  record->refusal = Error{Errc::kUnavailable, "task.claim", "",
-                          "the claim of the key could not be written"};
-  this->Finish(record, DispatchState::kNotRun, record->refusal.ToString());
+  this->RefuseClaim(id, Error{Errc::kUnavailable, "task.claim", "",
+                              "the claim of the key could not be written"});
+}
+
+void TaskService::RefuseClaim(const TaskId& id, const Error& error) {
+  TaskRecord* const record = this->Find(id);
+  record->claiming = false;
+  record->refusal = error;
+  this->Finish(record, DispatchState::kNotRun, error.ToString());
 }
 
 void TaskService::RecoverClaimed(const TaskId& id, const TaskId& earlier) {
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -39,6 +39,10 @@
 
   void Start();
 
+  // False if a submission was refused before the registrar of its key was
+  // asked, or by one that does not yet know the earlier claims.
+  static bool IsFromRegistrar(const Error& error);
+
   // Registers a task here or at the registrar of its key, and answers when it
   // ended or `wait` has passed.
   void Submit(const TaskSubmission& submission,
@@ -73,6 +77,7 @@
   EntryName RegistrarOf(const TaskSubmission& submission) const;
   void Claim(const TaskId& id);
   void OnClaim(const TaskId& id, bool ready);
+  void RefuseClaim(const TaskId& id, const Error& error);
   // The claim log of an earlier registrar holds the key.
   void RecoverClaimed(const TaskId& id, const TaskId& earlier);
   void AdoptEarlier(const TaskId& id, const Json::Value& earlier);
