Membership: use the gossip protocol in the daemon and count bytes by traffic

The daemon exchanged with every seed each 500 ms, whose cost grows with the number of instances. It now carries out GossipProtocol: two random peers, suspicion, indirect probes.

--- a/Source/Core/Entry/control_service.cc
+++ b/Source/Core/Entry/control_service.cc
@@ -21,15 +21,13 @@
 
 constexpr Milliseconds kTick{100};
 constexpr Milliseconds kReadPeriod{1000};
-// An instance that keeps no watch reads the store only when its confirmation is
-// older than this, so that store calls do not grow with the instances.
-constexpr Milliseconds kConfirmationDue{1500};
 constexpr Milliseconds kReadBackPause{300};
 constexpr Milliseconds kRpcTimeout{1000};
 constexpr Milliseconds kChangePatience{10000};
 constexpr Milliseconds kRejoinPause{1000};
-// Design 3.8: removal of a member that has not been heard for this long.
-constexpr Milliseconds kSilentMember{5000};
+// A member leaves the roster when it has been suspected for this long; by then
+// it has been silent for about 5 s (design 3.8).
+constexpr Milliseconds kSilentMember{3500};
 constexpr int kNotFoundCode = -32001;
 
 template <class... Visitors>
@@ -180,9 +178,7 @@
   const bool watcher =
       ControlReplica::Watches(this->context->self, this->context->zone,
                               this->peers->LiveIn(this->context->zone));
-  const std::optional<Duration> age = this->Report().confirmation_age;
-  const bool due = watcher || !age || *age > kConfirmationDue;
-  if (due && now - this->last_read >= kReadPeriod) {
+  if (this->authority.ShouldReadStore(watcher, now - this->last_read, now)) {
     this->ReadHead();
   }
   if (watcher) {
--- a/Source/Core/Entry/entry_instance.cc
+++ b/Source/Core/Entry/entry_instance.cc
@@ -82,9 +82,11 @@
       : context(MakeContext(std::move(settings))),
         random(SeedFor(this->context.self.str())),
         decisions(&this->metrics, kDecisionLinesPerSecond),
-        http([this](std::function<void()> function) {
-          this->loop.Post(std::move(function));
-        }),
+        http(
+            [this](std::function<void()> function) {
+              this->loop.Post(std::move(function));
+            },
+            &this->metrics),
         rpc(&this->http),
         store(&this->http,
               HttpStoreClient::Options{
@@ -150,10 +152,12 @@
         [this](const TeamName& team) { this->limits.OnFinished(team); });
     this->limits.Start();
     this->tasks.Start();
-    this->peers.Start([this]() { return this->control.Report(); },
-                      [this](const PeerReport& report, MonotonicTime sent) {
-                        this->control.OnPeerReply(report, sent);
-                      });
+    this->peers.Start(
+        [this]() { return this->control.Report(); },
+        [this]() -> const ControlDocument& { return this->control.document(); },
+        [this](const PeerReport& report, MonotonicTime sent) {
+          this->control.OnPeerReply(report, sent);
+        });
     this->loop.OnSignals({SIGTERM, SIGINT},
                          [this](int) { this->BeginShutdown(); });
     CLOG(INFO, kDaemonLog) << "serving as " << this->context.self
@@ -189,7 +193,16 @@
 
   void AddRpcMethods() {
     this->rpc_server.AddMethod("peer.exchange", [this](const Json::Value& p) {
-      return this->peers.Exchange(p);
+      return this->peers.ServeExchange(p);
+    });
+    this->rpc_server.AddMethod("peer.report", [this](const Json::Value&) {
+      return this->peers.ServeReport();
+    });
+    this->rpc_server.AddMethod("peer.probe", [this](const Json::Value& p) {
+      return this->peers.ServeProbe(p);
+    });
+    this->rpc_server.AddMethod("peer.probed", [this](const Json::Value& p) {
+      return this->peers.ServeProbed(p);
     });
     this->rpc_server.AddMethod("control.head", [this](const Json::Value&) {
       return this->control.ServeHead();
--- a/Source/Core/Entry/peer_service.cc
+++ b/Source/Core/Entry/peer_service.cc
@@ -1,10 +1,15 @@
 #include "Core/Entry/peer_service.h"
 
 #include <utility>
+#include <variant>
 
-#include "Core/Common/json.h"
+#include "Core/Common/hash.h"
 #include "Core/Common/logging.h"
+#include "Core/Common/metrics_registry.h"
+#include "Core/Control/control_document.h"
+#include "Core/Control/peer_report_codec.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Membership/gossip_message.h"
 #include "Core/Transport/event_loop.h"
 #include "Core/Transport/rpc_client.h"
 #include "Core/Transport/rpc_protocol.h"
@@ -12,66 +17,38 @@
 namespace daisyroad {
 namespace {
 
-constexpr Milliseconds kPeriod{500};
-constexpr Milliseconds kTimeout{1000};
-// Three missed exchanges; design 3.8.
-constexpr Milliseconds kSuspicion{1500};
+constexpr Milliseconds kTick{100};
+// A later reply is of no use: the peer is suspected by then.
+constexpr Milliseconds kTimeout{1500};
+constexpr Milliseconds kProbeTimeout{700};
 constexpr int kInvalidParams = -32602;
 
-Json::Value ToJson(const PeerReport& report) {
-  Json::Value value;
-  value["name"] = report.name.str();
-  value["zone"] = report.zone.str();
-  value["version"] = Json::UInt64(report.version);
-  value["known_version"] = Json::UInt64(report.known_version);
-  value["reaches_store"] = report.reaches_store;
-  if (report.confirmation_age) {
-    value["age_us"] =
-        Json::Int64(std::chrono::duration_cast<std::chrono::microseconds>(
-                        *report.confirmation_age)
-                        .count());
-  }
-  Json::Value support(Json::objectValue);
-  for (const std::pair<const EntryName, Duration>& entry :
-       report.outage_support) {
-    support[entry.first.str()] = Json::Int64(
-        std::chrono::duration_cast<std::chrono::microseconds>(entry.second)
-            .count());
-  }
-  value["support_us"] = support;
-  return value;
+MemberInfo OwnInfo(const EntryContext& context) {
+  MemberInfo info;
+  info.name = context.self;
+  info.zone = context.zone;
+  info.address = context.settings.peers_address;
+  return info;
 }
 
-std::optional<PeerReport> FromJson(const Json::Value& value) {
-  if (!value.isObject() || !value["name"].isString() ||
-      !value["zone"].isString() || !value["version"].isUInt64() ||
-      !value["known_version"].isUInt64() || !value["reaches_store"].isBool() ||
-      !value["support_us"].isObject()) {
-    return std::nullopt;
-  }
-  PeerReport report;
-  report.name = EntryName(value["name"].asString());
-  report.zone = ZoneName(value["zone"].asString());
-  report.version = value["version"].asUInt64();
-  report.known_version = value["known_version"].asUInt64();
-  report.reaches_store = value["reaches_store"].asBool();
-  if (value["age_us"].isInt64()) {
-    report.confirmation_age =
-        std::chrono::microseconds(value["age_us"].asInt64());
-  }
-  for (const std::string& name : value["support_us"].getMemberNames()) {
-    if (!value["support_us"][name].isInt64()) {
-      return std::nullopt;
+std::vector<std::string> SeedAddresses(const Settings& settings) {
+  std::vector<std::string> addresses;
+  for (const Seed& seed : settings.seeds) {
+    if (seed.address != settings.peers_address) {
+      addresses.push_back(seed.address);
     }
-    report.outage_support[EntryName(name)] =
-        std::chrono::microseconds(value["support_us"][name].asInt64());
   }
-  return report;
+  return addresses;
 }
 
 }  // namespace
 
-PeerService::PeerService(EntryContext* context) : context(context) {}
+PeerService::PeerService(EntryContext* context)
+    : context(context),
+      gossip(
+          std::make_unique<GossipProtocol>(OwnInfo(*context),
+                                           SeedAddresses(context->settings),
+                                           StableHash(context->self.str()))) {}
 
 void PeerService::AddSection(const std::string& name,
                              Section section_source,
@@ -81,26 +58,71 @@
 }
 
 void PeerService::Start(ReportSource report_source,
+                        DocumentSource document_source,
                         ReplyHandler reply_handler) {
   this->source = std::move(report_source);
+  this->document = std::move(document_source);
   this->handler = std::move(reply_handler);
-  this->Round();
-  this->context->loop->Every(kPeriod, [this]() { this->Round(); });
+  this->context->loop->Every(kTick, [this]() {
+    this->Apply(this->gossip->OnTick(this->source(), Now()));
+  });
 }
 
-Json::Value PeerService::Exchange(const Json::Value& params) {
-  if (!FromJson(params)) {
-    throw RpcFailure{kInvalidParams, "malformed report"};
+Json::Value PeerService::ServeExchange(const Json::Value& params) {
+  const Result<GossipMessage> request =
+      GossipMessageFromJson(params, this->document());
+  if (!request.ok()) {
+    throw RpcFailure{kInvalidParams, request.error().ToString()};
   }
-  Json::Value result = ToJson(this->source());
+  const std::pair<GossipMessage, std::vector<GossipAction>> reply =
+      this->gossip->OnRequest(request.value(), this->source(), Now());
+  this->Apply(reply.second);
+  Json::Value result;
+  result["gossip"] = GossipMessageToJson(reply.first, this->document());
+  result["clock_ms"] = Json::Int64(Clock().count());
   for (const std::pair<const std::string, SectionHooks>& section :
        this->sections) {
     result[section.first] = section.second.source();
   }
+  return result;
+}
+
+Json::Value PeerService::ServeReport() {
+  Json::Value result;
+  result["control"] = PeerReportToJson(this->source(), this->document());
   result["clock_ms"] = Json::Int64(Clock().count());
   return result;
 }
 
+Json::Value PeerService::ServeProbe(const Json::Value& params) {
+  if (!params["target"].isString() || !params["origin"].isString() ||
+      !params["exchange"].isUInt64()) {
+    throw RpcFailure{kInvalidParams, "malformed probe"};
+  }
+  const std::string origin = params["origin"].asString();
+  const std::uint64_t exchange = params["exchange"].asUInt64();
+  this->context->rpc->Call(
+      params["target"].asString(), "peer.report",
+      Json::Value(Json::objectValue), kProbeTimeout,
+      [this, origin, exchange](const Result<Json::Value>& reply) {
+        Json::Value answer;
+        answer["exchange"] = Json::UInt64(exchange);
+        answer["reached"] = reply.ok();
+        this->context->rpc->Call(origin, "peer.probed", answer, kProbeTimeout,
+                                 [](const Result<Json::Value>&) {});
+      });
+  return Json::Value(Json::objectValue);
+}
+
+Json::Value PeerService::ServeProbed(const Json::Value& params) {
+  if (!params["exchange"].isUInt64() || !params["reached"].isBool()) {
+    throw RpcFailure{kInvalidParams, "malformed probe answer"};
+  }
+  this->Apply(this->gossip->OnProbeAnswer(params["exchange"].asUInt64(),
+                                          params["reached"].asBool()));
+  return Json::Value(Json::objectValue);
+}
+
 std::vector<PeerService::Peer> PeerService::Live() const {
   std::vector<Peer> live;
   for (const std::pair<const std::string, Peer>& entry : this->peers) {
@@ -116,9 +138,9 @@
   if (this->context->zone == zone) {
     names.push_back(this->context->self);
   }
-  for (const Peer& peer : this->Live()) {
-    if (peer.zone == zone) {
-      names.push_back(peer.name);
+  for (const std::pair<const std::string, Peer>& entry : this->peers) {
+    if (entry.second.zone == zone && this->IsLive(entry.second)) {
+      names.push_back(entry.second.name);
     }
   }
   return names;
@@ -126,8 +148,10 @@
 
 std::vector<EntryName> PeerService::LiveNames() const {
   std::vector<EntryName> names = {this->context->self};
-  for (const Peer& peer : this->Live()) {
-    names.push_back(peer.name);
+  for (const std::pair<const std::string, Peer>& entry : this->peers) {
+    if (this->IsLive(entry.second)) {
+      names.push_back(entry.second.name);
+    }
   }
   return names;
 }
@@ -148,13 +172,15 @@
 }
 
 bool PeerService::IsLive(const Peer& peer) const {
-  return Now() - peer.replied_at <= kSuspicion;
+  const Member* const member = this->gossip->members().Find(peer.name);
+  return member != nullptr && member->info.state == MemberState::kAlive &&
+         member->reachability == Reachability::kDirect;
 }
 
 void PeerService::AskNow(const EntryName& name) {
-  const std::optional<std::string> address = this->AddressOf(name);
-  if (address) {
-    this->Ask(*address);
+  const Member* const member = this->gossip->members().Find(name);
+  if (member != nullptr) {
+    this->AskForReport(member->info.address);
   }
 }
 
@@ -162,42 +188,102 @@
   return std::chrono::duration_cast<Milliseconds>(Now().time_since_epoch());
 }
 
-void PeerService::Round() {
-  for (const Seed& seed : this->context->settings.seeds) {
-    if (seed.address != this->context->settings.peers_address) {
-      this->Ask(seed.address);
+void PeerService::Apply(const std::vector<GossipAction>& actions) {
+  for (const GossipAction& action : actions) {
+    this->Apply(action);
+  }
+}
+
+void PeerService::Apply(const GossipAction& action) {
+  if (const SendGossip* const send = std::get_if<SendGossip>(&action)) {
+    this->Exchange(*send);
+  } else if (const AskProbe* const ask = std::get_if<AskProbe>(&action)) {
+    this->Probe(*ask);
+  } else {
+    const MemberChanged& changed = std::get<MemberChanged>(action);
+    CLOG(INFO, kMembershipLog)
+        << "member=" << changed.info.name << " zone=" << changed.info.zone
+        << " state=" << MemberStateName(changed.info.state)
+        << " direct=" << (changed.reachability == Reachability::kDirect);
+    // A new member is asked at once: until it has replied to this instance it
+    // is not used.
+    if (changed.info.state == MemberState::kAlive &&
+        changed.info.name != this->context->self &&
+        !this->Find(changed.info.name)) {
+      this->AskForReport(changed.info.address);
     }
   }
 }
 
-void PeerService::Ask(const std::string& address) {
+void PeerService::Exchange(const SendGossip& send) {
   const MonotonicTime sent = Now();
+  const Json::Value message =
+      GossipMessageToJson(send.message, this->document());
   this->context->rpc->Call(
-      address, "peer.exchange", ToJson(this->source()), kTimeout,
-      [this, address, sent](const Result<Json::Value>& reply) {
+      send.address, "peer.exchange", message, kTimeout,
+      [this, sent, exchange = send.exchange,
+       address = send.address](const Result<Json::Value>& reply) {
         if (!reply.ok()) {
+          ++this->context->metrics->Counter("daisyroad_peer_failures_total");
           CLOG(DEBUG, kMembershipLog) << reply.error().ToString();
           return;
         }
-        const std::optional<PeerReport> report = FromJson(reply.value());
-        if (!report || !reply.value()["clock_ms"].isInt64()) {
+        const Result<GossipMessage> gossiped =
+            GossipMessageFromJson(reply.value()["gossip"], this->document());
+        if (!gossiped.ok()) {
+          CLOG(WARNING, kMembershipLog) << gossiped.error().ToString();
           return;
         }
-        Peer& peer = this->peers[address];
-        peer.name = report->name;
-        peer.zone = report->zone;
-        peer.address = address;
-        peer.report = *report;
-        peer.request_sent = sent;
-        peer.replied_at = Now();
-        peer.round_trip = peer.replied_at - sent;
-        peer.clock = Milliseconds(reply.value()["clock_ms"].asInt64());
-        this->handler(*report, sent);
+        this->OnReply(address, gossiped.value().control, reply.value(), sent);
+        this->Apply(this->gossip->OnReply(exchange, gossiped.value(), Now()));
         for (const std::pair<const std::string, SectionHooks>& section :
              this->sections) {
-          section.second.handler(report->name, reply.value()[section.first]);
+          section.second.handler(gossiped.value().control.name,
+                                 reply.value()[section.first]);
         }
       });
 }
 
+void PeerService::Probe(const AskProbe& ask) {
+  Json::Value params;
+  params["exchange"] = Json::UInt64(ask.exchange);
+  params["target"] = ask.target_address;
+  params["origin"] = this->context->settings.peers_address;
+  this->context->rpc->Call(ask.helper_address, "peer.probe", params,
+                           kProbeTimeout, [](const Result<Json::Value>&) {});
+}
+
+void PeerService::AskForReport(const std::string& address) {
+  const MonotonicTime sent = Now();
+  this->context->rpc->Call(
+      address, "peer.report", Json::Value(Json::objectValue), kTimeout,
+      [this, address, sent](const Result<Json::Value>& reply) {
+        if (!reply.ok()) {
+          return;
+        }
+        const Result<PeerReport> report =
+            PeerReportFromJson(reply.value()["control"], this->document());
+        if (report.ok()) {
+          this->OnReply(address, report.value(), reply.value(), sent);
+        }
+      });
+}
+
+void PeerService::OnReply(const std::string& address,
+                          const PeerReport& report,
+                          const Json::Value& reply,
+                          MonotonicTime sent) {
+  if (!reply["clock_ms"].isInt64()) {
+    return;
+  }
+  Peer& peer = this->peers[address];
+  peer.name = report.name;
+  peer.zone = report.zone;
+  peer.address = address;
+  peer.report = report;
+  peer.replied_at = Now();
+  peer.clock = Milliseconds(reply["clock_ms"].asInt64());
+  this->handler(report, sent);
+}
+
 }  // namespace daisyroad
--- a/Source/Core/Platform/http_instance_list_client.cc
+++ b/Source/Core/Platform/http_instance_list_client.cc
@@ -61,6 +61,7 @@
   request.url = "http://" + this->address + "/v1/health/service/worker";
   request.headers["X-Zone"] = this->zone;
   request.timeout = this->timeout;
+  request.traffic = "instance_list";
   const std::string peer = this->address;
   this->http->Send(request, [callback = std::move(callback),
                              peer](const Result<HttpResponse>& response) {
--- a/Source/Core/Platform/http_store_client.cc
+++ b/Source/Core/Platform/http_store_client.cc
@@ -112,6 +112,7 @@
   request.url = "http://" + this->options.address + "/v1/kv/" + key + query;
   request.headers["X-Zone"] = this->options.zone;
   request.timeout = this->options.timeout;
+  request.traffic = "store";
   return request;
 }
 
--- a/Source/Core/Platform/http_worker_client.cc
+++ b/Source/Core/Platform/http_worker_client.cc
@@ -290,6 +290,7 @@
   request.body = body;
   request.timeout = exchange_timeout;
   request.fresh_connection = fresh_connection;
+  request.traffic = "worker";
   this->http->Send(
       std::move(request), [callback = std::move(callback), step,
                            address](const Result<HttpResponse>& response) {
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -2,6 +2,8 @@
 
 #include <curl/curl.h>
 
+#include "Core/Common/metrics_registry.h"
+
 #include <algorithm>
 #include <atomic>
 #include <cctype>
@@ -134,7 +136,8 @@
 
 class HttpClient::Impl {
  public:
-  explicit Impl(Executor executor) : executor(std::move(executor)) {
+  Impl(Executor executor, MetricsRegistry* metrics)
+      : executor(std::move(executor)), metrics(metrics) {
     static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
     static_cast<void>(global);
     this->multi = curl_multi_init();
@@ -210,6 +213,7 @@
     long status = 0;
     curl_easy_getinfo(exchange->handle, CURLINFO_RESPONSE_CODE, &status);
     exchange->response.status = static_cast<int>(status);
+    this->CountBytes(*exchange);
     Result<HttpResponse> result =
         code == CURLE_OK ? Result<HttpResponse>(std::move(exchange->response))
                          : Result<HttpResponse>(ToError(code, *exchange));
@@ -217,7 +221,26 @@
                     result = std::move(result)]() { callback(result); });
   }
 
+  void CountBytes(const Exchange& exchange) {
+    if (this->metrics == nullptr) {
+      return;
+    }
+    long request_headers = 0;
+    long answer_headers = 0;
+    curl_easy_getinfo(exchange.handle, CURLINFO_REQUEST_SIZE, &request_headers);
+    curl_easy_getinfo(exchange.handle, CURLINFO_HEADER_SIZE, &answer_headers);
+    const std::string label = "traffic=\"" + exchange.request.traffic + "\"";
+    this->metrics->Counter("daisyroad_http_sent_bytes_total", label) +=
+        request_headers +
+        static_cast<std::int64_t>(exchange.request.body.size());
+    this->metrics->Counter("daisyroad_http_received_bytes_total", label) +=
+        answer_headers +
+        static_cast<std::int64_t>(exchange.response.body.size());
+    ++this->metrics->Counter("daisyroad_http_requests_total", label);
+  }
+
   Executor executor;
+  MetricsRegistry* metrics;
   CURLM* multi = nullptr;
   std::atomic<bool> stopping = false;
   std::mutex mutex;
@@ -226,8 +249,8 @@
   std::thread thread;
 };
 
-HttpClient::HttpClient(Executor executor)
-    : impl(std::make_unique<Impl>(std::move(executor))) {}
+HttpClient::HttpClient(Executor executor, MetricsRegistry* metrics)
+    : impl(std::make_unique<Impl>(std::move(executor), metrics)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/Source/Core/Transport/http_client.h
+++ b/Source/Core/Transport/http_client.h
@@ -11,6 +11,8 @@
 
 namespace daisyroad {
 
+class MetricsRegistry;
+
 struct HttpClientRequest {
   std::string method = "GET";
   std::string url;
@@ -18,6 +20,8 @@
   std::string body;
   Milliseconds connect_timeout{500};
   Milliseconds timeout{2000};  // whole exchange, connecting included
+  // Label of the byte counters, for example "store".
+  std::string traffic = "other";
   // Opens a new connection and does not keep it, to tell a silent connection
   // from a silent peer.
   bool fresh_connection = false;
@@ -36,8 +40,9 @@
   // Runs a function on the caller's thread, for example EventLoop::Post.
   using Executor = std::function<void(std::function<void()>)>;
 
-  // Callbacks run through `executor`.
-  explicit HttpClient(Executor executor);
+  // Callbacks run through `executor`. `metrics` may be null; if not, it counts
+  // the bytes of requests and answers, HTTP headers included, by traffic.
+  explicit HttpClient(Executor executor, MetricsRegistry* metrics = nullptr);
   // Drops the exchanges in progress without calling back.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
--- a/Source/Core/Transport/rpc_client.cc
+++ b/Source/Core/Transport/rpc_client.cc
@@ -47,6 +47,7 @@
   request.headers["Content-Type"] = "application/json";
   request.body = WriteJson(envelope);
   request.timeout = timeout;
+  request.traffic = "peer";
   const std::string step = "rpc." + method;
   this->http->Send(std::move(request),
                    [callback = std::move(callback), id, step,
