--- a/Source/Bench/capacity_bench.cc
+++ b/Source/Bench/capacity_bench.cc
@@ -96,7 +96,7 @@
           Measure("design_rack", RackOnly(950, 26, 4), seed)};
 }
 
-const BenchRegistration capacity_registration("capacity", RunCapacityBench);
+const BenchRegistration kCapacityRegistration("capacity", RunCapacityBench);
 
 }  // namespace
 }  // namespace daisyroad
--- a/Source/Bench/limits_bench.cc
+++ b/Source/Bench/limits_bench.cc
@@ -114,8 +114,8 @@
   };
 
   static const TeamName& Team() {
-    static const TeamName team("team");
-    return team;
+    static const TeamName kTeam("team");
+    return kTeam;
   }
 
   void Step(Duration now) {
@@ -266,7 +266,7 @@
   for (int team = 0; team < teams; ++team) {
     const Usage usage =
         TeamSimulation(rule, limit,
-                       seed * 1000 + static_cast<unsigned>(team) * 16)
+                       seed * 1000 + static_cast<std::uint64_t>(team) * 16)
             .Run();
     sum.reachable += usage.reachable;
     sum.lost += usage.lost;
--- a/Source/Bench/maintenance_bench.cc
+++ b/Source/Bench/maintenance_bench.cc
@@ -165,12 +165,12 @@
           PlanningTime(name, config, seed)};
 }
 
-const BenchRegistration today_registration("maintenance.today",
+const BenchRegistration kTodayRegistration("maintenance.today",
                                            [](std::uint64_t seed) {
                                              return RunSize("today", Today(),
                                                             seed);
                                            });
-const BenchRegistration design_registration("maintenance.design",
+const BenchRegistration kDesignRegistration("maintenance.design",
                                             [](std::uint64_t seed) {
                                               return RunSize("design", Design(),
                                                              seed);
--- a/Source/Core/Common/error_code.cc
+++ b/Source/Core/Common/error_code.cc
@@ -41,8 +41,8 @@
 }  // namespace
 
 const std::error_category& DaisyroadCategory() {
-  static const Category category;
-  return category;
+  static const Category kCategory;
+  return kCategory;
 }
 
 std::error_code make_error_code(Errc code) {
--- a/Source/Core/Config/all_settings.cc
+++ b/Source/Core/Config/all_settings.cc
@@ -116,14 +116,14 @@
 }  // namespace
 
 const std::vector<std::string>& LogLevelNames() {
-  static const std::vector<std::string> names = {"debug", "info", "warning",
-                                                 "error"};
-  return names;
+  static const std::vector<std::string> kNames = {"debug", "info", "warning",
+                                                  "error"};
+  return kNames;
 }
 
 const std::vector<Setting>& AllSettings() {
-  static const std::vector<Setting> settings = BuildSettings();
-  return settings;
+  static const std::vector<Setting> kSettings = BuildSettings();
+  return kSettings;
 }
 
 std::string SettingValue(const Setting& setting, const Settings& settings) {
--- a/Source/Core/Declaration/parse_declaration.cc
+++ b/Source/Core/Declaration/parse_declaration.cc
@@ -145,11 +145,11 @@
 }
 
 MaintenanceWindow ReadWindow(TableReader& reader, FaultList& faults) {
-  static const std::vector<std::string> weekdays(kWeekdayNames.begin(),
-                                                 kWeekdayNames.end());
+  static const std::vector<std::string> kWeekdays(kWeekdayNames.begin(),
+                                                  kWeekdayNames.end());
   MaintenanceWindow window;
   const std::optional<std::size_t> weekday =
-      reader.ReadChoice("weekday", Presence::kRequired, weekdays);
+      reader.ReadChoice("weekday", Presence::kRequired, kWeekdays);
   window.weekday =
       std::chrono::weekday(static_cast<unsigned>(weekday.value_or(0)));
   ReadTimeOfDay(reader, faults, "start", window.start);
--- a/Source/Core/Entry/claim_service.cc
+++ b/Source/Core/Entry/claim_service.cc
@@ -21,6 +21,8 @@
 
 // Half of the batch time of a claim log.
 constexpr Milliseconds kTick{5};
+// 200 wake-ups a second cost an idle instance 0.15% of a core.
+constexpr Milliseconds kIdleTick{100};
 constexpr Milliseconds kOutagePeriod{100};
 constexpr Milliseconds kRpcTimeout{1000};
 
@@ -97,16 +99,16 @@
 void ClaimService::Start(ReadyHandler ready_handler) {
   this->handler = std::move(ready_handler);
   this->control->AddListener([this]() { this->OnVersion(); });
-  this->context->loop->Every(kTick, [this]() { this->Tick(); });
-  this->context->loop->Every(kOutagePeriod, [this]() {
-    this->Apply(this->registry.SetAgreedOutage(this->AgreedOutage()));
-  });
+  this->Poll();
+  this->context->loop->Every(kOutagePeriod, [this]() { this->CheckOutage(); });
 }
 
 ClaimRegistry::Answer ClaimService::Submit(const std::string& key,
                                            const TaskId& task) {
   const std::pair<ClaimRegistry::Answer, std::vector<ClaimAction>> result =
       this->registry.Submit(key, task, Now());
+  this->context->loop->After(
+      2 * kTick, [this]() { this->Apply(this->registry.Tick(Now())); });
   // Posted, so that the caller has stored the answer before a claim is ready.
   this->context->loop->Post(
       [this, actions = result.second]() { this->Apply(actions); });
@@ -148,7 +150,14 @@
   return witness;
 }
 
-void ClaimService::Tick() {
+void ClaimService::Poll() {
+  this->Apply(this->registry.Tick(Now()));
+  const bool busy = this->registry.unflushed() > 0 || !this->registry.serving();
+  this->context->loop->After(busy ? kTick : kIdleTick,
+                             [this]() { this->Poll(); });
+}
+
+void ClaimService::CheckOutage() {
   const MonotonicTime now = Now();
   if (!this->control->Report().reaches_store) {
     this->last_without_store = now;
@@ -158,7 +167,7 @@
     current.lasted += now - current.seen;
     current.seen = now;
   }
-  this->Apply(this->registry.Tick(now));
+  this->Apply(this->registry.SetAgreedOutage(this->AgreedOutage()));
 }
 
 void ClaimService::OnVersion() {
--- a/Source/Core/Entry/claim_service.h
+++ b/Source/Core/Entry/claim_service.h
@@ -59,7 +59,8 @@
     bool outage_seen = false;
   };
 
-  void Tick();
+  void Poll();
+  void CheckOutage();
   void OnVersion();
   void Prepare();
   void OnWitness(std::uint64_t epoch,
--- a/Source/Core/Entry/limit_service.cc
+++ b/Source/Core/Entry/limit_service.cc
@@ -20,7 +20,8 @@
 namespace daisyroad {
 namespace {
 
-constexpr Milliseconds kTick{50};
+// The shortest time between two writes of a team's record.
+constexpr Milliseconds kTick{100};
 constexpr char kSection[] = "demand";
 
 AllotmentHolder::Options HolderOptions(const Settings& settings) {
--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -109,10 +109,9 @@
 
 void TaskService::Submit(const TaskSubmission& submission,
                          Milliseconds wait,
-                         Callback callback) {
+                         const Callback& callback) {
   const MonotonicTime now = Now();
-  this->SubmitUntil(submission, now + kClaimPatience, now + wait,
-                    std::move(callback));
+  this->SubmitUntil(submission, now + kClaimPatience, now + wait, callback);
 }
 
 // While the roster changes, a key may have no registrar for a moment. A refusal
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -47,7 +47,7 @@
   // ended or `wait` has passed.
   void Submit(const TaskSubmission& submission,
               Milliseconds wait,
-              Callback callback);
+              const Callback& callback);
   // kNotFound if no instance knows the task; kUnavailable if its registrar
   // cannot be reached.
   void Lookup(const TaskId& id, Milliseconds wait, Callback callback);
--- a/Source/Core/Fleet/instance_lifecycle.cc
+++ b/Source/Core/Fleet/instance_lifecycle.cc
@@ -7,9 +7,9 @@
 
 const std::set<WorkerName>& Down(const DownTable& table,
                                  const ServiceName& service) {
-  static const std::set<WorkerName> none;
+  static const std::set<WorkerName> kNone;
   const auto found = table.find(service);
-  return found == table.end() ? none : found->second;
+  return found == table.end() ? kNone : found->second;
 }
 
 const WorkerObservation* Seen(const FleetObservation& observation,
--- a/Source/Core/Limits/limit_record.cc
+++ b/Source/Core/Limits/limit_record.cc
@@ -11,7 +11,7 @@
 
 Result<std::int64_t> ParseCount(const Json::Value& object,
                                 const std::string& name) {
-  const Result<std::int64_t> count = JsonInt(object, name);
+  Result<std::int64_t> count = JsonInt(object, name);
   if (count && count.value() < 0) {
     return Invalid(name + " is negative");
   }
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -138,8 +138,8 @@
  public:
   Impl(Executor executor, MetricsRegistry* metrics)
       : executor(std::move(executor)), metrics(metrics) {
-    static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
-    static_cast<void>(global);
+    static const CURLcode kGlobal = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(kGlobal);
     this->multi = curl_multi_init();
     curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
     this->thread = std::thread([this]() { this->Run(); });
--- a/Source/StandIns/Worker/main.cc
+++ b/Source/StandIns/Worker/main.cc
@@ -67,12 +67,12 @@
   InitializeLogging(LogLevel::kWarning);
   EventLoop loop;
   HttpClient http(
-      [&loop](std::function<void()> function) { loop.Post(function); });
+      [&loop](const std::function<void()>& function) { loop.Post(function); });
   std::vector<std::unique_ptr<WorkerServer>> workers;
   const std::vector<std::string> zones = absl::GetFlag(FLAGS_zones);
   for (std::size_t i = 0; i < zones.size(); ++i) {
     const int index = static_cast<int>(i);
-    const std::string zone = zones[i];
+    const std::string& zone = zones[i];
     WorkerServer::Options options;
     options.name = absl::GetFlag(FLAGS_pool) + "-" + std::to_string(index + 1);
     options.port =
--- a/Tools/run_linter.sh
+++ b/Tools/run_linter.sh
@@ -9,4 +9,4 @@
 while read -r file; do
   grep -q '<restinio/' "$file" || files+=("$file")
 done < <(git ls-files --cached --others --exclude-standard 'Source/*.cc' | grep -v '^Source/UnitTests/')
-printf '%s\n' "${files[@]}" | xargs -n 1 -P "$(nproc)" clang-tidy -p "$build" --quiet 2>/dev/null
+printf '%s\n' "${files[@]}" | xargs -n 1 -P "${JOBS:-$(nproc)}" clang-tidy -p "$build" --quiet 2>/dev/null
