--- /dev/null
+++ b/Source/Ctl/command_context.h
@@ -0,0 +1,22 @@
+#ifndef SOURCE_CTL_COMMAND_CONTEXT_H_
+#define SOURCE_CTL_COMMAND_CONTEXT_H_
+
+#include <ostream>
+
+#include "Ctl/invocation.h"
+
+namespace daisyroad {
+
+class ServerClient;
+
+// What a subcommand works with.
+struct CommandContext {
+  const Invocation& invocation;
+  ServerClient* client;
+  std::ostream& out;
+  std::ostream& err;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CTL_COMMAND_CONTEXT_H_
--- /dev/null
+++ b/Source/Ctl/key_commands.cc
@@ -0,0 +1,156 @@
+#include "Ctl/key_commands.h"
+
+#include <set>
+#include <string>
+
+#include "Core/Common/json.h"
+#include "Core/Keys/key_secret.h"
+#include "Ctl/call_outcome.h"
+#include "Ctl/lost_answer.h"
+#include "Ctl/response_text.h"
+#include "Ctl/server_client.h"
+
+namespace daisyroad {
+namespace {
+
+using Arguments = std::vector<std::string>;
+
+constexpr char kKeysPath[] = "/v1/ops/keys";
+
+ExitCode RunGenerate(const CommandContext& context, const Arguments&) {
+  const Result<NewKey> key = GenerateKey();
+  if (!key.ok()) {
+    context.err << "daisyroadctl: " << key.error().ToString() << "\n";
+    return ExitCode::kFailed;
+  }
+  const std::string record = key.value().id.str() + ":" +
+                             key.value().hash.salt + ":" +
+                             key.value().hash.digest;
+  if (context.invocation.options.json) {
+    Json::Value body;
+    body["secret"] = key.value().text;
+    body["bootstrap_operator_key"] = record;
+    context.out << WriteJson(body) << "\n";
+  } else {
+    context.out << key.value().text << "\n" << record << "\n";
+  }
+  return ExitCode::kOk;
+}
+
+std::set<std::string> KeyIds(const Json::Value& list,
+                             const std::string& holder) {
+  std::set<std::string> ids;
+  for (const Json::Value& item : list) {
+    if (Text(Member(item, "holder")) == holder) {
+      ids.insert(Text(Member(item, "id")));
+    }
+  }
+  return ids;
+}
+
+// The secret is lost with the answer. Says which keys the holder got since
+// `before` was read, so that the operator can withdraw them.
+ExitCode ReportLostKey(const CommandContext& context,
+                       const CallOutcome& lost,
+                       const Json::Value& before,
+                       const std::string& holder) {
+  context.err << "daisyroadctl: " << lost.message << "; reading back\n";
+  const std::set<std::string> known = KeyIds(before, holder);
+  std::string added;
+  const CallOutcome found = ReadBackEffect(
+      context, kKeysPath,
+      [&](const Json::Value& list) {
+        for (const std::string& id : KeyIds(list, holder)) {
+          added += known.count(id) == 0 ? " " + id : "";
+        }
+        return !added.empty();
+      },
+      lost);
+  if (found.ok()) {
+    context.err << "given to " << holder << " meanwhile:" << added
+                << "; the secret is lost: withdraw the key and give another\n";
+  } else {
+    context.err << "no new key of " << holder << " is listed so far\n";
+  }
+  return ExitCode::kOutcomeUnknown;
+}
+
+std::string GivenText(const Json::Value& body) {
+  return "id:     " + Text(Member(body, "id")) +
+         "\nsecret: " + Text(Member(body, "secret")) + "  (shown only now)\n" +
+         ChangeText(body);
+}
+
+ExitCode RunGive(const CommandContext& context, const Arguments&) {
+  const CtlOptions& options = context.invocation.options;
+  if (options.team.empty() == options.operator_name.empty()) {
+    context.err << "daisyroadctl: give either --team or --operator\n";
+    return ExitCode::kUsage;
+  }
+  const CallOutcome before = Read(context, kKeysPath);
+  if (!before.ok()) {
+    return Print(context, before, FieldsText);
+  }
+  const bool for_team = !options.team.empty();
+  const std::string holder = for_team ? options.team : options.operator_name;
+  Json::Value body;
+  body[for_team ? "team" : "operator"] = holder;
+  const CallOutcome outcome = Write(context, "POST", kKeysPath, body);
+  return outcome.open() ? ReportLostKey(context, outcome, before.body, holder)
+                        : Print(context, outcome, GivenText);
+}
+
+ExitCode RunWithdraw(const CommandContext& context,
+                     const Arguments& arguments) {
+  const std::string& id = arguments[0];
+  CallOutcome outcome =
+      Write(context, "DELETE", std::string(kKeysPath) + "/" + EscapeUrl(id));
+  if (outcome.open()) {
+    context.err << "daisyroadctl: " << outcome.message << "; reading back\n";
+    outcome = ReadBackEffect(
+        context, kKeysPath,
+        [&id](const Json::Value& list) {
+          for (const Json::Value& item : list) {
+            if (Text(Member(item, "id")) == id) {
+              return Text(Member(item, "withdrawn")) == "yes";
+            }
+          }
+          return false;
+        },
+        outcome);
+  }
+  return Print(context, outcome, [&id](const Json::Value& body) {
+    return Member(body, "read_back").isBool()
+               ? "key " + id + " is withdrawn (read back)\n"
+               : ChangeText(body);
+  });
+}
+
+ExitCode RunList(const CommandContext& context, const Arguments&) {
+  return Print(context, Read(context, kKeysPath), [](const Json::Value& list) {
+    return ListText(list, {"id", "holder", "operator", "withdrawn", "created"});
+  });
+}
+
+}  // namespace
+
+std::vector<Command> KeyCommands() {
+  return {
+      {{"key", "generate"},
+       {},
+       {},
+       "print a new secret and its ID:SALT:DIGEST for the daemon's "
+       "--bootstrap_operator_key; calls no server",
+       &RunGenerate,
+       true},
+      {{"key", "give"},
+       {},
+       {"team", "operator"},
+       "give a key to a team or an operator; the secret is shown once",
+       &RunGive},
+      {{"key", "withdraw"}, {"ID"}, {}, "withdraw a key", &RunWithdraw},
+      {{"key", "list"}, {}, {}, "list the keys without secrets", &RunList},
+  };
+}
+
+}  // namespace daisyroad
