Entry: end a change with its acceptance

A key given 0.5 s after start was answered only after 10.1 s (the limit of a change): a zone had joined the roster after the version of the change, the acceptance had finished without it, and the service went on waiting for it.

--- a/Source/Core/Entry/control_service.cc
+++ b/Source/Core/Entry/control_service.cc
@@ -393,6 +393,11 @@
     }
     this->Apply(id, action);
   }
+  const auto found = this->running.find(id);
+  if (found != this->running.end() && found->second.outcome.accepted &&
+      found->second.acceptance->finished()) {
+    this->FinishChange(id, ChangeOutcome(found->second.outcome));
+  }
 }
 
 void ControlService::Apply(const ChangeId& id, const ChangeAction& action) {
@@ -439,11 +444,6 @@
                    this->FinishChange(id, tell.error);
                  }},
       action);
-  const auto found = this->running.find(id);
-  if (found != this->running.end() && found->second.outcome.accepted &&
-      this->EveryZoneInForce(found->second)) {
-    this->FinishChange(id, ChangeOutcome(found->second.outcome));
-  }
 }
 
 void ControlService::WriteParts(const ChangeId& id,
@@ -650,14 +650,4 @@
       });
 }
 
-bool ControlService::EveryZoneInForce(const Running& run) const {
-  for (const std::pair<const EntryName, RosterMember>& member :
-       this->document().roster().members) {
-    if (run.outcome.in_force.count(member.second.zone) == 0) {
-      return false;
-    }
-  }
-  return true;
-}
-
 }  // namespace daisyroad
--- a/Source/Core/Entry/control_service.h
+++ b/Source/Core/Entry/control_service.h
@@ -107,7 +107,6 @@
   void JoinRoster();
   void ReapMembers();
   void RemoveMember(const EntryName& name);
-  bool EveryZoneInForce(const Running& running) const;
 
   EntryContext* context;
   PeerService* peers;
