--- a/Source/Ctl/argument_parser.cc
+++ b/Source/Ctl/argument_parser.cc
@@ -60,6 +60,16 @@
          std::end(kOwnOptions);
 }
 
+// Calls do not depend on earlier ones. absl::FlagSaver is not used: it writes a
+// line to standard error for each flag that it restores.
+void ResetOptions() {
+  for (const char* name : kOwnOptions) {
+    absl::CommandLineFlag* const flag = absl::FindCommandLineFlag(name);
+    std::string fault;
+    flag->ParseFrom(flag->DefaultValue(), &fault);
+  }
+}
+
 // Reads the option at `index`, which is moved to its last word.
 Status ParseOption(const std::vector<std::string>& arguments,
                    std::size_t* index,
@@ -153,8 +163,7 @@
 }  // namespace
 
 Result<Invocation> ParseArguments(const std::vector<std::string>& arguments) {
-  // Restores the defaults, so that calls do not depend on earlier ones.
-  const absl::FlagSaver saver;
+  ResetOptions();
   Invocation invocation;
   bool only_words = false;
   for (std::size_t i = 0; i < arguments.size(); ++i) {
--- a/Source/Ctl/text_table.cc
+++ b/Source/Ctl/text_table.cc
@@ -32,7 +32,7 @@
   for (std::string& cell : cells) {
     ReplaceControlCharacters(&cell);
     if (cell.empty()) {
-      cell = "-";
+      cell.assign(1, '-');
     }
   }
   this->rows.push_back(std::move(cells));
