--- a/Source/Core/Entry/operator_api.cc
+++ b/Source/Core/Entry/operator_api.cc
@@ -171,10 +171,15 @@
         }
         const ControlService::ChangeOutcome& outcome = result.value();
         if (outcome.conflict) {
-          respond(PlainProblem(409, "conflict",
-                               "another change won: version " +
-                                   std::to_string(outcome.version) +
-                                   ", change " + outcome.winning_change));
+          HttpResponse response = PlainProblem(
+              409, "conflict",
+              "another change won: version " + std::to_string(outcome.version) +
+                  ", change " + outcome.winning_change);
+          Json::Value problem = ParseJson(response.body).value();
+          problem["version"] = Json::UInt64(outcome.version);
+          problem["change"] = outcome.winning_change;
+          response.body = WriteJson(problem);
+          respond(response);
           return;
         }
         Json::Value body = extra;
--- a/Source/Ctl/declaration_commands.cc
+++ b/Source/Ctl/declaration_commands.cc
@@ -146,26 +146,49 @@
   return base.asUInt64();
 }
 
+std::string DeclarationAt(const Json::Value& version) {
+  return Text(version).empty()
+             ? kDeclarationPath
+             : std::string(kDeclarationPath) + "?version=" + Text(version);
+}
+
+// The text is empty before the first declaration.
+Result<Declaration> ParseAnswer(const Json::Value& answer,
+                                const std::string& name) {
+  const std::string text = Text(Member(answer, "text"));
+  return text.empty() ? Result<Declaration>(Declaration())
+                      : ParseDeclaration(text, name);
+}
+
 // Shows what separates the winning version from the declaration that lost.
 // The declarations are compared here, since the server may not have the winning
 // version in force yet.
-void PrintWinner(const CommandContext& context, const std::string& mine) {
-  const CallOutcome winner = Read(context, kDeclarationPath);
-  const std::string version = Text(Member(winner.body, "version"));
-  const Result<Declaration> theirs =
-      ParseDeclaration(Text(Member(winner.body, "text")), kWinnerFile);
+void PrintWinner(const CommandContext& context,
+                 const Json::Value& winning_version,
+                 const Json::Value& base,
+                 const std::string& mine) {
+  const CallOutcome winner = Read(context, DeclarationAt(winning_version));
+  const Result<Declaration> theirs = ParseAnswer(winner.body, kWinnerFile);
   const Result<Declaration> own = ParseDeclaration(mine, "own declaration");
   if (!winner.ok() || !theirs.ok() || !own.ok()) {
-    context.err << "the winning version could not be read\n";
+    context.err << "the declaration of the winning version could not be read\n";
+    return;
+  }
+  const CallOutcome before = Read(context, DeclarationAt(base));
+  const std::string version = Text(Member(winner.body, "version"));
+  if (before.ok() &&
+      Member(before.body, "text") == Member(winner.body, "text")) {
+    context.err << "version " << version << " has the declaration of version "
+                << Text(base) << ", yours can be applied again\n";
     return;
   }
   const std::string difference =
       DiffText(DiffDeclarations(theirs.value(), own.value()));
-  context.err << "version " << version << " is in force; from it to yours:\n"
+  context.err << "difference from version " << version << " to yours:\n"
               << (difference.empty() ? "no changes\n" : difference);
 }
 
-// Writes `text` or rolls back to it on top of `base`.
+// Applies `text`, or rolls back to it, on top of the base version in `body`.
 ExitCode SubmitDeclaration(const CommandContext& context,
                            const std::string& path,
                            const Json::Value& body,
@@ -178,7 +201,8 @@
   }
   const ExitCode code = Print(context, outcome, ChangeText);
   if (code == ExitCode::kConflict) {
-    PrintWinner(context, text);
+    PrintWinner(context, Member(outcome.body, "version"), body["base_version"],
+                text);
   }
   return code;
 }
--- a/Tools/demo.sh
+++ b/Tools/demo.sh
@@ -170,6 +170,15 @@
   [[ $(operate status | awk '/^entry-/ && $4 == "yes"' | wc -l) -ge $ENTRIES ]]
 }
 
+# A declaration that races with an instance joining the roster loses. The
+# history comes from the store, so an instance may not have its versions yet.
+all_instances_joined() {
+  local history
+  history=$(operate history --limit 100) &&
+    [[ $(grep -cE 'add entry-[0-9.]+ to the roster' <<<"$history") -ge $ENTRIES ]] &&
+    every_entry_has "$(awk 'NR == 2 { print $1 }' <<<"$history")"
+}
+
 all_workers_live() {
   operate status | awk '/^POOLS/ { on = 1; getline; next } /^TEAMS/ { on = 0 } on && NF > 3 { want += $2; live += $3 } END { exit !(want > 0 && want == live) }'
 }
@@ -233,6 +242,7 @@
     --bootstrap_operator_key "$(sed -n 2p <<<"$GENERATED")"
 done
 wait_until 15 "entry instances know each other" all_instances_alive
+wait_until 15 "entry instances join the roster" all_instances_joined
 echo "${#PIDS[@]} processes run; ports are the defaults plus $OFFSET"
 
 say "Apply the declaration"
