--- a/Source/Core/Entry/control_service.cc
+++ b/Source/Core/Entry/control_service.cc
@@ -423,13 +423,6 @@
                  },
                  [this, &id](const CatchUp& catch_up) {
                    Running& run = this->running[id];
-                   if (this->document().version() >= catch_up.version) {
-                     // Nothing newer would be adopted to wake the change.
-                     this->Apply(
-                         id, run.acceptance->OnDocument(this->document(),
-                                                        this->contacts, Now()));
-                     return;
-                   }
                    run.waits_for_document = true;
                    run.wanted_version = catch_up.version;
                    this->ReadHead();
--- a/Source/UnitTests/Ctl/ctl_change_test.cc
+++ b/Source/UnitTests/Ctl/ctl_change_test.cc
@@ -1,4 +1,7 @@
+#include <unistd.h>
+
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 
 #include "UnitTests/Ctl/fake_site.h"
@@ -32,7 +35,10 @@
   DeclarationFile() { std::ofstream(this->path) << DeclarationText("north"); }
   ~DeclarationFile() { std::remove(this->path.c_str()); }
 
-  const std::string path = "ctl_test_declaration.toml";
+  const std::string path =
+      (std::filesystem::temp_directory_path() /
+       ("daisyroad_ctl_test_" + std::to_string(::getpid()) + ".toml"))
+          .string();
 };
 
 // Guards against a change that is based on another version than the one whose
