Worker: refuse commands meant for another incarnation

A drain, checkpoint or reboot that arrives after the reboot it was sent for would disrupt the new incarnation without a charge. Commands carry the incarnation; the stand-in answers 409 if it names another one. The outcome type of the fleet records is renamed because Limits declares another WriteOutcome in the same namespace.

--- a/Source/Core/Entry/cell_dispatcher.cc
+++ b/Source/Core/Entry/cell_dispatcher.cc
@@ -137,7 +137,8 @@
   const WorkerInfo* worker = this->directory->Find(found->second.worker);
   if (worker != nullptr) {
     this->context->workers->Command(
-        worker->listed.address, WorkerCommand::kStop, id, [](const Status&) {});
+        worker->listed.address, WorkerCommand::kStop, id, "",
+        [](const Status&) {});
   }
 }
 
@@ -619,7 +620,7 @@
                                       ? WorkerCommand::kCheckpoint
                                       : WorkerCommand::kThrottle;
     this->context->workers->Command(
-        worker->listed.address, command, decision.task,
+        worker->listed.address, command, decision.task, "",
         [this, id = decision.task](const Status& status) {
           if (!status.ok()) {
             this->queue.ReclaimFailed(id, Now());
--- a/Source/Core/Fleet/pool_ledger.cc
+++ b/Source/Core/Fleet/pool_ledger.cc
@@ -62,6 +62,14 @@
       worker, known == nullptr ? PoolName() : known->value.pool, cycle, change);
 }
 
+Result<WriteInstance> PoolLedger::RequestDrain(
+    const WorkerName& worker,
+    const std::string& change) const {
+  const Versioned<InstanceRecord>* known = this->Find(worker);
+  return this->Request(
+      worker, known == nullptr ? PoolName() : known->value.pool, 0, change);
+}
+
 Result<WriteInstance> PoolLedger::Request(const WorkerName& worker,
                                           const PoolName& target,
                                           std::int64_t cycle,
@@ -85,15 +93,15 @@
   return write;
 }
 
-WriteOutcome PoolLedger::JudgeWrite(
+RecordWriteOutcome PoolLedger::JudgeWrite(
     const WriteInstance& write,
     const std::optional<Versioned<InstanceRecord>>& read_back) {
   if (read_back && read_back->value.HasChange(write.change)) {
-    return WriteOutcome::kApplied;
+    return RecordWriteOutcome::kApplied;
   }
   const std::int64_t version = read_back ? read_back->version : 0;
-  return version == write.expected_version ? WriteOutcome::kNotApplied
-                                           : WriteOutcome::kSuperseded;
+  return version == write.expected_version ? RecordWriteOutcome::kNotApplied
+                                           : RecordWriteOutcome::kSuperseded;
 }
 
 }  // namespace daisyroad
--- a/Source/Core/Fleet/pool_ledger.h
+++ b/Source/Core/Fleet/pool_ledger.h
@@ -17,7 +17,7 @@
 using InstanceTable = std::map<WorkerName, Versioned<InstanceRecord>>;
 
 // What became of a write whose answer was lost, judged from a later read.
-enum class WriteOutcome {
+enum class RecordWriteOutcome {
   kApplied,
   kNotApplied,  // the record is unchanged; the same write may be repeated
   kSuperseded,  // another writer won; show its record to the operator
@@ -47,7 +47,12 @@
                                            std::int64_t cycle,
                                            const std::string& change) const;
 
-  static WriteOutcome JudgeWrite(
+  // The write that drains and reboots an instance in its pool on request of an
+  // operator, outside the maintenance plan and its windows.
+  Result<WriteInstance> RequestDrain(const WorkerName& worker,
+                                     const std::string& change) const;
+
+  static RecordWriteOutcome JudgeWrite(
       const WriteInstance& write,
       const std::optional<Versioned<InstanceRecord>>& read_back);
 
--- a/Source/Core/Platform/http_worker_client.cc
+++ b/Source/Core/Platform/http_worker_client.cc
@@ -252,18 +252,25 @@
 void HttpWorkerClient::Command(const std::string& address,
                                WorkerCommand command,
                                const TaskId& task,
+                               const std::string& incarnation,
                                CommandCallback callback) {
   const std::string prefix =
       task.empty() ? "/v1/" : "/v1/tasks/" + task.str() + "/";
   const std::string step = std::string("worker.") + CommandName(command);
-  this->Exchange("POST", address, prefix + CommandName(command), "{}",
-                 this->timeout, false, step,
+  Json::Value request(Json::objectValue);
+  if (!incarnation.empty()) {
+    request["incarnation"] = incarnation;
+  }
+  this->Exchange("POST", address, prefix + CommandName(command),
+                 WriteJson(request), this->timeout, false, step,
                  [callback = std::move(callback), address, step](
                      const Result<Json::Value>& body, int status) {
                    if (!body.ok()) {
                      callback(body.error());
                    } else if (status >= 300) {
-                     callback(Error{Errc::kNotFound, step, address,
+                     const Errc code =
+                         status == 409 ? Errc::kConflict : Errc::kNotFound;
+                     callback(Error{code, step, address,
                                     "status " + std::to_string(status)});
                    } else {
                      callback(OkStatus());
--- a/Source/Core/Platform/http_worker_client.h
+++ b/Source/Core/Platform/http_worker_client.h
@@ -43,6 +43,7 @@
   void Command(const std::string& address,
                WorkerCommand command,
                const TaskId& task,
+               const std::string& incarnation,
                CommandCallback callback) override;
 
  private:
--- a/Source/Core/Platform/worker_client.h
+++ b/Source/Core/Platform/worker_client.h
@@ -53,10 +53,12 @@
   virtual void Status(const std::string& address,
                       bool fresh_connection,
                       StatusCallback callback) = 0;
-  // `task` is empty for kDrain and kReboot.
+  // `task` is empty for kDrain and kReboot. A worker of another incarnation
+  // than `incarnation` refuses the command (kConflict); empty: any incarnation.
   virtual void Command(const std::string& address,
                        WorkerCommand command,
                        const TaskId& task,
+                       const std::string& incarnation,
                        CommandCallback callback) = 0;
 };
 
--- a/Source/StandIns/Worker/worker_server.cc
+++ b/Source/StandIns/Worker/worker_server.cc
@@ -151,6 +151,8 @@
     this->ServeLeases(body.value(), respond);
   } else if (request.path == "/v1/finished") {
     this->ServeFinished(body.value(), respond);
+  } else if (!this->IsMeant(body.value())) {
+    respond(JsonReply(409, this->Envelope()));
   } else if (request.path == "/v1/drain") {
     this->state.Drain();
     this->options.on_state(true);
@@ -189,6 +191,11 @@
   const TaskId id(rest.substr(0, slash));
   const std::string command =
       slash == std::string::npos ? "" : rest.substr(slash + 1);
+  const Result<Json::Value> body = ParseJson(request.body);
+  if (body.ok() && !this->IsMeant(body.value())) {
+    respond(JsonReply(409, this->Envelope()));
+    return;
+  }
   bool found = false;
   if (command == "stop") {
     found = this->state.Stop(id, now);
@@ -284,6 +291,11 @@
   });
 }
 
+bool WorkerServer::IsMeant(const Json::Value& body) const {
+  return !body.isObject() || !body["incarnation"].isString() ||
+         body["incarnation"].asString() == this->state.incarnation();
+}
+
 Json::Value WorkerServer::Envelope() const {
   Json::Value body;
   body["worker_now_ms"] =
--- a/Source/StandIns/Worker/worker_server.h
+++ b/Source/StandIns/Worker/worker_server.h
@@ -57,6 +57,8 @@
   void ServeFinished(const Json::Value& body, const HttpResponder& respond);
   void ServeStatus(const HttpResponder& respond);
   void Reboot();
+  // False if a command names another incarnation than the one that runs.
+  bool IsMeant(const Json::Value& body) const;
   Json::Value Envelope() const;
   Json::Value Describe(const WorkerState::Task& task) const;
   Json::Value FinishedBody(const std::string& holder) const;
--- a/Source/UnitTests/Fleet/fake_fleet.cc
+++ b/Source/UnitTests/Fleet/fake_fleet.cc
@@ -216,7 +216,7 @@
   if (request_lost || this->random.Chance(0.05)) {
     ++this->lost_answers;
     const bool applied = repeated || (expected && !request_lost);
-    if ((PoolLedger::JudgeWrite(write, stored) == WriteOutcome::kApplied) !=
+    if ((PoolLedger::JudgeWrite(write, stored) == RecordWriteOutcome::kApplied) !=
         applied) {
       this->checker.Fail("lost answer judged wrongly");
     }
--- a/Source/UnitTests/Fleet/fleet_test.cc
+++ b/Source/UnitTests/Fleet/fleet_test.cc
@@ -72,11 +72,11 @@
   REQUIRE(second.ok());
   const Versioned<InstanceRecord> stored{first.value().record, 6};
   CHECK(PoolLedger::JudgeWrite(first.value(), stored) ==
-        WriteOutcome::kApplied);
+        RecordWriteOutcome::kApplied);
   CHECK(PoolLedger::JudgeWrite(second.value(), stored) ==
-        WriteOutcome::kSuperseded);
+        RecordWriteOutcome::kSuperseded);
   CHECK(PoolLedger::JudgeWrite(second.value(), Instance("w", 5)) ==
-        WriteOutcome::kNotApplied);
+        RecordWriteOutcome::kNotApplied);
   ledger.Apply(stored);
   ledger.Apply(Instance("w", 5));
   CHECK_FALSE(
