Fleet: run moves and maintenance in the daemon

One instance of the site, chosen by rendezvous hashing among the live members, reads the fleet records, probes workers and carries out the actions of WaveExecutor; the others take the records from it over fleet.records, or from the store. A worker is reported as drained only when its ended tasks are acknowledged, since a reboot loses answers that no dispatcher has collected.

--- a/Source/Core/Entry/entry_instance.cc
+++ b/Source/Core/Entry/entry_instance.cc
@@ -14,6 +14,8 @@
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/fleet_api.h"
+#include "Core/Entry/fleet_service.h"
 #include "Core/Entry/limit_service.h"
 #include "Core/Entry/operator_api.h"
 #include "Core/Entry/peer_service.h"
@@ -39,6 +41,7 @@
 // After the last task has ended: answers under way and the removal from the
 // roster get this time. An instance that could not leave is removed by others.
 constexpr Milliseconds kLeaveTime{1000};
+constexpr Milliseconds kFleetRecordsTimeout{1000};
 
 std::string MakeIncarnation(const std::string& name) {
   const std::int64_t now =
@@ -113,12 +116,18 @@
               &this->dispatch,
               &this->directory,
               &this->claims),
+        fleet(&this->context, this->MakeFleetSources(), &this->directory),
+        fleet_api(&this->fleet,
+                  &this->directory,
+                  [this]() -> const Declaration& {
+                    return this->control.declaration();
+                  }),
         caller_api(&this->context, &this->control, &this->tasks),
-        operator_api(
-            &this->context,
-            OperatorApi::Services{&this->peers, &this->control, &this->dispatch,
-                                  &this->tasks, &this->directory},
-            std::move(bootstrap_key)) {}
+        operator_api(&this->context,
+                     OperatorApi::Services{&this->peers, &this->control,
+                                           &this->dispatch, &this->tasks,
+                                           &this->directory, &this->fleet_api},
+                     std::move(bootstrap_key)) {}
 
   Status Run() {
     this->AddRpcMethods();
@@ -150,6 +159,7 @@
         [this](const TeamName& team) { this->limits.OnFinished(team); });
     this->limits.Start();
     this->tasks.Start();
+    this->fleet.Start();
     this->peers.Start([this]() { return this->control.Report(); },
                       [this](const PeerReport& report, MonotonicTime sent) {
                         this->control.OnPeerReply(report, sent);
@@ -187,6 +197,34 @@
     return &this->context;
   }
 
+  FleetSources MakeFleetSources() {
+    FleetSources sources;
+    sources.now = []() { return Now(); };
+    sources.wall_clock = []() { return std::chrono::system_clock::now(); };
+    sources.confirmed = [this]() {
+      return this->control.Assess().state == AuthorityState::kConfirmed;
+    };
+    sources.declaration = [this]() -> const Declaration& {
+      return this->control.declaration();
+    };
+    sources.zones_out = [this]() -> const std::set<ZoneName>& {
+      return this->control.document().zones_out();
+    };
+    sources.live = [this]() { return this->peers.LiveNames(); };
+    sources.ask = [this](const EntryName& peer, const Json::Value& params,
+                         const FleetSources::AnswerCallback& callback) {
+      const std::optional<std::string> address = this->peers.AddressOf(peer);
+      if (address) {
+        this->rpc.Call(*address, "fleet.records", params, kFleetRecordsTimeout,
+                       callback);
+      } else {
+        callback(Error{Errc::kUnavailable, "fleet.records", peer.str(),
+                       "no address"});
+      }
+    };
+    return sources;
+  }
+
   void AddRpcMethods() {
     this->rpc_server.AddMethod("peer.exchange", [this](const Json::Value& p) {
       return this->peers.Exchange(p);
@@ -207,6 +245,9 @@
     this->rpc_server.AddMethod("dispatch.cancel", [this](const Json::Value& p) {
       return this->dispatch.ServeCancel(p);
     });
+    this->rpc_server.AddMethod("fleet.records", [this](const Json::Value& p) {
+      return this->fleet.ServeRecords(p);
+    });
     this->rpc_server.AddMethod("claims.witness", [this](const Json::Value&) {
       return this->claims.ServeWitness();
     });
@@ -306,6 +347,8 @@
   LimitService limits;
   ClaimService claims;
   TaskService tasks;
+  FleetService fleet;
+  FleetApi fleet_api;
   CallerApi caller_api;
   OperatorApi operator_api;
   RpcServer rpc_server;
--- a/Source/Core/Entry/operator_api.cc
+++ b/Source/Core/Entry/operator_api.cc
@@ -10,6 +10,7 @@
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/fleet_api.h"
 #include "Core/Entry/peer_service.h"
 #include "Core/Entry/problem.h"
 #include "Core/Entry/task_service.h"
@@ -104,7 +105,6 @@
       {"rollback", &OperatorApi::Rollback},
       {"keys", &OperatorApi::Keys},
       {"zones", &OperatorApi::Zones},
-      {"pools", &OperatorApi::Pools},
       {"tasks", &OperatorApi::Task},
       {"tail", &OperatorApi::Tail},
   };
@@ -114,6 +114,9 @@
     return;
   }
   const std::string path = request.path.substr(sizeof(kPrefix) - 1);
+  if (this->services.fleet->Handle(request, path, author.value(), respond)) {
+    return;
+  }
   const std::size_t slash = path.find('/');
   const auto handler = kHandlers.find(path.substr(0, slash));
   if (handler == kHandlers.end()) {
@@ -509,28 +512,6 @@
                Json::Value(Json::objectValue), respond);
 }
 
-void OperatorApi::Pools(const HttpRequest&,
-                        const std::string&,
-                        const HttpResponder& respond) {
-  Json::Value list(Json::arrayValue);
-  for (const Pool& pool : this->services.control->declaration().pools) {
-    Json::Value item;
-    item["pool"] = pool.name.str();
-    item["instances"] = Json::Value(Json::arrayValue);
-    for (const WorkerInfo* worker :
-         this->services.directory->InPool(pool.name)) {
-      Json::Value instance;
-      instance["name"] = worker->listed.name.str();
-      instance["zone"] = worker->listed.zone.str();
-      instance["rack"] = worker->listed.rack.str();
-      instance["state"] = worker->leaving ? "leaving" : "live";
-      item["instances"].append(instance);
-    }
-    list.append(item);
-  }
-  respond(JsonResponse(list));
-}
-
 void OperatorApi::Task(const HttpRequest&,
                        const std::string& rest,
                        const HttpResponder& respond) {
--- a/Source/Core/Entry/operator_api.h
+++ b/Source/Core/Entry/operator_api.h
@@ -18,6 +18,7 @@
 
 struct EntryContext;
 class DispatchService;
+class FleetApi;
 class PeerService;
 class TaskService;
 class WorkerDirectory;
@@ -31,6 +32,7 @@
     DispatchService* dispatch = nullptr;
     TaskService* tasks = nullptr;
     WorkerDirectory* directory = nullptr;
+    FleetApi* fleet = nullptr;
   };
 
   // `bootstrap_key` is accepted while no operator's key has been given.
@@ -63,7 +65,6 @@
   void Rollback(const HttpRequest&, const std::string&, const HttpResponder&);
   void Keys(const HttpRequest&, const std::string&, const HttpResponder&);
   void Zones(const HttpRequest&, const std::string&, const HttpResponder&);
-  void Pools(const HttpRequest&, const std::string&, const HttpResponder&);
   void Task(const HttpRequest&, const std::string&, const HttpResponder&);
   void Tail(const HttpRequest&, const std::string&, const HttpResponder&);
 
--- a/Source/Core/Platform/http_worker_client.cc
+++ b/Source/Core/Platform/http_worker_client.cc
@@ -111,6 +111,7 @@
   status.incarnation = body["incarnation"].asString();
   status.slots = body["slots"].asInt();
   status.leaving = body["leaving"].asBool();
+  status.uncollected = body["uncollected"].asInt();
   for (const Json::Value& item : body["running"]) {
     status.running.emplace_back(item["id"].asString());
     status.holders[item["id"].asString()] = item["holder"].asString();
--- a/Source/Core/Platform/worker_messages.h
+++ b/Source/Core/Platform/worker_messages.h
@@ -74,6 +74,7 @@
   int slots = 0;
   bool leaving = false;
   std::vector<TaskId> running;
+  int uncollected = 0;  // ended tasks that their holders have not acknowledged
   std::map<std::string, std::string> holders;  // task -> holder
 };
 
--- a/Source/Core/Transport/http_message.h
+++ b/Source/Core/Transport/http_message.h
@@ -14,8 +14,9 @@
 
 struct HttpRequest {
   std::string method;
-  std::string path;                          // decoded, without the query
-  std::map<std::string, std::string> query;  // decoded
+  std::string path;  // decoded, without the query
+  // Decoded; the values of a repeated parameter are joined by commas.
+  std::map<std::string, std::string> query;
   HttpHeaders headers;
   std::string body;
   std::string peer;  // address and port of the client
--- a/Source/Core/Transport/http_server.cc
+++ b/Source/Core/Transport/http_server.cc
@@ -49,8 +49,8 @@
             source.header().query());
     for (const restinio::query_string_params_t::parameters_container_t::
              value_type& parameter : parameters) {
-      request->query[std::string(parameter.first)] =
-          std::string(parameter.second);
+      std::string& value = request->query[std::string(parameter.first)];
+      value += (value.empty() ? "" : ",") + std::string(parameter.second);
     }
   } catch (const std::exception&) {
     return false;
--- a/Source/StandIns/Worker/worker_server.cc
+++ b/Source/StandIns/Worker/worker_server.cc
@@ -270,6 +270,7 @@
 void WorkerServer::ServeStatus(const HttpResponder& respond) {
   Json::Value reply = this->Envelope();
   reply["slots"] = this->state.slots();
+  reply["uncollected"] = this->state.Uncollected();
   reply["running"] = Json::Value(Json::arrayValue);
   for (const WorkerState::Task* task : this->state.Running()) {
     Json::Value item;
--- a/Source/StandIns/Worker/worker_state.cc
+++ b/Source/StandIns/Worker/worker_state.cc
@@ -237,6 +237,15 @@
   return finished;
 }
 
+int WorkerState::Uncollected() const {
+  return static_cast<int>(
+      std::count_if(this->tasks.begin(), this->tasks.end(),
+                    [](const std::pair<const TaskId, Task>& entry) {
+                      return entry.second.state != WorkerTaskState::kRunning &&
+                             !entry.second.acknowledged;
+                    }));
+}
+
 WorkerClock WorkerState::Clock(MonotonicTime now) const {
   return std::chrono::duration_cast<WorkerClock>(now - this->boot);
 }
--- a/Source/StandIns/Worker/worker_state.h
+++ b/Source/StandIns/Worker/worker_state.h
@@ -69,6 +69,8 @@
   std::vector<const Task*> Running() const;
   // Ended tasks of the holder that it has not acknowledged.
   std::vector<const Task*> Finished(const std::string& holder) const;
+  // Number of ended tasks that no holder has acknowledged.
+  int Uncollected() const;
   const std::vector<StartRecord>& starts() const { return this->records; }
   WorkerClock Clock(MonotonicTime now) const;
   const std::string& incarnation() const { return this->incarnation_name; }
