--- a/Source/Core/Entry/fleet_records.cc
+++ b/Source/Core/Entry/fleet_records.cc
@@ -93,7 +93,7 @@
         !item["value"].isString() || !item["version"].isUInt64()) {
       return Malformed("", "an entry needs key, value and version");
     }
-    const Status applied =
+    Status applied =
         this->Apply(StoreEntry{item["key"].asString(), item["value"].asString(),
                                item["version"].asUInt64()});
     if (!applied.ok()) {
--- a/Source/Core/Entry/fleet_requests.cc
+++ b/Source/Core/Entry/fleet_requests.cc
@@ -37,7 +37,7 @@
 
 void FleetRequests::Move(const WorkerName& worker,
                          const PoolName& target,
-                         StepCallback callback) {
+                         const StepCallback& callback) {
   if (this->sources.declaration().FindPool(target) == nullptr) {
     callback(Error{Errc::kNotFound, "fleet.request", worker.str(),
                    "no pool \"" + target.str() + "\""});
@@ -55,7 +55,8 @@
       callback);
 }
 
-void FleetRequests::Drain(const WorkerName& worker, StepCallback callback) {
+void FleetRequests::Drain(const WorkerName& worker,
+                          const StepCallback& callback) {
   this->Request(
       worker, "drain",
       [this, worker](const std::string& change) {
@@ -122,7 +123,7 @@
 
 void FleetRequests::SetPaused(bool paused,
                               const std::string& author,
-                              PauseCallback callback) {
+                              const PauseCallback& callback) {
   if (!this->sources.confirmed()) {
     callback(NoAuthority(kPauseKey));
     return;
--- a/Source/Core/Entry/fleet_requests.h
+++ b/Source/Core/Entry/fleet_requests.h
@@ -31,13 +31,13 @@
   // another operation, or another operator was faster.
   void Move(const WorkerName& worker,
             const PoolName& target,
-            StepCallback callback);
+            const StepCallback& callback);
   // Drains and reboots the instance, which then returns to its pool.
-  void Drain(const WorkerName& worker, StepCallback callback);
+  void Drain(const WorkerName& worker, const StepCallback& callback);
   // Holds, or allows, the beginning of maintenance in the whole site.
   void SetPaused(bool paused,
                  const std::string& author,
-                 PauseCallback callback);
+                 const PauseCallback& callback);
 
  private:
   using Decide = std::function<Result<WriteInstance>(const std::string&)>;
--- a/Source/Core/Entry/fleet_store.cc
+++ b/Source/Core/Entry/fleet_store.cc
@@ -60,7 +60,7 @@
   });
 }
 
-void FleetStore::Put(const Write& write, WriteCallback callback) {
+void FleetStore::Put(const Write& write, const WriteCallback& callback) {
   this->Attempt(write, kAttempts, callback);
 }
 
--- a/Source/Core/Entry/fleet_store.h
+++ b/Source/Core/Entry/fleet_store.h
@@ -40,7 +40,7 @@
   // One list of each prefix and the pause record.
   void ReadAll(ReadCallback callback);
   void ReadOne(const std::string& key, ReadCallback callback);
-  void Put(const Write& write, WriteCallback callback);
+  void Put(const Write& write, const WriteCallback& callback);
 
  private:
   // The answer of a write can be lost, and repeating it is safe because it is
--- a/Source/Core/Entry/worker_directory.cc
+++ b/Source/Core/Entry/worker_directory.cc
@@ -126,8 +126,9 @@
     WorkerInfo& worker = this->infos[instance.name];
     const bool changed =
         !(worker.listed == instance) || !worker.present || worker.pool.empty();
-    if (instance.leaving && !worker.listed.leaving) {
-      worker.leaving = true;
+    // Also back: only the instances of its zone hear from the worker itself.
+    if (instance.leaving != worker.listed.leaving) {
+      worker.leaving = instance.leaving;
     }
     worker.listed = instance;
     worker.present = true;
--- a/Source/UnitTests/Entry/fleet_service_test.cc
+++ b/Source/UnitTests/Entry/fleet_service_test.cc
@@ -211,6 +211,24 @@
   CHECK(world.store.entries.empty());
 }
 
+// Guards against callers who are told that no worker is in service because an
+// instance of another zone never learns that a maintained worker is back.
+TEST_CASE("A worker that the list shows as live again is no longer leaving") {
+  FleetWorld world;
+  const WorkerInfo* const seen = world.Other().directory->Find(kWeb1);
+  world.list.leaving.insert("web-1");
+  bool left = false;
+  // The directory reads the list every millisecond.
+  world.loop.After(Milliseconds(50), [&]() {
+    left = seen->leaving;
+    world.list.leaving.clear();
+  });
+  world.loop.After(Milliseconds(100), [&]() { world.loop.Stop(); });
+  world.loop.Run();
+  CHECK(left);
+  CHECK_FALSE(seen->leaving);
+}
+
 // Guards against a load on the store that grows with the instances.
 TEST_CASE("Only the leading instance lists the records") {
   FleetWorld world;
--- a/Source/UnitTests/Entry/fleet_world.cc
+++ b/Source/UnitTests/Entry/fleet_world.cc
@@ -8,24 +8,6 @@
 namespace daisyroad {
 namespace {
 
-class FixedList : public InstanceListClient {
- public:
-  void Fetch(Callback callback) override {
-    std::vector<ListedInstance> instances;
-    for (const char* name : {"web-1", "web-2", "web-3", "spare-1"}) {
-      ListedInstance instance;
-      instance.name = WorkerName(name);
-      instance.address = name;
-      instance.zone = ZoneName("north");
-      instance.rack = RackName("north-1");
-      instance.initial_pool =
-          PoolName(name == std::string("spare-1") ? "spare" : "web");
-      instances.push_back(instance);
-    }
-    callback(instances);
-  }
-};
-
 Declaration MakeDeclaration() {
   Declaration declaration;
   declaration.zones.push_back({ZoneName("north"), "hills"});
@@ -46,12 +28,29 @@
 
 }  // namespace
 
+void FleetWorld::List::Fetch(Callback callback) {
+  std::vector<ListedInstance> instances;
+  for (const char* name : {"web-1", "web-2", "web-3", "spare-1"}) {
+    ListedInstance instance;
+    instance.name = WorkerName(name);
+    instance.address = name;
+    instance.zone = ZoneName("north");
+    instance.rack = RackName("north-1");
+    instance.initial_pool =
+        PoolName(name == std::string("spare-1") ? "spare" : "web");
+    instance.leaving = this->leaving.count(name) != 0;
+    instances.push_back(instance);
+  }
+  callback(instances);
+}
+
 FleetWorld::Entry::Entry(FleetWorld* world, const std::string& name)
     : decisions(&this->metrics, 1000) {
   this->context.self = EntryName(name);
+  this->context.settings.instance_list_interval = Milliseconds(1);
   this->context.loop = &world->loop;
   this->context.store = &world->store;
-  this->context.instance_list = world->list.get();
+  this->context.instance_list = &world->list;
   this->context.workers = &world->workers;
   this->context.metrics = &this->metrics;
   this->context.decisions = &this->decisions;
@@ -61,8 +60,7 @@
   this->directory->Start();
 }
 
-FleetWorld::FleetWorld()
-    : list(std::make_unique<FixedList>()), declaration(MakeDeclaration()) {
+FleetWorld::FleetWorld() : declaration(MakeDeclaration()) {
   InitializeLogging(LogLevel::kError);
   for (const char* name : {"web-1", "web-2", "web-3", "spare-1"}) {
     this->workers.Boot(name);
--- a/Source/UnitTests/Entry/fleet_world.h
+++ b/Source/UnitTests/Entry/fleet_world.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,11 @@
 // "web", of whose service "site" one may be down, and spare-1 in "spare".
 class FleetWorld {
  public:
+  struct List : public InstanceListClient {
+    void Fetch(Callback callback) override;
+
+    std::set<std::string> leaving;
+  };
   struct Entry {
     Entry(FleetWorld* world, const std::string& name);
 
@@ -56,7 +62,7 @@
   EventLoop loop;
   FleetFakeStore store;
   FleetFakeWorkers workers;
-  std::unique_ptr<InstanceListClient> list;
+  List list;
   Declaration declaration;
   std::set<ZoneName> zones_out;
   MonotonicTime now{std::chrono::hours(1)};
