--- /dev/null
+++ b/Source/Core/Diagnosis/burst.h
@@ -0,0 +1,22 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_BURST_H_
+#define SOURCE_CORE_DIAGNOSIS_BURST_H_
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "Core/Common/time.h"
+
+namespace daisyroad {
+
+// Faults come in bursts; single failures spread over the span are ordinary.
+constexpr std::chrono::seconds kBurstWindow{8};
+
+// Start of the first `count` times that lie within kBurstWindow; nothing if
+// there is no such burst.
+std::optional<MonotonicTime> BurstOnset(std::vector<MonotonicTime> times,
+                                        std::size_t count);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_BURST_H_
--- /dev/null
+++ b/Source/Core/Diagnosis/diagnosis_scope.h
@@ -0,0 +1,44 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_DIAGNOSIS_SCOPE_H_
+#define SOURCE_CORE_DIAGNOSIS_DIAGNOSIS_SCOPE_H_
+
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Diagnosis/observation.h"
+#include "Core/Diagnosis/question.h"
+
+namespace daisyroad {
+
+struct Declaration;
+
+// Selects the observations that bear on a question. Observations of paths, the
+// store and the configuration bear on every question.
+class DiagnosisScope {
+ public:
+  DiagnosisScope(const Question& question,
+                 const Declaration& declaration,
+                 const std::vector<Observation>& observations);
+
+  std::vector<Observation> Select(
+      const std::vector<Observation>& observations) const;
+  // The timeline of the task in question, if one was observed.
+  const std::optional<TaskTimeline>& timeline() const { return this->task; }
+
+ private:
+  void AddService(const ServiceName& service, const Declaration& declaration);
+  bool Covers(const Observation& observation) const;
+
+  bool everything = false;
+  MonotonicTime from;
+  MonotonicTime to;
+  std::optional<TaskTimeline> task;
+  std::set<ServiceName> services;
+  std::set<PoolName> pools;
+  std::set<QueueName> queues;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_DIAGNOSIS_SCOPE_H_
--- /dev/null
+++ b/Source/Core/Diagnosis/evidence_sink.h
@@ -0,0 +1,17 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_EVIDENCE_SINK_H_
+#define SOURCE_CORE_DIAGNOSIS_EVIDENCE_SINK_H_
+
+#include "Core/Diagnosis/observation.h"
+
+namespace daisyroad {
+
+// Takes the observations of the services of an entry instance.
+class EvidenceSink {
+ public:
+  virtual ~EvidenceSink() = default;
+  virtual void Record(ObservationDetail detail) = 0;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_EVIDENCE_SINK_H_
--- /dev/null
+++ b/Source/Core/Diagnosis/explanation_row.h
@@ -0,0 +1,19 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_EXPLANATION_ROW_H_
+#define SOURCE_CORE_DIAGNOSIS_EXPLANATION_ROW_H_
+
+#include <string>
+
+#include "Core/Common/time.h"
+
+namespace daisyroad {
+
+struct ExplanationRow {
+  MonotonicTime at;
+  std::string observation;
+  std::string speaks_for;      // verdicts, separated by ", "; may be empty
+  std::string speaks_against;  // likewise
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_EXPLANATION_ROW_H_
--- /dev/null
+++ b/Source/Core/Diagnosis/short_deadline.h
@@ -0,0 +1,19 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_SHORT_DEADLINE_H_
+#define SOURCE_CORE_DIAGNOSIS_SHORT_DEADLINE_H_
+
+#include "Core/Common/identifiers.h"
+#include "Core/Common/time.h"
+
+namespace daisyroad {
+
+// A caller's deadline below the usual run time of the queue.
+struct ShortDeadline {
+  TaskId task;
+  QueueName queue;
+  Milliseconds deadline{0};
+  Milliseconds usual_run{0};
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_SHORT_DEADLINE_H_
--- /dev/null
+++ b/Source/Core/Diagnosis/verdict.h
@@ -0,0 +1,21 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_VERDICT_H_
+#define SOURCE_CORE_DIAGNOSIS_VERDICT_H_
+
+namespace daisyroad {
+
+enum class Verdict {
+  kNetwork,
+  kStore,
+  kWorker,
+  kConfiguration,
+  kOverload,
+  kCallerDeadline,
+  kNotKnown
+};
+
+// As in docs/api.md, for example "caller_deadline".
+const char* VerdictName(Verdict verdict);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_VERDICT_H_
--- /dev/null
+++ b/Source/Core/Diagnosis/version_adopted.h
@@ -0,0 +1,27 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_VERSION_ADOPTED_H_
+#define SOURCE_CORE_DIAGNOSIS_VERSION_ADOPTED_H_
+
+#include <cstdint>
+#include <string>
+
+namespace daisyroad {
+
+enum class ConfigurationEffect {
+  kLimit,
+  kZoneOut,
+  kKeyWithdrawn,
+  kQueue,
+  kOther
+};
+
+// A configuration version came into force. A version that changes several
+// things gives several observations.
+struct VersionAdopted {
+  std::uint64_t version = 0;
+  ConfigurationEffect effect = ConfigurationEffect::kOther;
+  std::string subject;  // team, zone, key's holder or queue
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_VERSION_ADOPTED_H_
--- /dev/null
+++ b/Source/Core/Diagnosis/worker_restarted.h
@@ -0,0 +1,16 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_WORKER_RESTARTED_H_
+#define SOURCE_CORE_DIAGNOSIS_WORKER_RESTARTED_H_
+
+#include "Core/Common/identifiers.h"
+
+namespace daisyroad {
+
+// The worker's incarnation changed.
+struct WorkerRestarted {
+  WorkerName worker;
+  PoolName pool;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_WORKER_RESTARTED_H_
--- /dev/null
+++ b/Source/Core/Diagnosis/worker_results.h
@@ -0,0 +1,20 @@
+#ifndef SOURCE_CORE_DIAGNOSIS_WORKER_RESULTS_H_
+#define SOURCE_CORE_DIAGNOSIS_WORKER_RESULTS_H_
+
+#include <cstdint>
+
+#include "Core/Common/identifiers.h"
+
+namespace daisyroad {
+
+// Tasks that ended on a worker since the last observation.
+struct WorkerResults {
+  WorkerName worker;
+  PoolName pool;
+  std::uint32_t done = 0;
+  std::uint32_t failed = 0;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_DIAGNOSIS_WORKER_RESULTS_H_
