--- a/Source/Core/Diagnosis/connection_rules.cc
+++ b/Source/Core/Diagnosis/connection_rules.cc
@@ -7,6 +7,7 @@
 
 #include "Core/Diagnosis/burst.h"
 #include "Core/Diagnosis/diagnosis_rules.h"
+#include "Core/Diagnosis/exchange_witnesses.h"
 #include "Core/Diagnosis/observation_filter.h"
 
 namespace daisyroad {
@@ -53,18 +54,6 @@
   return witnesses;
 }
 
-// Instances that fail to reach workers of their own zone.
-std::set<EntryName> TroubledObservers(const Observations& observations) {
-  std::set<EntryName> troubled;
-  ForEach<WorkerContact>(
-      observations, [&troubled](MonotonicTime, const WorkerContact& contact) {
-        if (!contact.reached && contact.from == contact.to) {
-          troubled.insert(contact.observer);
-        }
-      });
-  return troubled;
-}
-
 // Another zone reached the worker after this contact failed, and no instance of
 // the same zone did.
 bool OnlyOthersReach(const std::vector<Witness>& witnesses,
@@ -87,11 +76,12 @@
     const Observations& observations) {
   std::map<WorkerName, std::vector<Witness>> witnesses =
       WitnessesOf(observations);
-  const std::set<EntryName> troubled = TroubledObservers(observations);
+  const ExchangeWitnesses exchanges(observations);
   std::map<ZonePair, WorkerPath> paths;
   ForEach<WorkerContact>(
       observations, [&](MonotonicTime at, const WorkerContact& contact) {
-        if (!contact.reached && troubled.count(contact.observer) == 0 &&
+        if (!contact.reached &&
+            exchanges.Prompt(contact.observer, at, ZoneName()) &&
             OnlyOthersReach(witnesses[contact.worker], contact.from, at)) {
           WorkerPath& path = paths[{contact.from, contact.to}];
           path.unreached.push_back(at);
--- a/Source/Core/Diagnosis/diagnosis_rules.h
+++ b/Source/Core/Diagnosis/diagnosis_rules.h
@@ -14,6 +14,7 @@
     std::optional<Finding> (*)(const std::vector<Observation>& observations);
 
 std::optional<Finding> FindPathCut(const std::vector<Observation>&);
+std::optional<Finding> FindIsolatedZone(const std::vector<Observation>&);
 std::optional<Finding> FindSilentConnections(const std::vector<Observation>&);
 std::optional<Finding> FindWorkerPathCut(const std::vector<Observation>&);
 std::optional<Finding> FindStorePathCut(const std::vector<Observation>&);
--- a/Source/Core/Diagnosis/fault_classifier.cc
+++ b/Source/Core/Diagnosis/fault_classifier.cc
@@ -19,11 +19,13 @@
 // a lost path or worker also fills the queues.
 constexpr std::chrono::seconds kSameOnset{5};
 
-constexpr std::array<DiagnosisRule, 11> kRules = {
-    FindPathCut,         FindSilentConnections, FindWorkerPathCut,
-    FindStorePathCut,    FindStoreFault,        FindFailingWorker,
-    FindRestartedWorker, FindDeadWorker,        FindConfigurationFault,
-    FindOverload,        FindShortDeadlines};
+constexpr std::array<DiagnosisRule, 12> kRules = {
+    FindPathCut,           FindIsolatedZone,
+    FindSilentConnections, FindWorkerPathCut,
+    FindStorePathCut,      FindStoreFault,
+    FindFailingWorker,     FindRestartedWorker,
+    FindDeadWorker,        FindConfigurationFault,
+    FindOverload,          FindShortDeadlines};
 
 std::string VerdictList(const std::vector<Verdict>& verdicts) {
   std::string text;
--- a/Source/Core/Diagnosis/path_rules.cc
+++ b/Source/Core/Diagnosis/path_rules.cc
@@ -1,5 +1,6 @@
-// Blames the path between two zones. It requires a witness that the other end
-// was alive, because a dead end and a cut path look the same from one side.
+// Rules that blame the paths between zones. A dead end and a cut path look the
+// same from one side, so a loss counts only if both ends were alive and prompt
+// with others at that time.
 
 #include <algorithm>
 #include <map>
@@ -8,6 +9,7 @@
 
 #include "Core/Diagnosis/burst.h"
 #include "Core/Diagnosis/diagnosis_rules.h"
+#include "Core/Diagnosis/exchange_witnesses.h"
 #include "Core/Diagnosis/observation_filter.h"
 
 namespace daisyroad {
@@ -17,66 +19,45 @@
 using ZonePair = std::pair<ZoneName, ZoneName>;
 
 constexpr std::size_t kMinLost = 4;
-// A paused process loses all that is sent to it; two of them rarely pause at
-// once, so a path is blamed only if it loses traffic of two.
-constexpr std::size_t kMinEnds = 2;
-constexpr std::size_t kMinLostInZone = 2;
-// Links with less loss than this are left to TCP.
-constexpr double kMinLostShare = 0.2;
+// A paused instance loses all that is sent to it and is prompt again
+// afterwards; two of them rarely pause at once.
+constexpr std::size_t kMinPeers = 2;
+constexpr std::size_t kMinLostOfPeer = 2;
+// Loss below this share is left to TCP.
+constexpr double kMinLostShare = 0.15;
+constexpr std::size_t kMinLostIsolated = 6;
+constexpr std::size_t kMinZonesLost = 2;
+constexpr std::size_t kMinInZone = 2;
 
 bool IsLost(const PeerMessage& message) {
   return message.fate == MessageFate::kUnanswered ||
          message.fate == MessageFate::kLate;
 }
 
-// Instances that lose messages within a zone as well: the fault is the
-// instance's own, such as a pause, and not that of a path between zones.
-std::set<EntryName> TroubledInstances(const Observations& observations) {
-  std::map<EntryName, std::vector<MonotonicTime>> lost;
-  ForEach<PeerMessage>(observations,
-                       [&lost](MonotonicTime at, const PeerMessage& message) {
-                         if (message.from == message.to && IsLost(message)) {
-                           lost[message.observer].push_back(at);
-                           lost[message.peer].push_back(at);
-                         }
-                       });
-  std::set<EntryName> troubled;
-  for (const std::pair<const EntryName, std::vector<MonotonicTime>>& item :
-       lost) {
-    if (BurstOnset(item.second, kMinLostInZone)) {
-      troubled.insert(item.first);
-    }
-  }
-  return troubled;
-}
-
 struct PathLoss {
   std::vector<MonotonicTime> lost;
   std::vector<MonotonicTime> good;
-  std::set<EntryName> observers;
-  std::set<EntryName> peers;
+  std::map<EntryName, std::size_t> lost_of;  // by the peer asked
 };
 
 void AddToPath(PathLoss& path,
                MonotonicTime at,
-               const EntryName& observer,
                const EntryName& peer,
                bool good) {
   (good ? path.good : path.lost).push_back(at);
   if (!good) {
-    path.observers.insert(observer);
-    path.peers.insert(peer);
+    ++path.lost_of[peer];
   }
 }
 
 std::map<ZonePair, PathLoss> CollectPaths(const Observations& observations) {
-  const std::set<EntryName> troubled = TroubledInstances(observations);
+  const ExchangeWitnesses witnesses(observations);
   std::map<ZonePair, PathLoss> paths;
-  const auto add = [&](MonotonicTime at, const auto& detail, bool good) {
-    if (detail.from != detail.to && troubled.count(detail.observer) == 0 &&
-        troubled.count(detail.peer) == 0) {
-      AddToPath(paths[{detail.from, detail.to}], at, detail.observer,
-                detail.peer, good);
+  const auto add = [&](MonotonicTime at, const auto& item, bool good) {
+    if (item.from != item.to &&
+        (good || (witnesses.Prompt(item.observer, at, item.to) &&
+                  witnesses.Prompt(item.peer, at, item.from)))) {
+      AddToPath(paths[{item.from, item.to}], at, item.peer, good);
     }
   };
   ForEach<PeerMessage>(observations,
@@ -96,51 +77,33 @@
   const auto near = [onset](MonotonicTime at) {
     return at >= onset && at <= onset + kBurstWindow;
   };
-  const std::ptrdiff_t lost =
-      std::count_if(path.lost.begin(), path.lost.end(), near);
-  const std::ptrdiff_t good =
-      std::count_if(path.good.begin(), path.good.end(), near);
-  return path.peers.size() >= kMinEnds &&
-         static_cast<double>(lost) >=
-             kMinLostShare * static_cast<double>(lost + good);
+  const double lost = static_cast<double>(
+      std::count_if(path.lost.begin(), path.lost.end(), near));
+  const double good = static_cast<double>(
+      std::count_if(path.good.begin(), path.good.end(), near));
+  return lost >= kMinLostShare * (lost + good);
 }
 
-// Something from or to the zone worked after the loss began, or an instance in
-// it reported what it saw.
-bool ZoneAlive(const Observations& observations,
-               const ZoneName& zone,
-               MonotonicTime onset) {
-  bool alive = false;
-  ForEach<PeerMessage>(
-      observations, [&](MonotonicTime at, const PeerMessage& message) {
-        const bool worked = !IsLost(message) &&
-                            (message.from == zone || message.to == zone) &&
-                            message.from != message.to;
-        const ZoneName& seen_from =
-            message.fate == MessageFate::kArrived ? message.to : message.from;
-        alive = alive || (at > onset && (worked || seen_from == zone));
-      });
-  ForEach<ZoneProbe>(
-      observations, [&](MonotonicTime at, const ZoneProbe& probe) {
-        alive = alive || (at > onset && (probe.from == zone ||
-                                         (probe.to == zone && probe.arrived)));
-      });
-  return alive;
+bool LosesOfSeveral(const PathLoss& path) {
+  return std::count_if(path.lost_of.begin(), path.lost_of.end(),
+                       [](const std::pair<const EntryName, std::size_t>& peer) {
+                         return peer.second >= kMinLostOfPeer;
+                       }) >= static_cast<std::ptrdiff_t>(kMinPeers);
 }
 
 // The receiver saw requests arrive that the sender counts as unanswered.
 bool RequestsArrived(const Observations& observations,
                      const ZonePair& pair,
                      MonotonicTime onset) {
-  return BurstOnset(TimesOf<PeerMessage>(observations,
-                                         [&pair](const PeerMessage& message) {
-                                           return message.fate ==
-                                                      MessageFate::kArrived &&
-                                                  message.from == pair.first &&
-                                                  message.to == pair.second;
-                                         }),
-                    kMinEnds)
-             .value_or(MonotonicTime::min()) >= onset;
+  std::vector<MonotonicTime> times;
+  ForEach<PeerMessage>(
+      observations, [&](MonotonicTime at, const PeerMessage& message) {
+        if (message.fate == MessageFate::kArrived && at >= onset &&
+            message.from == pair.first && message.to == pair.second) {
+          times.push_back(at);
+        }
+      });
+  return BurstOnset(times, kMinLost).has_value();
 }
 
 std::string PathText(const ZonePair& pair) {
@@ -151,13 +114,45 @@
 Finding PathFinding(const Observations& observations,
                     const ZonePair& pair,
                     MonotonicTime onset) {
-  const bool reply_lost = RequestsArrived(observations, pair, onset);
-  const ZonePair cut = reply_lost ? ZonePair(pair.second, pair.first) : pair;
+  const bool arrived = RequestsArrived(observations, pair, onset);
+  const ZonePair cut = arrived ? ZonePair(pair.second, pair.first) : pair;
   return {Verdict::kNetwork, onset, PathText(cut),
-          "Traffic between instances was lost or late on " + PathText(cut) +
-              (reply_lost ? ", while the opposite direction worked"
-                          : ", while the instances at both ends were alive") +
-              "."};
+          "Messages between instances were lost or late on " + PathText(cut) +
+              (arrived ? ", while the opposite direction worked."
+                       : ", while the instances at both ends were prompt with "
+                         "others.")};
+}
+
+// What the instances of one zone lost and kept since `onset`.
+struct ZoneExchange {
+  std::vector<MonotonicTime> lost;
+  std::set<ZoneName> zones_lost;
+  std::vector<MonotonicTime> answered;
+  std::vector<MonotonicTime> answered_in_zone;
+};
+
+std::map<ZoneName, ZoneExchange> CollectZones(
+    const Observations& observations) {
+  std::map<ZoneName, ZoneExchange> zones;
+  ForEach<PeerMessage>(
+      observations, [&zones](MonotonicTime at, const PeerMessage& message) {
+        ZoneExchange& zone = zones[message.from];
+        if (message.fate == MessageFate::kAnswered) {
+          (message.from == message.to ? zone.answered_in_zone : zone.answered)
+              .push_back(at);
+        } else if (IsLost(message) && message.from != message.to) {
+          zone.lost.push_back(at);
+          zone.zones_lost.insert(message.to);
+        }
+      });
+  return zones;
+}
+
+std::size_t CountAfter(const std::vector<MonotonicTime>& times,
+                       MonotonicTime onset) {
+  return static_cast<std::size_t>(
+      std::count_if(times.begin(), times.end(),
+                    [onset](MonotonicTime at) { return at > onset; }));
 }
 
 }  // namespace
@@ -168,16 +163,33 @@
        CollectPaths(observations)) {
     const std::optional<MonotonicTime> onset =
         BurstOnset(path.second.lost, kMinLost);
-    if (!onset || !LosesEnough(path.second, *onset) ||
-        !ZoneAlive(observations, path.first.first, *onset) ||
-        !ZoneAlive(observations, path.first.second, *onset)) {
-      continue;
-    }
-    if (!found || *onset < found->onset) {
+    if (onset && LosesOfSeveral(path.second) &&
+        LosesEnough(path.second, *onset) && (!found || *onset < found->onset)) {
       found = PathFinding(observations, path.first, *onset);
     }
   }
   return found;
 }
 
+// Seen from within the zone: its instances answer each other and nobody else
+// answers them. Several zones that die at once are not assumed.
+std::optional<Finding> FindIsolatedZone(const Observations& observations) {
+  for (const std::pair<const ZoneName, ZoneExchange>& item :
+       CollectZones(observations)) {
+    const ZoneExchange& zone = item.second;
+    const std::optional<MonotonicTime> onset =
+        BurstOnset(zone.lost, kMinLostIsolated);
+    if (onset && zone.zones_lost.size() >= kMinZonesLost &&
+        CountAfter(zone.answered, *onset) == 0 &&
+        CountAfter(zone.answered_in_zone, *onset) >= kMinInZone) {
+      return Finding{
+          Verdict::kNetwork, *onset,
+          "the paths from zone " + item.first.str() + " to the other zones",
+          "No other zone answered zone " + item.first.str() +
+              ", while its own instances answered each other."};
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace daisyroad
