--- a/Source/Core/Diagnosis/connection_rules.cc
+++ b/Source/Core/Diagnosis/connection_rules.cc
@@ -16,7 +16,7 @@
 using Observations = std::vector<Observation>;
 using ZonePair = std::pair<ZoneName, ZoneName>;
 
-constexpr std::size_t kMinSilent = 2;
+constexpr std::size_t kMinSilent = 3;
 constexpr std::size_t kMinUnreached = 3;
 // One worker or one instance may have a fault of its own.
 constexpr std::size_t kMinEnds = 2;
@@ -105,7 +105,7 @@
         return true;
       });
   const std::optional<MonotonicTime> onset = BurstOnset(times, kMinSilent);
-  if (!onset || workers.size() < kMinEnds) {
+  if (!onset || workers.size() < kMinSilent) {
     return std::nullopt;
   }
   return Finding{Verdict::kNetwork, *onset, "open connections to workers",
--- a/Source/Core/Diagnosis/exchange_witnesses.cc
+++ b/Source/Core/Diagnosis/exchange_witnesses.cc
@@ -28,13 +28,18 @@
                                MonotonicTime at,
                                const ZoneName& except) const {
   const auto found = this->exchanges.find(instance);
-  return found != this->exchanges.end() &&
-         std::any_of(found->second.begin(), found->second.end(),
-                     [at, &except](const Exchange& exchange) {
-                       return exchange.at >= at &&
-                              exchange.at <= at + kWitnessGap &&
-                              exchange.with != except;
-                     });
+  if (found == this->exchanges.end()) {
+    return false;
+  }
+  const std::vector<Exchange>& list = found->second;
+  const auto first =
+      std::lower_bound(list.begin(), list.end(), at,
+                       [](const Exchange& exchange, MonotonicTime time) {
+                         return exchange.at < time;
+                       });
+  return std::any_of(first, list.end(), [at, &except](const Exchange& item) {
+    return item.at <= at + kWitnessGap && item.with != except;
+  });
 }
 
 }  // namespace daisyroad
--- a/Source/Core/Diagnosis/exchange_witnesses.h
+++ b/Source/Core/Diagnosis/exchange_witnesses.h
@@ -15,6 +15,7 @@
 // exchanges; a dead, paused or overloaded instance has none.
 class ExchangeWitnesses {
  public:
+  // `observations` are sorted by time.
   explicit ExchangeWitnesses(const std::vector<Observation>& observations);
 
   // Whether the instance took part in a prompt exchange that began at `at` or
--- a/Source/Core/Diagnosis/path_rules.cc
+++ b/Source/Core/Diagnosis/path_rules.cc
@@ -155,6 +155,19 @@
                     [onset](MonotonicTime at) { return at > onset; }));
 }
 
+std::optional<MonotonicTime> IsolatedSince(const ZoneExchange& zone) {
+  if (zone.zones_lost.size() < kMinZonesLost) {
+    return std::nullopt;
+  }
+  for (const MonotonicTime onset : BurstOnsets(zone.lost, kMinLostIsolated)) {
+    if (CountAfter(zone.answered, onset) == 0 &&
+        CountAfter(zone.answered_in_zone, onset) >= kMinInZone) {
+      return onset;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::optional<Finding> FindPathCut(const Observations& observations) {
@@ -176,12 +189,8 @@
 std::optional<Finding> FindIsolatedZone(const Observations& observations) {
   for (const std::pair<const ZoneName, ZoneExchange>& item :
        CollectZones(observations)) {
-    const ZoneExchange& zone = item.second;
-    const std::optional<MonotonicTime> onset =
-        BurstOnset(zone.lost, kMinLostIsolated);
-    if (onset && zone.zones_lost.size() >= kMinZonesLost &&
-        CountAfter(zone.answered, *onset) == 0 &&
-        CountAfter(zone.answered_in_zone, *onset) >= kMinInZone) {
+    const std::optional<MonotonicTime> onset = IsolatedSince(item.second);
+    if (onset) {
       return Finding{
           Verdict::kNetwork, *onset,
           "the paths from zone " + item.first.str() + " to the other zones",
--- a/Source/Core/Diagnosis/store_rules.cc
+++ b/Source/Core/Diagnosis/store_rules.cc
@@ -30,9 +30,9 @@
   bool mostly_bad() const { return this->bad >= this->good; }
 };
 
-std::optional<MonotonicTime> BadSince(const Observations& observations,
-                                      const ZoneName* zone) {
-  return BurstOnset(
+std::vector<MonotonicTime> BadSince(const Observations& observations,
+                                    const ZoneName* zone) {
+  return BurstOnsets(
       TimesOf<StoreSample>(observations,
                            [zone](const StoreSample& sample) {
                              return IsBadStoreSample(sample) &&
@@ -78,40 +78,42 @@
   return zones;
 }
 
+bool OnlyZoneLost(const Observations& observations,
+                  const ZoneName& zone,
+                  MonotonicTime onset) {
+  const std::map<ZoneName, ZoneView> views = ViewsSince(observations, onset);
+  const ZoneView& own = views.at(zone);
+  return own.good == 0 && own.bad_observers.size() >= kMinObservers &&
+         CountBad(views) == 1 && views.size() > kMinZones;
+}
+
 }  // namespace
 
 std::optional<Finding> FindStorePathCut(const Observations& observations) {
   for (const ZoneName& zone : ZonesOf(observations)) {
-    const std::optional<MonotonicTime> onset = BadSince(observations, &zone);
-    if (!onset) {
-      continue;
-    }
-    const std::map<ZoneName, ZoneView> views = ViewsSince(observations, *onset);
-    const ZoneView& own = views.at(zone);
-    if (own.good == 0 && own.bad_observers.size() >= kMinObservers &&
-        CountBad(views) == 1 && views.size() > kMinZones) {
-      return Finding{Verdict::kNetwork, *onset,
-                     "the path from zone " + zone.str() + " to the store",
-                     "The store did not answer zone " + zone.str() +
-                         " while it answered the other zones."};
+    for (const MonotonicTime onset : BadSince(observations, &zone)) {
+      if (OnlyZoneLost(observations, zone, onset)) {
+        return Finding{Verdict::kNetwork, onset,
+                       "the path from zone " + zone.str() + " to the store",
+                       "The store did not answer zone " + zone.str() +
+                           " while it answered the other zones."};
+      }
     }
   }
   return std::nullopt;
 }
 
 std::optional<Finding> FindStoreFault(const Observations& observations) {
-  const std::optional<MonotonicTime> onset = BadSince(observations, nullptr);
-  if (!onset) {
-    return std::nullopt;
-  }
-  const std::map<ZoneName, ZoneView> views = ViewsSince(observations, *onset);
-  const std::size_t bad = CountBad(views);
-  if (bad < kMinZones || 2 * bad <= views.size()) {
-    return std::nullopt;
+  for (const MonotonicTime onset : BadSince(observations, nullptr)) {
+    const std::map<ZoneName, ZoneView> views = ViewsSince(observations, onset);
+    const std::size_t bad = CountBad(views);
+    if (bad >= kMinZones && 2 * bad > views.size()) {
+      return Finding{Verdict::kStore, onset, "the store",
+                     "The store failed or was slow for " + std::to_string(bad) +
+                         " of " + std::to_string(views.size()) + " zones."};
+    }
   }
-  return Finding{Verdict::kStore, *onset, "the store",
-                 "The store failed or was slow for " + std::to_string(bad) +
-                     " of " + std::to_string(views.size()) + " zones."};
+  return std::nullopt;
 }
 
 }  // namespace daisyroad
