--- a/Source/Core/Entry/control_service.cc
+++ b/Source/Core/Entry/control_service.cc
@@ -21,15 +21,13 @@
 
 constexpr Milliseconds kTick{100};
 constexpr Milliseconds kReadPeriod{1000};
-// An instance that keeps no watch reads the store only when its confirmation is
-// older than this, so that store calls do not grow with the instances.
-constexpr Milliseconds kConfirmationDue{1500};
 constexpr Milliseconds kReadBackPause{300};
 constexpr Milliseconds kRpcTimeout{1000};
 constexpr Milliseconds kChangePatience{10000};
 constexpr Milliseconds kRejoinPause{1000};
-// A member that nobody hears for this long is removed from the roster.
-constexpr std::chrono::seconds kSilentMember{60};
+// A member leaves the roster when it has been suspected for this long; by then
+// it has been silent for about 5 s (design 3.8).
+constexpr Milliseconds kSilentMember{3500};
 constexpr int kNotFoundCode = -32001;
 
 template <class... Visitors>
@@ -180,9 +178,7 @@
   const bool watcher =
       ControlReplica::Watches(this->context->self, this->context->zone,
                               this->peers->LiveIn(this->context->zone));
-  const std::optional<Duration> age = this->Report().confirmation_age;
-  const bool due = watcher || !age || *age > kConfirmationDue;
-  if (due && now - this->last_read >= kReadPeriod) {
+  if (this->authority.ShouldReadStore(watcher, now - this->last_read, now)) {
     this->ReadHead();
   }
   if (watcher) {
@@ -371,6 +367,11 @@
   for (const Listener& listener : this->listeners) {
     listener();
   }
+  this->ContinueCaughtUp();
+}
+
+void ControlService::ContinueCaughtUp() {
+  const ControlDocument& adopted = this->document();
   std::vector<ChangeId> ids;
   for (const std::pair<const ChangeId, Running>& entry : this->running) {
     if (entry.second.waits_for_document &&
@@ -379,7 +380,11 @@
     }
   }
   for (const ChangeId& id : ids) {
-    Running& run = this->running[id];
+    const auto found = this->running.find(id);
+    if (found == this->running.end()) {
+      continue;
+    }
+    Running& run = found->second;
     run.waits_for_document = false;
     this->Apply(id, run.acceptance->OnDocument(adopted, this->contacts, Now()));
   }
@@ -393,6 +398,11 @@
     }
     this->Apply(id, action);
   }
+  const auto found = this->running.find(id);
+  if (found != this->running.end() && found->second.outcome.accepted &&
+      found->second.acceptance->finished()) {
+    this->FinishChange(id, ChangeOutcome(found->second.outcome));
+  }
 }
 
 void ControlService::Apply(const ChangeId& id, const ChangeAction& action) {
@@ -416,6 +426,9 @@
                    run.waits_for_document = true;
                    run.wanted_version = catch_up.version;
                    this->ReadHead();
+                   // The version may be in force already.
+                   this->context->loop->Post(
+                       [this]() { this->ContinueCaughtUp(); });
                  },
                  [this, &id](const TellWritten& tell) {
                    this->running[id].outcome.version = tell.version;
@@ -439,11 +452,6 @@
                    this->FinishChange(id, tell.error);
                  }},
       action);
-  const auto found = this->running.find(id);
-  if (found != this->running.end() && found->second.outcome.accepted &&
-      this->EveryZoneInForce(found->second)) {
-    this->FinishChange(id, ChangeOutcome(found->second.outcome));
-  }
 }
 
 void ControlService::WriteParts(const ChangeId& id,
@@ -626,11 +634,13 @@
     const bool replaced =
         address == this->context->settings.peers_address ||
         (peer != this->peers->known().end() && peer->second.name != name);
-    if (replaced) {
+    if (replaced && this->ended.insert(name).second) {
       this->contacts.OnEnded(name);
     }
     const MonotonicTime since =
         this->silent_since.try_emplace(name, now).first->second;
+    // A silent member without such a proof may be cut off: its claim logs are
+    // sealed, but its allotments stay its own, see LimitService.
     if (elected && (replaced || now - since > kSilentMember)) {
       this->RemoveMember(name);
     }
@@ -650,14 +660,4 @@
       });
 }
 
-bool ControlService::EveryZoneInForce(const Running& run) const {
-  for (const std::pair<const EntryName, RosterMember>& member :
-       this->document().roster().members) {
-    if (run.outcome.in_force.count(member.second.zone) == 0) {
-      return false;
-    }
-  }
-  return true;
-}
-
 }  // namespace daisyroad
--- a/Source/Core/Entry/control_service.h
+++ b/Source/Core/Entry/control_service.h
@@ -67,6 +67,12 @@
   void FetchHistory(std::size_t limit,
                     std::function<void(Result<Json::Value>)> callback);
 
+  // True if the incarnation is proved to have ended: its address answers as
+  // another one.
+  bool HasEnded(const EntryName& name) const {
+    return this->ended.count(name) != 0;
+  }
+
   // Leaves the roster, then calls back; gives up after `kChangePatience`.
   void Leave(std::function<void()> callback);
 
@@ -94,6 +100,7 @@
   void FetchHeadFrom(const ControlSource& source);
   void FetchPartFrom(const PartDigest& digest, const ControlSource& source);
   void OnAdopted();
+  void ContinueCaughtUp();
   void Apply(const ChangeId& id, const std::vector<ChangeAction>& actions);
   void Apply(const ChangeId& id, const ChangeAction& action);
   void WriteParts(const ChangeId& id,
@@ -107,7 +114,6 @@
   void JoinRoster();
   void ReapMembers();
   void RemoveMember(const EntryName& name);
-  bool EveryZoneInForce(const Running& running) const;
 
   EntryContext* context;
   PeerService* peers;
@@ -124,6 +130,7 @@
   bool joining = false;
   bool leaving = false;
   std::set<EntryName> removing;
+  std::set<EntryName> ended;
   std::map<EntryName, MonotonicTime> silent_since;
   MonotonicTime last_read;
 };
--- a/Source/Core/Entry/entry_instance.cc
+++ b/Source/Core/Entry/entry_instance.cc
@@ -9,10 +9,12 @@
 #include "Core/Common/random.h"
 #include "Core/Control/control_document.h"
 #include "Core/Entry/caller_api.h"
+#include "Core/Entry/claim_service.h"
 #include "Core/Entry/control_service.h"
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/limit_service.h"
 #include "Core/Entry/operator_api.h"
 #include "Core/Entry/peer_service.h"
 #include "Core/Entry/problem.h"
@@ -80,9 +82,11 @@
       : context(MakeContext(std::move(settings))),
         random(SeedFor(this->context.self.str())),
         decisions(&this->metrics, kDecisionLinesPerSecond),
-        http([this](std::function<void()> function) {
-          this->loop.Post(std::move(function));
-        }),
+        http(
+            [this](std::function<void()> function) {
+              this->loop.Post(std::move(function));
+            },
+            &this->metrics),
         rpc(&this->http),
         store(&this->http,
               HttpStoreClient::Options{
@@ -103,11 +107,14 @@
                  &this->peers,
                  &this->control,
                  &this->directory),
+        limits(&this->context, &this->peers, &this->control, &this->dispatch),
+        claims(&this->context, &this->peers, &this->control),
         tasks(&this->context,
               &this->peers,
               &this->control,
               &this->dispatch,
-              &this->directory),
+              &this->directory,
+              &this->claims),
         caller_api(&this->context, &this->control, &this->tasks),
         operator_api(
             &this->context,
@@ -140,12 +147,17 @@
     this->control.Start();
     this->directory.Start();
     this->dispatch.Start(
-        [this](const DispatchUpdate& update) { this->tasks.OnUpdate(update); });
+        [this](const DispatchUpdate& update) { this->tasks.OnUpdate(update); },
+        [this](const TeamName& team) { return this->limits.TryStart(team); },
+        [this](const TeamName& team) { this->limits.OnFinished(team); });
+    this->limits.Start();
     this->tasks.Start();
-    this->peers.Start([this]() { return this->control.Report(); },
-                      [this](const PeerReport& report, MonotonicTime sent) {
-                        this->control.OnPeerReply(report, sent);
-                      });
+    this->peers.Start(
+        [this]() { return this->control.Report(); },
+        [this]() -> const ControlDocument& { return this->control.document(); },
+        [this](const PeerReport& report, MonotonicTime sent) {
+          this->control.OnPeerReply(report, sent);
+        });
     this->loop.OnSignals({SIGTERM, SIGINT},
                          [this](int) { this->BeginShutdown(); });
     CLOG(INFO, kDaemonLog) << "serving as " << this->context.self
@@ -181,7 +193,16 @@
 
   void AddRpcMethods() {
     this->rpc_server.AddMethod("peer.exchange", [this](const Json::Value& p) {
-      return this->peers.Exchange(p);
+      return this->peers.ServeExchange(p);
+    });
+    this->rpc_server.AddMethod("peer.report", [this](const Json::Value&) {
+      return this->peers.ServeReport();
+    });
+    this->rpc_server.AddMethod("peer.probe", [this](const Json::Value& p) {
+      return this->peers.ServeProbe(p);
+    });
+    this->rpc_server.AddMethod("peer.probed", [this](const Json::Value& p) {
+      return this->peers.ServeProbed(p);
     });
     this->rpc_server.AddMethod("control.head", [this](const Json::Value&) {
       return this->control.ServeHead();
@@ -199,6 +220,9 @@
     this->rpc_server.AddMethod("dispatch.cancel", [this](const Json::Value& p) {
       return this->dispatch.ServeCancel(p);
     });
+    this->rpc_server.AddMethod("claims.witness", [this](const Json::Value&) {
+      return this->claims.ServeWitness();
+    });
     this->rpc_server.AddMethod("task.submit", [this](const Json::Value& p) {
       return this->tasks.ServeSubmit(p);
     });
@@ -292,6 +316,8 @@
   ControlService control;
   WorkerDirectory directory;
   DispatchService dispatch;
+  LimitService limits;
+  ClaimService claims;
   TaskService tasks;
   CallerApi caller_api;
   OperatorApi operator_api;
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -18,6 +18,7 @@
 
 struct EntryContext;
 struct WorkerInfo;
+class ClaimService;
 class ControlService;
 class DispatchService;
 class PeerService;
@@ -33,10 +34,15 @@
               PeerService* peers,
               ControlService* control,
               DispatchService* dispatch,
-              WorkerDirectory* directory);
+              WorkerDirectory* directory,
+              ClaimService* claims);
 
   void Start();
 
+  // False if a submission was refused before the registrar of its key was
+  // asked, or by one that does not yet know the earlier claims.
+  static bool IsFromRegistrar(const Error& error);
+
   // Registers a task here or at the registrar of its key, and answers when it
   // ended or `wait` has passed.
   void Submit(const TaskSubmission& submission,
@@ -63,8 +69,18 @@
     std::set<WorkerName> silent;
   };
 
+  void SubmitUntil(const TaskSubmission& submission,
+                   MonotonicTime retry_until,
+                   MonotonicTime wait_until,
+                   const Callback& callback);
   Result<TaskRecord*> Register(const TaskSubmission& submission);
   EntryName RegistrarOf(const TaskSubmission& submission) const;
+  void Claim(const TaskId& id);
+  void OnClaim(const TaskId& id, bool ready);
+  void RefuseClaim(const TaskId& id, const Error& error);
+  // The claim log of an earlier registrar holds the key.
+  void RecoverClaimed(const TaskId& id, const TaskId& earlier);
+  void AdoptEarlier(const TaskId& id, const Json::Value& earlier);
   void Dispatch(const TaskId& id, const std::optional<WorkerName>& running_on);
   void OnSent(const TaskId& id, const EntryName& owner, const Status& status);
   std::optional<ZoneName> ChooseZone(const TaskRecord& record) const;
@@ -74,6 +90,8 @@
       const EntryName& owner,
       const Result<std::map<TaskId, std::optional<DispatchState>>>& states);
   void Recover(TaskRecord* record);
+  // Id under which workers know the task.
+  TaskId WorkerTaskId(const TaskRecord& record) const;
   void AskWorkers(const TaskId& id);
   void OnWorkerAsked(const TaskId& id,
                      const WorkerName& worker,
@@ -96,6 +114,7 @@
   ControlService* control;
   DispatchService* dispatch;
   WorkerDirectory* directory;
+  ClaimService* claims;
   std::map<TaskId, TaskRecord> records;
   std::map<std::string, TaskId> by_key;
   std::map<TaskId, Inquiry> inquiries;
