Diagnosis: carry observations between instances as bounded JSON

Ages are sent in place of times, since clocks are never compared. The type of an adopted version is renamed: Control has a VersionAdopted of its own in the same namespace, which would break the one-definition rule.

--- a/Source/Bench/diagnosis_traffic_bench.cc
+++ b/Source/Bench/diagnosis_traffic_bench.cc
@@ -194,7 +194,7 @@
 
 void DiagnosisSimulation::AdoptVersions() {
   for (const Active& fault : this->active) {
-    VersionAdopted version{17, ConfigurationEffect::kOther, kTeam};
+    ConfigurationAdopted version{17, ConfigurationEffect::kOther, kTeam};
     switch (fault.kind) {
       case FaultKind::kLimitLowered:
         version.effect = ConfigurationEffect::kLimit;
@@ -256,7 +256,7 @@
                        ZoneAt(ZoneOfEntry(from)), there},
       RefusedConnection{Entry(from), Worker(target), pool, there},
       WorkerRestarted{Worker(target), pool},
-      VersionAdopted{16, ConfigurationEffect::kOther, "the roster"},
+      ConfigurationAdopted{16, ConfigurationEffect::kOther, "the roster"},
       Refusal{RefusalReason::kLimit, TeamName("planning"), QueueName("plan"),
               there},
       ShortDeadline{TaskId(this->random.Hex(4)), QueueName("plan"),
--- a/Source/Core/Diagnosis/version_adopted.h
+++ b/Source/Core/Diagnosis/configuration_adopted.h
@@ -1,5 +1,5 @@
-#ifndef SOURCE_CORE_DIAGNOSIS_VERSION_ADOPTED_H_
-#define SOURCE_CORE_DIAGNOSIS_VERSION_ADOPTED_H_
+#ifndef SOURCE_CORE_DIAGNOSIS_CONFIGURATION_ADOPTED_H_
+#define SOURCE_CORE_DIAGNOSIS_CONFIGURATION_ADOPTED_H_
 
 #include <cstdint>
 #include <string>
@@ -16,7 +16,7 @@
 
 // A configuration version came into force. A version that changes several
 // things gives several observations.
-struct VersionAdopted {
+struct ConfigurationAdopted {
   std::uint64_t version = 0;
   ConfigurationEffect effect = ConfigurationEffect::kOther;
   std::string subject;  // team, zone, key's holder or queue
@@ -24,4 +24,4 @@
 
 }  // namespace daisyroad
 
-#endif  // SOURCE_CORE_DIAGNOSIS_VERSION_ADOPTED_H_
+#endif  // SOURCE_CORE_DIAGNOSIS_CONFIGURATION_ADOPTED_H_
--- a/Source/Core/Diagnosis/evidence_sink.h
+++ b/Source/Core/Diagnosis/evidence_sink.h
@@ -9,7 +9,8 @@
 class EvidenceSink {
  public:
   virtual ~EvidenceSink() = default;
-  virtual void Record(ObservationDetail detail) = 0;
+  // `at` is when the observed call or event began.
+  virtual void Record(MonotonicTime at, ObservationDetail detail) = 0;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Diagnosis/fault_classifier.cc
+++ b/Source/Core/Diagnosis/fault_classifier.cc
@@ -72,13 +72,15 @@
     return "";
   }
   std::string text = "Task " + line->task.str();
-  if (!line->started) {
+  if (line->worker.empty()) {
     text += " never started";
-  } else {
+  } else if (line->started) {
     text += " waited " + MillisecondsText(*line->started - line->queued);
     if (line->ended) {
       text += ", ran " + MillisecondsText(*line->ended - *line->started);
     }
+  } else {
+    text += " was sent to worker " + line->worker.str();
   }
   return text + " and is " + line->outcome + "; its deadline was " +
          MillisecondsText(line->deadline) + ". ";
--- a/Source/Core/Diagnosis/observation.h
+++ b/Source/Core/Diagnosis/observation.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "Core/Common/time.h"
+#include "Core/Diagnosis/configuration_adopted.h"
 #include "Core/Diagnosis/peer_message.h"
 #include "Core/Diagnosis/queue_delay.h"
 #include "Core/Diagnosis/refusal.h"
@@ -12,7 +13,6 @@
 #include "Core/Diagnosis/silent_connection.h"
 #include "Core/Diagnosis/store_sample.h"
 #include "Core/Diagnosis/task_timeline.h"
-#include "Core/Diagnosis/version_adopted.h"
 #include "Core/Diagnosis/worker_contact.h"
 #include "Core/Diagnosis/worker_restarted.h"
 #include "Core/Diagnosis/worker_results.h"
@@ -28,7 +28,7 @@
                                        SilentConnection,
                                        StoreSample,
                                        TaskTimeline,
-                                       VersionAdopted,
+                                       ConfigurationAdopted,
                                        WorkerContact,
                                        WorkerRestarted,
                                        WorkerResults,
--- a/Source/Core/Diagnosis/observation_text.cc
+++ b/Source/Core/Diagnosis/observation_text.cc
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "Core/Diagnosis/observation_fields.h"
+
 namespace daisyroad {
 namespace {
 
@@ -91,7 +93,7 @@
                 value.failed ? "failed" : "answered", " after ",
                 value.latency.count(), " ms");
   }
-  std::string operator()(const VersionAdopted& value) const {
+  std::string operator()(const ConfigurationAdopted& value) const {
     return Join("version ", value.version, " ", EffectText(value.effect),
                 value.subject);
   }
@@ -115,52 +117,20 @@
 
 class SizeCounter {
  public:
-  std::size_t operator()(const SilentConnection& value) const {
-    return Sum(value.observer, value.worker, value.pool, value.from, value.to);
-  }
-  std::size_t operator()(const RefusedConnection& value) const {
-    return Sum(value.observer, value.worker, value.pool, value.to);
-  }
-  std::size_t operator()(const ZoneProbe& value) const {
-    return Sum(value.observer, value.peer, value.from, value.to);
-  }
-  std::size_t operator()(const PeerMessage& value) const {
-    return Sum(value.observer, value.peer, value.from, value.to);
-  }
-  std::size_t operator()(const WorkerResults& value) const {
-    return Sum(value.worker, value.pool);
-  }
-  std::size_t operator()(const WorkerRestarted& value) const {
-    return Sum(value.worker, value.pool);
-  }
-  std::size_t operator()(const WorkerContact& value) const {
-    return Sum(value.observer, value.worker, value.pool, value.from, value.to);
-  }
-  std::size_t operator()(const TaskTimeline& value) const {
-    return Sum(value.task, value.queue, value.worker) +
-           value.outcome.capacity();
-  }
-  std::size_t operator()(const QueueDelay& value) const {
-    return Sum(value.pool, value.zone);
-  }
-  std::size_t operator()(const StoreSample& value) const {
-    return Sum(value.observer, value.from);
-  }
-  std::size_t operator()(const VersionAdopted& value) const {
-    return value.subject.capacity();
-  }
-  std::size_t operator()(const ShortDeadline& value) const {
-    return Sum(value.task, value.queue);
+  explicit SizeCounter(std::size_t* bytes) : bytes(bytes) {}
+
+  template <typename Tag>
+  void operator()(const char*, const StrongString<Tag>& value) {
+    *this->bytes += value.str().capacity();
   }
-  std::size_t operator()(const Refusal& value) const {
-    return Sum(value.team, value.queue, value.zone);
+  void operator()(const char*, const std::string& value) {
+    *this->bytes += value.capacity();
   }
+  template <typename Plain>
+  void operator()(const char*, const Plain&) {}
 
  private:
-  template <typename... Names>
-  static std::size_t Sum(const Names&... names) {
-    return (names.str().capacity() + ...);
-  }
+  std::size_t* bytes;
 };
 
 }  // namespace
@@ -170,7 +140,11 @@
 }
 
 std::size_t ObservationTextBytes(const ObservationDetail& detail) {
-  return std::visit(SizeCounter(), detail);
+  std::size_t bytes = 0;
+  std::visit(
+      [&bytes](const auto& item) { VisitFields(item, SizeCounter(&bytes)); },
+      detail);
+  return bytes;
 }
 
 }  // namespace daisyroad
--- a/Source/Core/Diagnosis/observation_weight.cc
+++ b/Source/Core/Diagnosis/observation_weight.cc
@@ -51,7 +51,7 @@
   ObservationWeight operator()(const StoreSample& value) const {
     return Either(IsBadStoreSample(value), Verdict::kStore);
   }
-  ObservationWeight operator()(const VersionAdopted& value) const {
+  ObservationWeight operator()(const ConfigurationAdopted& value) const {
     return value.effect == ConfigurationEffect::kOther
                ? ObservationWeight{}
                : For(Verdict::kConfiguration);
--- a/Source/Core/Diagnosis/service_rules.cc
+++ b/Source/Core/Diagnosis/service_rules.cc
@@ -62,7 +62,7 @@
 
 bool CausedRefusals(const Observations& observations,
                     MonotonicTime at,
-                    const VersionAdopted& version) {
+                    const ConfigurationAdopted& version) {
   const std::optional<RefusalReason> reason = ReasonOf(version.effect);
   const std::vector<MonotonicTime> times = TimesOf<Refusal>(
       observations, [&reason, &version](const Refusal& refusal) {
@@ -76,7 +76,7 @@
 // The queues were short before the zone was taken out and long afterwards.
 bool CausedWaits(const Observations& observations,
                  MonotonicTime at,
-                 const VersionAdopted& version) {
+                 const ConfigurationAdopted& version) {
   if (version.effect != ConfigurationEffect::kZoneOut) {
     return false;
   }
@@ -117,10 +117,12 @@
 }
 
 bool LimitWasChanged(const Observations& observations) {
-  return !TimesOf<VersionAdopted>(observations, [](const VersionAdopted&
-                                                       version) {
-            return version.effect == ConfigurationEffect::kLimit;
-          }).empty();
+  return !TimesOf<ConfigurationAdopted>(
+              observations,
+              [](const ConfigurationAdopted& version) {
+                return version.effect == ConfigurationEffect::kLimit;
+              })
+              .empty();
 }
 
 }  // namespace
@@ -128,8 +130,8 @@
 std::optional<Finding> FindConfigurationFault(
     const Observations& observations) {
   std::optional<Finding> best;
-  ForEach<VersionAdopted>(
-      observations, [&](MonotonicTime at, const VersionAdopted& version) {
+  ForEach<ConfigurationAdopted>(
+      observations, [&](MonotonicTime at, const ConfigurationAdopted& version) {
         if (!best && (CausedRefusals(observations, at, version) ||
                       CausedWaits(observations, at, version))) {
           best = Finding{Verdict::kConfiguration, at,
--- a/Source/UnitTests/Diagnosis/evidence_log_test.cc
+++ b/Source/UnitTests/Diagnosis/evidence_log_test.cc
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 
+#include "Bench/diagnosis_simulation.h"
+#include "Core/Common/json.h"
 #include "Core/Common/random.h"
+#include "Core/Diagnosis/evidence_codec.h"
 
 namespace daisyroad {
 namespace {
@@ -59,5 +62,33 @@
                        }));
 }
 
+// Guards against observations that a peer reads otherwise than they were sent,
+// and against a message beyond its bound.
+TEST_CASE("Observations survive the message between instances") {
+  const InjectedFault fault{"all",
+                            {{FaultKind::kWorkerReset, Milliseconds(0)},
+                             {FaultKind::kLimitLowered, Milliseconds(0)}},
+                            Verdict::kWorker,
+                            {}};
+  const DiagnosisSimulation simulation(fault, 1);
+  const MonotonicTime now = simulation.onset() + std::chrono::seconds(9);
+  std::vector<Observation> sent = simulation.Gather(0, now);
+  sent.push_back(
+      {now, TaskTimeline{TaskId("t"), QueueName("q"), WorkerName("w"), kNow,
+                         kNow, std::nullopt, Milliseconds(5), "done"}});
+  const Json::Value message = EvidenceToJson(sent, now, 10'000'000);
+  const Result<std::vector<Observation>> got = EvidenceFromJson(message, now);
+  REQUIRE(got.ok());
+  REQUIRE(got.value().size() == sent.size());
+  CHECK(EvidenceToJson({got.value().rbegin(), got.value().rend()}, now,
+                       10'000'000) == message);
+  CHECK(WriteJson(EvidenceToJson(sent, now, 3000)).size() <= 3000);
+  Json::Value broken = message;
+  broken[0]["deadline"] = "soon";
+  CHECK_FALSE(EvidenceFromJson(broken, now).ok());
+  broken[0]["kind"] = "of a later version";
+  CHECK(EvidenceFromJson(broken, now).ok());
+}
+
 }  // namespace
 }  // namespace daisyroad
