Diagnosis: observe the running daemon and serve GET /v1/ops/explain

The services report to a sink through one call at each place. A worker that does not answer is tried by peers of two other zones, since its own cell is the only one that talks to it otherwise and one view cannot tell a dead worker from a cut path.

--- a/Source/Core/Entry/cell_dispatcher.cc
+++ b/Source/Core/Entry/cell_dispatcher.cc
@@ -9,6 +9,7 @@
 #include "Core/Common/metrics_registry.h"
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/evidence_hooks.h"
 #include "Core/Entry/peer_service.h"
 #include "Core/Platform/worker_client.h"
 #include "Core/Transport/event_loop.h"
@@ -286,6 +287,7 @@
     this->queue.NotStarted(next.id, now);
     this->queue.SetBlocked(next.team, true, now);
     this->blocked.insert(next.team);
+    ObserveLimitReached(*this->context, next.team, next.queue, this->zone_name);
     return true;  // other teams may still start
   }
   task.phase = Phase::kStarting;
@@ -474,6 +476,9 @@
   }
   this->queue.Finished(id, TaskEnd::kFinished, task.request.size,
                        report.run_time, now);
+  ObserveTaskRun(*this->context, this->pool_name, this->zone_name, report,
+                 {task.worker, task.latest_start, task.request.start_within,
+                  task.sent_at});
   DispatchUpdate update;
   update.task = id;
   update.worker = task.worker;
--- a/Source/Core/Entry/control_service.cc
+++ b/Source/Core/Entry/control_service.cc
@@ -10,6 +10,7 @@
 #include "Core/Control/control_document.h"
 #include "Core/Declaration/parse_declaration.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/evidence_hooks.h"
 #include "Core/Entry/peer_service.h"
 #include "Core/Platform/store_client.h"
 #include "Core/Transport/event_loop.h"
@@ -222,6 +223,7 @@
       kControlHeadKey,
       [this, read](const Result<std::optional<StoreEntry>>& entry) {
         this->read_in_flight = false;
+        ObserveStore(*this->context, this->last_read, entry.ok());
         if (!entry.ok()) {
           CLOG(DEBUG, kControlLog) << entry.error().ToString();
           this->authority.OnStoreReadFailed(read);
--- a/Source/Core/Entry/entry_context.h
+++ b/Source/Core/Entry/entry_context.h
@@ -11,6 +11,7 @@
 
 class DecisionLog;
 class EventLoop;
+class EvidenceSink;
 class HttpClient;
 class InstanceListClient;
 class MetricsRegistry;
@@ -33,6 +34,7 @@
   MetricsRegistry* metrics = nullptr;
   DecisionLog* decisions = nullptr;
   Random* random = nullptr;
+  EvidenceSink* evidence = nullptr;  // null until the diagnosis is set up
 };
 
 MonotonicTime Now();
--- a/Source/Core/Entry/entry_instance.cc
+++ b/Source/Core/Entry/entry_instance.cc
@@ -14,6 +14,7 @@
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/explain_service.h"
 #include "Core/Entry/limit_service.h"
 #include "Core/Entry/operator_api.h"
 #include "Core/Entry/peer_service.h"
@@ -115,11 +116,15 @@
               &this->dispatch,
               &this->directory,
               &this->claims),
+        explain(&this->context,
+                &this->peers,
+                &this->control,
+                &this->directory),
         caller_api(&this->context, &this->control, &this->tasks),
         operator_api(
             &this->context,
             OperatorApi::Services{&this->peers, &this->control, &this->dispatch,
-                                  &this->tasks, &this->directory},
+                                  &this->tasks, &this->directory, &this->explain},
             std::move(bootstrap_key)) {}
 
   Status Run() {
@@ -144,6 +149,7 @@
     if (!started.ok()) {
       return started;
     }
+    this->explain.Start();
     this->control.Start();
     this->directory.Start();
     this->dispatch.Start(
@@ -204,6 +210,13 @@
     this->rpc_server.AddMethod("peer.probed", [this](const Json::Value& p) {
       return this->peers.ServeProbed(p);
     });
+    this->rpc_server.AddMethod("diagnosis.evidence",
+                               [this](const Json::Value& p) {
+                                 return this->explain.ServeEvidence(p);
+                               });
+    this->rpc_server.AddMethod("diagnosis.probe", [this](const Json::Value& p) {
+      return this->explain.ServeProbe(p);
+    });
     this->rpc_server.AddMethod("control.head", [this](const Json::Value&) {
       return this->control.ServeHead();
     });
@@ -319,6 +332,7 @@
   LimitService limits;
   ClaimService claims;
   TaskService tasks;
+  ExplainService explain;
   CallerApi caller_api;
   OperatorApi operator_api;
   RpcServer rpc_server;
--- /dev/null
+++ b/Source/Core/Entry/explain_service.cc
@@ -0,0 +1,300 @@
+#include "Core/Entry/explain_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Core/Common/json.h"
+#include "Core/Common/logging.h"
+#include "Core/Control/control_document.h"
+#include "Core/Diagnosis/evidence_codec.h"
+#include "Core/Diagnosis/fault_classifier.h"
+#include "Core/Entry/control_service.h"
+#include "Core/Entry/entry_context.h"
+#include "Core/Entry/peer_service.h"
+#include "Core/Entry/problem.h"
+#include "Core/Entry/worker_directory.h"
+#include "Core/Platform/worker_client.h"
+#include "Core/Transport/rpc_client.h"
+#include "Core/Transport/rpc_protocol.h"
+
+namespace daisyroad {
+namespace {
+
+// A quarter of the memory that design 1.4 allows an instance.
+constexpr std::size_t kMaxBytes = 8'000'000;
+constexpr std::chrono::minutes kMaxAge{15};
+constexpr std::chrono::minutes kDefaultSpan{5};
+// Of one peer's answer; eight peers send 2 MB for one question.
+constexpr std::size_t kMaxMessageBytes = 250'000;
+constexpr Milliseconds kPeerTimeout{1500};
+constexpr Milliseconds kProbePause{1000};
+constexpr std::size_t kProbingPeers = 2;
+// Work that waits for a limit is tried again many times a second.
+constexpr Milliseconds kRefusalPause{500};
+constexpr int kInvalidParams = -32602;
+
+std::optional<std::chrono::seconds> ReadSeconds(const std::string& text) {
+  if (text.empty() || text.size() > 6 ||
+      text.find_first_not_of("0123456789") != std::string::npos) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(std::stol(text));
+}
+
+// Empty if the query names no subject or a malformed one.
+std::optional<Question> ReadQuestion(const HttpRequest& request,
+                                     MonotonicTime now) {
+  const std::string since = request.Query("since");
+  const std::optional<std::chrono::seconds> span = ReadSeconds(since);
+  if (!since.empty() && !span) {
+    return std::nullopt;
+  }
+  Question question;
+  question.to = now;
+  question.from =
+      now - std::min<Duration>(span.value_or(kDefaultSpan), kMaxAge);
+  if (!request.Query("task").empty()) {
+    question.subject = TaskQuestion{TaskId(request.Query("task"))};
+    question.from = now - Duration(kMaxAge);
+  } else if (!request.Query("service").empty()) {
+    question.subject = ServiceQuestion{ServiceName(request.Query("service"))};
+  } else if (span) {
+    question.subject = SpanQuestion{};
+  } else {
+    return std::nullopt;
+  }
+  return question;
+}
+
+Json::Int64 WallMilliseconds(MonotonicTime at, MonotonicTime now) {
+  const std::chrono::system_clock::duration age =
+      std::chrono::duration_cast<std::chrono::system_clock::duration>(now - at);
+  return Json::Int64(
+      std::chrono::duration_cast<Milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch() - age)
+          .count());
+}
+
+Json::Value ToJson(const Explanation& explanation, MonotonicTime now) {
+  Json::Value body;
+  body["verdict"] = VerdictName(explanation.verdict);
+  if (explanation.other) {
+    body["other"] = VerdictName(*explanation.other);
+  }
+  body["paragraph"] = explanation.paragraph;
+  body["rows"] = Json::Value(Json::arrayValue);
+  for (const ExplanationRow& row : explanation.rows) {
+    Json::Value item;
+    item["at"] = WallMilliseconds(row.at, now);
+    item["observation"] = row.observation;
+    item["for"] = row.speaks_for;
+    item["against"] = row.speaks_against;
+    body["rows"].append(item);
+  }
+  return body;
+}
+
+}  // namespace
+
+ExplainService::ExplainService(EntryContext* context,
+                               PeerService* peers,
+                               ControlService* control,
+                               WorkerDirectory* directory)
+    : context(context),
+      peers(peers),
+      control(control),
+      directory(directory),
+      log(kMaxBytes, kMaxAge) {
+  context->evidence = this;
+}
+
+void ExplainService::Start() {
+  this->control->AddListener([this]() { this->OnVersion(); });
+}
+
+void ExplainService::Record(MonotonicTime at, ObservationDetail detail) {
+  const MonotonicTime now = Now();
+  if (const Refusal* const refusal = std::get_if<Refusal>(&detail)) {
+    MonotonicTime& last = this->refused[refusal->team];
+    if (now - last < kRefusalPause) {
+      return;
+    }
+    last = now;
+  }
+  this->log.Add({at, detail}, now);
+  const WorkerContact* const contact = std::get_if<WorkerContact>(&detail);
+  if (contact != nullptr && !contact->reached) {
+    this->OnUnreached(*contact);
+  }
+}
+
+// Peers of other zones try the worker too: only that tells a dead worker from
+// a cut path to it.
+void ExplainService::OnUnreached(const WorkerContact& contact) {
+  const MonotonicTime now = Now();
+  MonotonicTime& last = this->probed[contact.worker];
+  if (contact.observer != this->context->self || now - last < kProbePause) {
+    return;
+  }
+  last = now;
+  Json::Value params;
+  params["worker"] = contact.worker.str();
+  std::set<ZoneName> zones = {this->context->zone};
+  for (const PeerService::Peer& peer : this->peers->Live()) {
+    if (zones.size() <= kProbingPeers && zones.insert(peer.zone).second) {
+      this->context->rpc->Call(peer.address, "diagnosis.probe", params,
+                               kPeerTimeout, [](const Result<Json::Value>&) {});
+    }
+  }
+}
+
+Json::Value ExplainService::ServeProbe(const Json::Value& params) {
+  const Result<std::string> name = JsonString(params, "worker");
+  if (!name.ok()) {
+    throw RpcFailure{kInvalidParams, name.error().ToString()};
+  }
+  const WorkerInfo* const worker =
+      this->directory->Find(WorkerName(name.value()));
+  if (worker != nullptr) {
+    const MonotonicTime sent = Now();
+    WorkerContact contact{this->context->self, worker->listed.name,
+                          worker->pool,        this->context->zone,
+                          worker->listed.zone, false};
+    this->context->workers->Status(
+        worker->listed.address, true,
+        [this, sent, contact](const Result<WorkerStatus>& status) mutable {
+          contact.reached = status.ok();
+          this->log.Add({sent, contact}, Now());
+        });
+  }
+  return Json::Value(Json::objectValue);
+}
+
+Json::Value ExplainService::ServeEvidence(const Json::Value& params) const {
+  const Result<std::int64_t> span = JsonInt(params, "span_ms");
+  if (!span.ok() || span.value() < 0) {
+    throw RpcFailure{kInvalidParams, "malformed span"};
+  }
+  const MonotonicTime now = Now();
+  const Duration wanted = span.value() < Milliseconds(kMaxAge).count()
+                              ? Duration(Milliseconds(span.value()))
+                              : Duration(kMaxAge);
+  Json::Value result;
+  result["observations"] = EvidenceToJson(this->log.Between(now - wanted, now),
+                                          now, kMaxMessageBytes);
+  return result;
+}
+
+void ExplainService::Handle(const HttpRequest& request,
+                            const HttpResponder& respond) {
+  const MonotonicTime now = Now();
+  const std::optional<Question> question = ReadQuestion(request, now);
+  if (!question) {
+    respond(PlainProblem(400, "malformed question",
+                         "task=ID, service=NAME or since=SECONDS is needed"));
+    return;
+  }
+  const ServiceQuestion* const service =
+      std::get_if<ServiceQuestion>(&question->subject);
+  if (service != nullptr &&
+      this->control->declaration().FindService(service->service) == nullptr) {
+    respond(
+        PlainProblem(404, "not found", "no service " + service->service.str()));
+    return;
+  }
+  const std::shared_ptr<Inquiry> inquiry = std::make_shared<Inquiry>();
+  inquiry->question = *question;
+  inquiry->observations = this->log.Between(question->from, now);
+  inquiry->respond = respond;
+  const std::vector<PeerService::Peer> live = this->peers->Live();
+  inquiry->open = live.size();
+  for (const PeerService::Peer& peer : live) {
+    this->AskPeer(peer.address, inquiry);
+  }
+  if (live.empty()) {
+    this->Answer(*inquiry);
+  }
+}
+
+void ExplainService::AskPeer(const std::string& address,
+                             const std::shared_ptr<Inquiry>& inquiry) {
+  Json::Value params;
+  params["span_ms"] =
+      Json::Int64(std::chrono::duration_cast<Milliseconds>(
+                      inquiry->question.to - inquiry->question.from)
+                      .count());
+  this->context->rpc->Call(
+      address, "diagnosis.evidence", params, kPeerTimeout,
+      [this, address, inquiry](const Result<Json::Value>& reply) {
+        const Result<std::vector<Observation>> seen =
+            reply.ok() ? EvidenceFromJson(reply.value()["observations"], Now())
+                       : Result<std::vector<Observation>>(reply.error());
+        if (seen.ok()) {
+          inquiry->observations.insert(inquiry->observations.end(),
+                                       seen.value().begin(),
+                                       seen.value().end());
+        } else {
+          CLOG(INFO, kDaemonLog) << "no evidence from " << address << ": "
+                                 << seen.error().ToString();
+        }
+        if (--inquiry->open == 0) {
+          this->Answer(*inquiry);
+        }
+      });
+}
+
+void ExplainService::Answer(const Inquiry& inquiry) const {
+  const Explanation explanation = FaultClassifier::Explain(
+      inquiry.question, this->control->declaration(), inquiry.observations);
+  HttpResponse response;
+  response.headers["content-type"] = "application/json";
+  response.body = WriteJson(ToJson(explanation, Now()));
+  inquiry.respond(std::move(response));
+}
+
+void ExplainService::Adopted(ConfigurationEffect effect,
+                             const std::string& subject) {
+  this->Record(Now(), ConfigurationAdopted{this->version, effect, subject});
+}
+
+void ExplainService::OnVersion() {
+  const ControlDocument& document = this->control->document();
+  const bool first = this->version == 0;
+  const Declaration before =
+      std::exchange(this->declaration, this->control->declaration());
+  const std::set<ZoneName> out_before =
+      std::exchange(this->zones_out, document.zones_out());
+  const KeyTable keys_before = std::exchange(this->keys, document.keys());
+  this->version = document.version();
+  // Everything is new to an instance that has just started.
+  if (first) {
+    return;
+  }
+  for (const Team& team : this->declaration.teams) {
+    const Team* const old = before.FindTeam(team.name);
+    if (old != nullptr && old->upper_limit != team.upper_limit) {
+      this->Adopted(ConfigurationEffect::kLimit, team.name.str());
+    }
+  }
+  for (const TaskQueue& queue : before.queues) {
+    const TaskQueue* const changed = this->declaration.FindQueue(queue.name);
+    if (changed == nullptr || !(*changed == queue)) {
+      this->Adopted(ConfigurationEffect::kQueue, queue.name.str());
+    }
+  }
+  for (const ZoneName& zone : this->zones_out) {
+    if (out_before.count(zone) == 0) {
+      this->Adopted(ConfigurationEffect::kZoneOut, zone.str());
+    }
+  }
+  for (const auto& [id, record] : this->keys.records()) {
+    const auto old = keys_before.records().find(id);
+    const TeamKey* const holder = std::get_if<TeamKey>(&record.holder);
+    if (holder != nullptr && record.withdrawn &&
+        old != keys_before.records().end() && !old->second.withdrawn) {
+      this->Adopted(ConfigurationEffect::kKeyWithdrawn, holder->team.str());
+    }
+  }
+}
+
+}  // namespace daisyroad
--- a/Source/Core/Entry/operator_api.cc
+++ b/Source/Core/Entry/operator_api.cc
@@ -10,6 +10,7 @@
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/explain_service.h"
 #include "Core/Entry/peer_service.h"
 #include "Core/Entry/problem.h"
 #include "Core/Entry/task_service.h"
@@ -106,6 +107,7 @@
       {"zones", &OperatorApi::Zones},
       {"pools", &OperatorApi::Pools},
       {"tasks", &OperatorApi::Task},
+      {"explain", &OperatorApi::Explain},
       {"tail", &OperatorApi::Tail},
   };
   const Result<std::string> author = this->Authenticate(request);
@@ -551,6 +553,12 @@
       });
 }
 
+void OperatorApi::Explain(const HttpRequest& request,
+                          const std::string&,
+                          const HttpResponder& respond) {
+  this->services.explain->Handle(request, respond);
+}
+
 void OperatorApi::Tail(const HttpRequest& request,
                        const std::string&,
                        const HttpResponder& respond) {
--- a/Source/Core/Entry/operator_api.h
+++ b/Source/Core/Entry/operator_api.h
@@ -18,6 +18,7 @@
 
 struct EntryContext;
 class DispatchService;
+class ExplainService;
 class PeerService;
 class TaskService;
 class WorkerDirectory;
@@ -31,6 +32,7 @@
     DispatchService* dispatch = nullptr;
     TaskService* tasks = nullptr;
     WorkerDirectory* directory = nullptr;
+    ExplainService* explain = nullptr;
   };
 
   // `bootstrap_key` is accepted while no operator's key has been given.
@@ -65,6 +67,7 @@
   void Zones(const HttpRequest&, const std::string&, const HttpResponder&);
   void Pools(const HttpRequest&, const std::string&, const HttpResponder&);
   void Task(const HttpRequest&, const std::string&, const HttpResponder&);
+  void Explain(const HttpRequest&, const std::string&, const HttpResponder&);
   void Tail(const HttpRequest&, const std::string&, const HttpResponder&);
 
   void GiveKey(const HttpRequest& request, const HttpResponder& respond);
--- a/Source/Core/Entry/peer_service.cc
+++ b/Source/Core/Entry/peer_service.cc
@@ -9,6 +9,7 @@
 #include "Core/Control/control_document.h"
 #include "Core/Control/peer_report_codec.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/evidence_hooks.h"
 #include "Core/Membership/gossip_message.h"
 #include "Core/Transport/event_loop.h"
 #include "Core/Transport/rpc_client.h"
@@ -74,6 +75,8 @@
   if (!request.ok()) {
     throw RpcFailure{kInvalidParams, request.error().ToString()};
   }
+  ObserveArrival(*this->context, request.value().sender.name,
+                 request.value().sender.zone);
   const std::pair<GossipMessage, std::vector<GossipAction>> reply =
       this->gossip->OnRequest(request.value(), this->source(), Now());
   this->Apply(reply.second);
@@ -223,6 +226,8 @@
       send.address, "peer.exchange", message, kTimeout,
       [this, sent, exchange = send.exchange,
        address = send.address](const Result<Json::Value>& reply) {
+        ObserveExchange(*this->context, this->members(), address, sent,
+                        reply.ok());
         if (!reply.ok()) {
           ++this->context->metrics->Counter("daisyroad_peer_failures_total");
           CLOG(DEBUG, kMembershipLog) << reply.error().ToString();
--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -15,6 +15,7 @@
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/evidence_hooks.h"
 #include "Core/Entry/peer_service.h"
 #include "Core/Entry/worker_directory.h"
 #include "Core/Platform/worker_client.h"
@@ -764,6 +765,7 @@
   record->state = state;
   record->reason = reason;
   record->ended = Now();
+  ObserveTaskEnd(*this->context, *record);
   if (record->NeedsClaim()) {
     ClaimState fate = ClaimState::kRan;
     if (state == DispatchState::kNotRun) {
--- a/Source/Core/Entry/worker_directory.cc
+++ b/Source/Core/Entry/worker_directory.cc
@@ -5,6 +5,7 @@
 
 #include "Core/Common/logging.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/evidence_hooks.h"
 #include "Core/Platform/instance_list_client.h"
 #include "Core/Transport/event_loop.h"
 
@@ -57,6 +58,7 @@
     return;
   }
   WorkerInfo& worker = found->second;
+  ObserveWorkerReply(*this->context, worker, incarnation);
   const bool changed = worker.incarnation != incarnation ||
                        worker.leaving != leaving || !worker.reachable;
   worker.clock = clock;
@@ -81,6 +83,9 @@
 
 void WorkerDirectory::OnFailure(const WorkerName& name) {
   const auto found = this->infos.find(name);
+  if (found != this->infos.end()) {
+    ObserveWorkerFailure(*this->context, found->second);
+  }
   if (found != this->infos.end() && found->second.reachable) {
     found->second.reachable = false;
     this->Notify(name);
