--- a/Source/Core/Entry/entry_instance.cc
+++ b/Source/Core/Entry/entry_instance.cc
@@ -14,6 +14,7 @@
 #include "Core/Entry/decision_log.h"
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
+#include "Core/Entry/explain_service.h"
 #include "Core/Entry/fleet_api.h"
 #include "Core/Entry/fleet_service.h"
 #include "Core/Entry/limit_service.h"
@@ -124,12 +125,14 @@
                   [this]() -> const Declaration& {
                     return this->control.declaration();
                   }),
+        explain(&this->context, &this->peers, &this->control, &this->directory),
         caller_api(&this->context, &this->control, &this->tasks),
-        operator_api(&this->context,
-                     OperatorApi::Services{&this->peers, &this->control,
-                                           &this->dispatch, &this->tasks,
-                                           &this->directory, &this->fleet_api},
-                     std::move(bootstrap_key)) {}
+        operator_api(
+            &this->context,
+            OperatorApi::Services{&this->peers, &this->control, &this->dispatch,
+                                  &this->tasks, &this->directory,
+                                  &this->fleet_api, &this->explain},
+            std::move(bootstrap_key)) {}
 
   Status Run() {
     this->AddRpcMethods();
@@ -153,6 +156,7 @@
     if (!started.ok()) {
       return started;
     }
+    this->explain.Start();
     this->control.Start();
     this->directory.Start();
     this->dispatch.Start(
@@ -242,6 +246,13 @@
     this->rpc_server.AddMethod("peer.probed", [this](const Json::Value& p) {
       return this->peers.ServeProbed(p);
     });
+    this->rpc_server.AddMethod("diagnosis.evidence",
+                               [this](const Json::Value& p) {
+                                 return this->explain.ServeEvidence(p);
+                               });
+    this->rpc_server.AddMethod("diagnosis.probe", [this](const Json::Value& p) {
+      return this->explain.ServeProbe(p);
+    });
     this->rpc_server.AddMethod("control.head", [this](const Json::Value&) {
       return this->control.ServeHead();
     });
@@ -362,6 +373,7 @@
   TaskService tasks;
   FleetService fleet;
   FleetApi fleet_api;
+  ExplainService explain;
   CallerApi caller_api;
   OperatorApi operator_api;
   RpcServer rpc_server;
--- a/Source/Core/Entry/operator_api.h
+++ b/Source/Core/Entry/operator_api.h
@@ -19,6 +19,7 @@
 struct EntryContext;
 class DispatchService;
 class FleetApi;
+class ExplainService;
 class PeerService;
 class TaskService;
 class WorkerDirectory;
@@ -33,6 +34,7 @@
     TaskService* tasks = nullptr;
     WorkerDirectory* directory = nullptr;
     FleetApi* fleet = nullptr;
+    ExplainService* explain = nullptr;
   };
 
   // `bootstrap_key` is accepted while no operator's key has been given.
@@ -66,6 +68,7 @@
   void Keys(const HttpRequest&, const std::string&, const HttpResponder&);
   void Zones(const HttpRequest&, const std::string&, const HttpResponder&);
   void Task(const HttpRequest&, const std::string&, const HttpResponder&);
+  void Explain(const HttpRequest&, const std::string&, const HttpResponder&);
   void Tail(const HttpRequest&, const std::string&, const HttpResponder&);
 
   void GiveKey(const HttpRequest& request, const HttpResponder& respond);
