Routing: choose workers by expected completion and eject outliers

CellDispatcher ranked workers by free slots, so a worker that fails every task at once always had the most free slots and got most of the work. CellWorkers now holds the WorkerSelector and OutlierDetector of a cell. Each start logs the choice, the expected time and the rejected alternatives; each ejection logs both failure rates. WorkerRejection gains kUnreachable.

The room on each worker, the tasks on it and the tasks of each team are counted as tasks move; they were summed over all tasks for each start. Checks whose bounds are seconds run every 500 ms instead of every 50 ms.

Ruled out: removing unreachable workers from the selector, which would forget what was learned of them. FairQueue::Finished already got the reported run time. Not measured yet.

--- a/Source/Core/Entry/cell_dispatcher.cc
+++ b/Source/Core/Entry/cell_dispatcher.cc
@@ -16,17 +16,11 @@
 namespace daisyroad {
 namespace {
 
-constexpr Milliseconds kInquiryPause{200};
+// Checks that visit every task; the bounds they check are seconds.
+constexpr Milliseconds kCheckPeriod{500};
 // A worker stops a task whose lease lapsed within this time of its clock.
 constexpr Milliseconds kLeaseMargin{500};
 
-Resources ToResources(const WorkerResources& worker) {
-  return Resources{static_cast<double>(worker.cores),
-                   static_cast<double>(worker.memory_gb),
-                   static_cast<double>(worker.accelerators),
-                   static_cast<double>(worker.slots)};
-}
-
 FairTask ToFairTask(const DispatchRequest& request, MonotonicTime now) {
   FairTask task;
   task.id = request.task;
@@ -57,10 +51,12 @@
       pool_name(std::move(pool)),
       zone_name(std::move(zone)),
       hooks(std::move(hooks)),
-      queue(FairQueueSettings()) {}
+      queue(FairQueueSettings()),
+      cell_workers(context, directory, this->pool_name, this->zone_name) {}
 
 void CellDispatcher::SetPool(const Pool& pool) {
   this->declared = pool;
+  this->cell_workers.SetWorkerSize(pool.worker);
   this->UpdateCapacity();
 }
 
@@ -82,9 +78,7 @@
     }
     return refusal;
   }
-  Task& task = this->tasks[request.task];
-  task.request = request;
-  task.valid_until = FromPeerClock(request.valid_until);
+  Task& task = this->Add(request);
   task.latest_start = now + request.start_within;
   this->Pump();
   return OkStatus();
@@ -103,11 +97,8 @@
   if (!this->queue.Adopt(fair, now).ok()) {
     return;
   }
-  Task& task = this->tasks[request.task];
-  task.request = request;
-  task.valid_until = FromPeerClock(request.valid_until);
-  task.worker = worker;
-  task.phase = Phase::kInquiring;
+  Task& task = this->Add(request);
+  this->SetOnWorker(&task, Phase::kInquiring, worker);
   task.sent_at = now;
   task.lease_confirmed = now;
   this->TakeLimit(&task);
@@ -160,12 +151,11 @@
 
 std::vector<TaskId> CellDispatcher::RunningOn(const WorkerName& worker) const {
   std::vector<TaskId> found;
-  for (const std::pair<const TaskId, Task>& entry : this->tasks) {
+  for (const TaskId& id : this->cell_workers.TasksOn(worker)) {
     // A task taken over without allotment is not kept alive: the allotment of
     // its former dispatcher is reclaimed on the premise that it ends.
-    if (entry.second.phase != Phase::kQueued && entry.second.worker == worker &&
-        entry.second.holds_limit) {
-      found.push_back(entry.first);
+    if (this->tasks.at(id).holds_limit) {
+      found.push_back(id);
     }
   }
   return found;
@@ -195,43 +185,39 @@
       this->Inquire(id);
     }
   }
-  this->full.erase(worker);
+  this->cell_workers.SetFull(worker, false);
   this->Pump();
 }
 
 void CellDispatcher::OnWorkerChanged(const WorkerName& worker) {
-  this->full.erase(worker);
+  this->cell_workers.SetFull(worker, false);
   this->UpdateCapacity();
   this->Pump();
 }
 
 void CellDispatcher::Tick() {
   this->Unblock();
-  this->TakeMissingLimits();
   this->DropExpired();
-  this->CheckLeases();
+  const MonotonicTime now = Now();
+  if (now - this->checked_at >= kCheckPeriod) {
+    this->checked_at = now;
+    this->TakeMissingLimits();
+    this->DropAbandoned();
+    this->CheckLeases();
+    this->cell_workers.Evaluate();
+  }
   this->Reclaim();
   this->Pump();
 }
 
-std::map<TeamName, std::size_t> CellDispatcher::RunningByTeam() const {
-  std::map<TeamName, std::size_t> counts;
-  for (const std::pair<const TaskId, Task>& entry : this->tasks) {
-    if (entry.second.phase != Phase::kQueued) {
-      ++counts[entry.second.request.team];
-    }
-  }
-  return counts;
+std::size_t CellDispatcher::Running(const TeamName& team) const {
+  const auto found = this->running_by_team.find(team);
+  return found == this->running_by_team.end() ? 0 : found->second;
 }
 
-std::map<TeamName, std::size_t> CellDispatcher::WaitingByTeam() const {
-  std::map<TeamName, std::size_t> counts;
-  for (const std::pair<const TaskId, Task>& entry : this->tasks) {
-    if (entry.second.phase == Phase::kQueued) {
-      ++counts[entry.second.request.team];
-    }
-  }
-  return counts;
+std::size_t CellDispatcher::Waiting(const TeamName& team) const {
+  const auto found = this->waiting_by_team.find(team);
+  return found == this->waiting_by_team.end() ? 0 : found->second;
 }
 
 Duration CellDispatcher::EstimatedWait(const TeamName& team,
@@ -239,291 +225,129 @@
   return this->queue.EstimatedWait(team, task_class);
 }
 
+CellDispatcher::Task& CellDispatcher::Add(const DispatchRequest& request) {
+  Task& task = this->tasks[request.task];
+  task.request = request;
+  task.valid_until = FromPeerClock(request.valid_until);
+  ++this->waiting_by_team[request.team];
+  return task;
+}
+
+void CellDispatcher::SetQueued(Task* task) {
+  if (task->phase == Phase::kQueued) {
+    return;
+  }
+  this->cell_workers.Vacate(task->worker, task->request.task,
+                            task->request.size);
+  --this->running_by_team[task->request.team];
+  ++this->waiting_by_team[task->request.team];
+  task->phase = Phase::kQueued;
+  task->worker = WorkerName();
+}
+
+void CellDispatcher::SetOnWorker(Task* task,
+                                 Phase phase,
+                                 const WorkerName& worker) {
+  this->SetQueued(task);
+  this->cell_workers.Occupy(worker, task->request.task, task->request.size);
+  --this->waiting_by_team[task->request.team];
+  ++this->running_by_team[task->request.team];
+  task->phase = phase;
+  task->worker = worker;
+}
+
+void CellDispatcher::Remove(const TaskId& id) {
+  Task* const task = &this->tasks.at(id);
+  this->SetQueued(task);
+  --this->waiting_by_team[task->request.team];
+  this->tasks.erase(id);
+}
+
 void CellDispatcher::Pump() {
   if (this->pumping) {
     return;
   }
   this->pumping = true;
-  bool started = true;
-  while (started && this->queue.waiting_count() > 0) {
-    started = false;
-    for (const WorkerInfo* worker : this->Candidates()) {
-      if (this->StartOn(*worker)) {
-        started = true;
-        break;
-      }
-    }
+  std::set<WorkerName> unfit;
+  while (this->queue.waiting_count() > 0 && this->PumpOnce(&unfit)) {
   }
   this->pumping = false;
 }
 
-bool CellDispatcher::StartOn(const WorkerInfo& worker) {
-  const MonotonicTime now = Now();
+// False if nothing more can start now.
+bool CellDispatcher::PumpOnce(std::set<WorkerName>* unfit) {
+  const WorkerChoice choice = this->cell_workers.Choose(*unfit);
+  if (!choice.worker) {
+    return false;
+  }
   const std::optional<FairTask> next =
-      this->queue.Next(now, this->FreeOn(worker));
+      this->queue.Next(Now(), this->cell_workers.FreeOn(*choice.worker));
   if (!next) {
-    return false;
+    // Waiting tasks may be too large for this worker and fit on another.
+    unfit->insert(*choice.worker);
+    return true;
+  }
+  const WorkerInfo& worker = *this->directory->Find(*choice.worker);
+  if (this->Begin(*next, worker, choice) == Attempt::kRefused) {
+    unfit->insert(*choice.worker);
   }
-  return this->Begin(*next, worker);
+  return true;
 }
 
-bool CellDispatcher::Begin(const FairTask& next, const WorkerInfo& worker) {
+CellDispatcher::Attempt CellDispatcher::Begin(const FairTask& next,
+                                              const WorkerInfo& worker,
+                                              const WorkerChoice& choice) {
   const MonotonicTime now = Now();
-  Task& task = this->tasks[next.id];
+  Task& task = this->tasks.at(next.id);
   const std::optional<MonotonicTime> authority =
       this->hooks.start_deadline(next.queue, this->zone_name);
-  if (!authority || task.valid_until <= now) {
-    this->queue.NotStarted(next.id, now);
-    return false;
-  }
   const std::optional<WorkerClock> start_before =
-      WorkerDirectory::ClockAt(worker, std::min(*authority, task.valid_until));
+      !authority || task.valid_until <= now
+          ? std::nullopt
+          : WorkerDirectory::ClockAt(worker,
+                                     std::min(*authority, task.valid_until));
   if (!start_before) {
     this->queue.NotStarted(next.id, now);
-    return false;
+    return Attempt::kRefused;
   }
   if (!this->TakeLimit(&task)) {
     this->queue.NotStarted(next.id, now);
     this->queue.SetBlocked(next.team, true, now);
     this->blocked.insert(next.team);
-    return true;  // other teams may still start
+    return Attempt::kTeamBlocked;  // other teams may still start
   }
-  task.phase = Phase::kStarting;
-  task.worker = worker.listed.name;
+  this->SetOnWorker(&task, Phase::kStarting, worker.listed.name);
   task.incarnation = worker.incarnation;
   task.start_before = *start_before;
   task.sent_at = now;
   task.lease_confirmed = now;
+  LogDecision line = choice.ToLog(next.id);
+  line.Field("team", next.team.str())
+      .Field("queue", next.queue.str())
+      .Field("pool", this->pool_name.str())
+      .Field("zone", this->zone_name.str());
+  this->context->decisions->Write(kRoutingLog, line);
+  this->SendStart(task, worker);
+  return Attempt::kStarted;
+}
+
+void CellDispatcher::SendStart(const Task& task, const WorkerInfo& worker) {
   StartTask start;
-  start.task = next.id;
+  start.task = task.request.task;
   start.holder = this->context->self.str();
-  start.team = next.team.str();
-  start.queue = next.queue.str();
+  start.team = task.request.team.str();
+  start.queue = task.request.queue.str();
   start.payload = task.request.payload;
   start.checkpoint = task.request.checkpoint;
   start.lease = this->context->settings.task_lease;
-  start.start_before = *start_before;
-  this->LogStart(task, "start");
-  this->context->workers->Start(worker.listed.address, start,
-                                this->context->settings.worker_request_timeout,
-                                [this, id = next.id, name = worker.listed.name](
-                                    const Result<StartReply>& reply) {
-                                  this->OnStartReply(id, name, reply);
-                                });
-  return true;
-}
-
-void CellDispatcher::OnStartReply(const TaskId& id,
-                                  const WorkerName& worker,
-                                  const Result<StartReply>& reply) {
-  const auto found = this->tasks.find(id);
-  if (found == this->tasks.end() || found->second.worker != worker ||
-      found->second.phase != Phase::kStarting) {
-    return;
-  }
-  Task& task = found->second;
-  if (!reply.ok()) {
-    this->directory->OnFailure(worker);
-    if (reply.error().code == Errc::kUnavailable) {
-      this->PutBack(&task, "worker_unreachable");
-    } else {
-      task.phase = Phase::kInquiring;
-      this->Inquire(id);
-    }
-    return;
-  }
-  this->directory->OnReply(worker, reply.value().now, reply.value().incarnation,
-                           reply.value().outcome == StartOutcome::kLeaving);
-  switch (reply.value().outcome) {
-    case StartOutcome::kStarted:
-      this->OnRunning(&task);
-      return;
-    case StartOutcome::kDuplicate:
-      task.phase = Phase::kInquiring;
-      this->Inquire(id);
-      return;
-    case StartOutcome::kExpired:
-      this->PutBack(&task, "start_expired");
-      return;
-    case StartOutcome::kFull:
-      this->full.insert(worker);
-      this->PutBack(&task, "worker_full");
-      return;
-    case StartOutcome::kLeaving:
-      this->PutBack(&task, "worker_leaving");
-      return;
-  }
-}
-
-void CellDispatcher::Inquire(const TaskId& id) {
-  const auto found = this->tasks.find(id);
-  if (found == this->tasks.end() || found->second.phase != Phase::kInquiring) {
-    return;
-  }
-  const WorkerInfo* worker = this->directory->Find(found->second.worker);
-  if (worker == nullptr) {
-    this->WorkerLost(&found->second, "worker_gone");
-    return;
-  }
-  // A new connection, since the one in use may have gone silent.
-  this->context->workers->Report(worker->listed.address, id, true,
-                                 [this, id](const Result<TaskReport>& report) {
-                                   this->OnFate(id, report);
-                                 });
-}
-
-void CellDispatcher::OnFate(const TaskId& id,
-                            const Result<TaskReport>& report) {
-  const auto found = this->tasks.find(id);
-  if (found == this->tasks.end() || found->second.phase == Phase::kQueued) {
-    return;
-  }
-  Task& task = found->second;
-  if (!report.ok()) {
-    this->directory->OnFailure(task.worker);
-    this->context->loop->After(kInquiryPause,
-                               [this, id]() { this->Inquire(id); });
-    return;
-  }
-  const TaskReport& fate = report.value();
-  if (task.incarnation.empty()) {
-    task.incarnation = fate.incarnation;
-  }
-  this->directory->OnReply(task.worker, fate.now, fate.incarnation,
-                           this->directory->Find(task.worker) != nullptr &&
-                               this->directory->Find(task.worker)->leaving);
-  switch (fate.state) {
-    case WorkerTaskState::kRunning:
-      if (task.phase != Phase::kRunning) {
-        this->OnRunning(&task);
-      }
-      return;
-    case WorkerTaskState::kUnknown:
-      if (fate.incarnation != task.incarnation) {
-        this->WorkerLost(&task, "worker_restarted");
-      } else if (task.phase == Phase::kInquiring &&
-                 fate.now > task.start_before) {
-        this->PutBack(&task, "start_not_received");
-      } else {
-        this->context->loop->After(kInquiryPause,
-                                   [this, id]() { this->Inquire(id); });
-      }
-      return;
-    case WorkerTaskState::kDone:
-    case WorkerTaskState::kFailed:
-    case WorkerTaskState::kStopped:
-    case WorkerTaskState::kCheckpointed:
-      this->EndWithReport(id, fate);
-      return;
-  }
-}
-
-void CellDispatcher::OnRunning(Task* task) {
-  task->phase = Phase::kRunning;
-  DispatchUpdate update;
-  update.task = task->request.task;
-  update.state = DispatchState::kRunning;
-  update.worker = task->worker;
-  update.zone = this->zone_name;
-  this->hooks.update(task->request.registrar, update);
-  if (task->cancelled) {
-    this->Cancel(task->request.task);
-  }
-}
-
-void CellDispatcher::PutBack(Task* task, const std::string& why) {
-  this->ReleaseLimit(task);
-  this->LogStart(*task, why);
-  const TaskId id = task->request.task;
-  task->phase = Phase::kQueued;
-  task->worker = WorkerName();
-  this->queue.NotStarted(id, Now());
-  if (task->cancelled) {
-    this->Cancel(id);
-    return;
-  }
-  this->Pump();
-}
-
-void CellDispatcher::WorkerLost(Task* task, const std::string& why) {
-  if (task->request.idempotent) {
-    this->PutBack(task, why);
-    return;
-  }
-  this->queue.Finished(task->request.task, TaskEnd::kFinished,
-                       task->request.size, Now() - task->sent_at, Now());
-  this->End(task->request.task, DispatchState::kUnknown, why);
-}
-
-void CellDispatcher::EndWithReport(const TaskId& id, const TaskReport& report) {
-  Task& task = this->tasks[id];
-  const MonotonicTime now = Now();
-  if (report.state == WorkerTaskState::kCheckpointed && !task.cancelled) {
-    task.request.checkpoint = report.checkpoint;
-    task.phase = Phase::kQueued;
-    this->ReleaseLimit(&task);
-    this->queue.Finished(id, TaskEnd::kCheckpointed, task.request.size,
-                         report.run_time, now);
-    this->Pump();
-    return;
-  }
-  if (report.state == WorkerTaskState::kStopped && task.request.idempotent &&
-      !task.cancelled) {
-    this->PutBack(&task, "stopped_at_worker");
-    return;
-  }
-  this->queue.Finished(id, TaskEnd::kFinished, task.request.size,
-                       report.run_time, now);
-  DispatchUpdate update;
-  update.task = id;
-  update.worker = task.worker;
-  update.zone = this->zone_name;
-  if (report.state == WorkerTaskState::kDone) {
-    update.state = DispatchState::kDone;
-    update.answer = report.answer;
-    update.digest = report.digest;
-    if (Sha256Hex(report.answer) != report.digest) {
-      update.state = DispatchState::kUnknown;
-      update.answer.clear();
-      update.reason = "answer_incomplete";
-    }
-  } else if (report.state == WorkerTaskState::kFailed) {
-    update.state = DispatchState::kFailed;
-    update.reason = "task_failed";
-  } else {
-    update.state = DispatchState::kStopped;
-    update.reason = task.cancelled ? "cancelled" : "stopped_at_worker";
-  }
-  ++this->context->metrics->Counter(
-      "daisyroad_tasks_ended_total",
-      std::string("state=\"") + DispatchStateName(update.state) + "\"");
-  const EntryName registrar = task.request.registrar;
-  this->ReleaseLimit(&task);
-  this->tasks.erase(id);
-  this->hooks.update(registrar, update);
-  this->Pump();
-}
-
-void CellDispatcher::End(const TaskId& id,
-                         DispatchState state,
-                         const std::string& reason) {
-  const auto found = this->tasks.find(id);
-  if (found == this->tasks.end()) {
-    return;
-  }
-  DispatchUpdate update;
-  update.task = id;
-  update.state = state;
-  update.worker = found->second.worker;
-  update.zone = this->zone_name;
-  update.reason = reason;
-  const EntryName registrar = found->second.request.registrar;
-  this->ReleaseLimit(&found->second);
-  this->tasks.erase(found);
-  ++this->context->metrics->Counter(
-      "daisyroad_tasks_ended_total",
-      std::string("state=\"") + DispatchStateName(state) + "\"");
-  this->hooks.update(registrar, update);
+  start.start_before = task.start_before;
+  this->context->workers->Start(
+      worker.listed.address, start,
+      this->context->settings.worker_request_timeout,
+      [this, id = start.task,
+       name = worker.listed.name](const Result<StartReply>& reply) {
+        this->OnStartReply(id, name, reply);
+      });
 }
 
 bool CellDispatcher::TakeLimit(Task* task) {
@@ -565,6 +389,9 @@
   for (const TaskId& id : this->queue.TakeExpired()) {
     this->End(id, DispatchState::kNotRun, "deadline_passed");
   }
+}
+
+void CellDispatcher::DropAbandoned() {
   const MonotonicTime now = Now();
   std::vector<TaskId> abandoned;
   for (const std::pair<const TaskId, Task>& entry : this->tasks) {
@@ -595,10 +422,7 @@
 }
 
 void CellDispatcher::Reclaim() {
-  Resources free;
-  for (const WorkerInfo* worker : this->Candidates()) {
-    free = free + this->FreeOn(*worker);
-  }
+  const Resources free = this->cell_workers.TotalFree();
   for (const ReclaimDecision& decision : this->queue.Reclaim(Now(), free)) {
     const auto found = this->tasks.find(decision.task);
     if (found == this->tasks.end() || found->second.phase != Phase::kRunning ||
@@ -628,53 +452,10 @@
   }
 }
 
-Resources CellDispatcher::FreeOn(const WorkerInfo& worker) const {
-  Resources free = ToResources(this->declared.worker);
-  for (const std::pair<const TaskId, Task>& entry : this->tasks) {
-    if (entry.second.phase != Phase::kQueued &&
-        entry.second.worker == worker.listed.name) {
-      free = free - entry.second.request.size;
-    }
-  }
-  return Resources{std::max(free.cores, 0.0), std::max(free.memory_gb, 0.0),
-                   std::max(free.accelerators, 0.0), std::max(free.slots, 0.0)};
-}
-
-std::vector<const WorkerInfo*> CellDispatcher::Candidates() const {
-  std::vector<std::pair<double, const WorkerInfo*>> ranked;
-  for (const WorkerInfo* worker :
-       this->directory->InCell(this->pool_name, this->zone_name)) {
-    if (!worker->reachable || worker->leaving || !worker->has_clock ||
-        this->full.count(worker->listed.name) != 0) {
-      continue;
-    }
-    const double slots = this->FreeOn(*worker).slots;
-    if (slots >= 1.0) {
-      ranked.emplace_back(slots, worker);
-    }
-  }
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [](const std::pair<double, const WorkerInfo*>& a,
-                      const std::pair<double, const WorkerInfo*>& b) {
-                     return a.first > b.first;
-                   });
-  std::vector<const WorkerInfo*> workers;
-  for (const std::pair<double, const WorkerInfo*>& entry : ranked) {
-    workers.push_back(entry.second);
-  }
-  return workers;
-}
-
 void CellDispatcher::UpdateCapacity() {
-  const Resources one = ToResources(this->declared.worker);
-  Resources total;
-  for (const WorkerInfo* worker :
-       this->directory->InCell(this->pool_name, this->zone_name)) {
-    if (!worker->leaving) {
-      total = total + one;
-    }
-  }
-  this->queue.SetCapacity(total, one, Now());
+  this->cell_workers.Refresh();
+  this->queue.SetCapacity(this->cell_workers.Capacity(),
+                          this->cell_workers.WorkerSize(), Now());
 }
 
 void CellDispatcher::LogStart(const Task& task,
--- a/Source/Core/Entry/cell_dispatcher.h
+++ b/Source/Core/Entry/cell_dispatcher.h
@@ -12,6 +12,7 @@
 #include "Core/Common/result.h"
 #include "Core/Common/time.h"
 #include "Core/Declaration/pool.h"
+#include "Core/Entry/cell_workers.h"
 #include "Core/Entry/dispatch_messages.h"
 #include "Core/Entry/worker_directory.h"
 #include "Core/Platform/worker_messages.h"
@@ -69,9 +70,9 @@
   bool idle() const { return this->tasks.empty(); }
   std::size_t waiting() const { return this->queue.waiting_count(); }
   std::size_t running() const { return this->tasks.size() - this->waiting(); }
-  // Running tasks by team.
-  std::map<TeamName, std::size_t> RunningByTeam() const;
-  std::map<TeamName, std::size_t> WaitingByTeam() const;
+  // Tasks of the team that were sent to a worker and have not ended.
+  std::size_t Running(const TeamName& team) const;
+  std::size_t Waiting(const TeamName& team) const;
   Duration EstimatedWait(const TeamName& team, TaskClass task_class) const;
   const PoolName& pool() const { return this->pool_name; }
   const ZoneName& zone() const { return this->zone_name; }
@@ -91,10 +92,19 @@
     bool cancelled = false;
     bool holds_limit = false;
   };
+  enum class Attempt { kStarted, kTeamBlocked, kRefused };
 
   void Pump();
-  bool StartOn(const WorkerInfo& worker);
-  bool Begin(const FairTask& next, const WorkerInfo& worker);
+  bool PumpOnce(std::set<WorkerName>* unfit);
+  Attempt Begin(const FairTask& next,
+                const WorkerInfo& worker,
+                const WorkerChoice& choice);
+  void SendStart(const Task& task, const WorkerInfo& worker);
+  Task& Add(const DispatchRequest& request);
+  // The phases in which the task waits in the queue, or holds a worker's room.
+  void SetQueued(Task* task);
+  void SetOnWorker(Task* task, Phase phase, const WorkerName& worker);
+  void Remove(const TaskId& id);
   void OnStartReply(const TaskId& id,
                     const WorkerName& worker,
                     const Result<StartReply>& reply);
@@ -110,10 +120,9 @@
   void Unblock();
   void TakeMissingLimits();
   void DropExpired();
+  void DropAbandoned();
   void CheckLeases();
   void Reclaim();
-  Resources FreeOn(const WorkerInfo& worker) const;
-  std::vector<const WorkerInfo*> Candidates() const;
   void UpdateCapacity();
   void LogStart(const Task& task, const std::string& outcome) const;
 
@@ -127,8 +136,10 @@
   std::map<TaskId, Task> tasks;
   // Teams without allotment, until the next tick or a task of theirs ends.
   std::set<TeamName> blocked;
-  // Workers that refused a start as full, until their next report.
-  std::set<WorkerName> full;
+  CellWorkers cell_workers;
+  std::map<TeamName, std::size_t> waiting_by_team;
+  std::map<TeamName, std::size_t> running_by_team;
+  MonotonicTime checked_at;
   bool pumping = false;
 };
 
--- a/Source/Core/Entry/dispatch_service.cc
+++ b/Source/Core/Entry/dispatch_service.cc
@@ -248,10 +248,7 @@
   std::size_t count = 0;
   for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
        this->dispatchers) {
-    const std::map<TeamName, std::size_t> running =
-        entry.second->RunningByTeam();
-    const auto found = running.find(team);
-    count += found == running.end() ? 0 : found->second;
+    count += entry.second->Running(team);
   }
   return count;
 }
@@ -260,10 +257,7 @@
   std::size_t count = 0;
   for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
        this->dispatchers) {
-    const std::map<TeamName, std::size_t> waiting =
-        entry.second->WaitingByTeam();
-    const auto found = waiting.find(team);
-    count += found == waiting.end() ? 0 : found->second;
+    count += entry.second->Waiting(team);
   }
   return count;
 }
--- a/Source/Core/Routing/worker_selector.cc
+++ b/Source/Core/Routing/worker_selector.cc
@@ -21,6 +21,8 @@
   switch (reason) {
     case WorkerRejection::kLeaving:
       return "leaving";
+    case WorkerRejection::kUnreachable:
+      return "unreachable";
     case WorkerRejection::kEjected:
       return "ejected";
     case WorkerRejection::kFull:
@@ -39,6 +41,9 @@
   if (state.leaving) {
     return WorkerRejection::kLeaving;
   }
+  if (!state.reachable) {
+    return WorkerRejection::kUnreachable;
+  }
   if (state.ejected) {
     return WorkerRejection::kEjected;
   }
--- a/Source/Core/Routing/worker_selector.h
+++ b/Source/Core/Routing/worker_selector.h
@@ -14,6 +14,7 @@
 
 enum class WorkerRejection {
   kLeaving,
+  kUnreachable,
   kEjected,
   kFull,
   kSlower,
--- a/Source/Core/Routing/worker_state.h
+++ b/Source/Core/Routing/worker_state.h
@@ -14,6 +14,7 @@
   std::size_t running = 0;  // tasks sent and not yet known to have ended
   bool leaving = false;     // according to the instance list or itself
   bool ejected = false;
+  bool reachable = true;  // the last exchange succeeded
 };
 
 }  // namespace daisyroad
