--- a/Source/Core/Transport/event_loop.cc
+++ b/Source/Core/Transport/event_loop.cc
@@ -50,6 +50,11 @@
   this->impl->context.run();
 }
 
+void EventLoop::RunFor(Duration duration) {
+  this->impl->context.restart();
+  this->impl->context.run_for(duration);
+}
+
 void EventLoop::Stop() {
   this->impl->context.stop();
 }
--- a/Source/Core/Transport/event_loop.h
+++ b/Source/Core/Transport/event_loop.h
@@ -20,6 +20,8 @@
 
   // Returns after Stop().
   void Run();
+  // Runs what becomes ready within `duration`, then returns.
+  void RunFor(Duration duration);
   // Thread-safe.
   void Stop();
   // Thread-safe.
