Routing: choose the zone by estimated waits and limit re-dispatches

TaskService chose its own zone first and a random one after a refusal, whatever the queues. ZoneRouter asks CellSelector, with the waits that dispatchers report in the section "cells" of the exchange between instances (pool, zone, mean estimated wait of urgent and long work, free slots).

Each dispatch after the first takes from RetryBudget and waits with full jitter. A refused task without budget is refused; one whose dispatcher was lost waits for budget until its deadline. Tasks that wait in a zone taken out are handed back as not run and sent elsewhere without a charge; before they waited there until their deadline.

An idempotent task that is sent again while some worker could not be asked may have run. Its later refusal said not_run; it now ends as unknown. An inquiry also asks the worker that last had the task when it has changed its pool.

Ruled out: one wait for each team in the exchange, which grows with teams times cells. Tested with workers in memory; no load trial was run.

--- a/Source/Core/Entry/cell_dispatcher.cc
+++ b/Source/Core/Entry/cell_dispatcher.cc
@@ -132,6 +132,19 @@
   }
 }
 
+void CellDispatcher::HandBackWaiting(const std::string& reason) {
+  std::vector<TaskId> waiting;
+  for (const std::pair<const TaskId, Task>& entry : this->tasks) {
+    if (entry.second.phase == Phase::kQueued) {
+      waiting.push_back(entry.first);
+    }
+  }
+  for (const TaskId& id : waiting) {
+    this->queue.Cancel(id, Now());
+    this->End(id, DispatchState::kNotRun, reason);
+  }
+}
+
 std::optional<DispatchState> CellDispatcher::StateOf(const TaskId& id) const {
   const auto found = this->tasks.find(id);
   if (found == this->tasks.end()) {
@@ -225,6 +238,31 @@
   return this->queue.EstimatedWait(team, task_class);
 }
 
+CellLoad CellDispatcher::Load() const {
+  CellLoad load;
+  load.pool = this->pool_name;
+  load.zone = this->zone_name;
+  load.urgent_wait = this->MeanWait(TaskClass::kUrgent);
+  load.long_wait = this->MeanWait(TaskClass::kLong);
+  load.free_slots = static_cast<int>(this->cell_workers.TotalFree().slots);
+  return load;
+}
+
+Duration CellDispatcher::MeanWait(TaskClass task_class) const {
+  double sum = 0.0;
+  double count = 0.0;
+  for (const std::pair<const TeamName, std::size_t>& team :
+       this->waiting_by_team) {
+    const double waiting = static_cast<double>(team.second);
+    sum += waiting * std::chrono::duration<double>(
+                         this->queue.EstimatedWait(team.first, task_class))
+                         .count();
+    count += waiting;
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(count > 0.0 ? sum / count : 0.0));
+}
+
 CellDispatcher::Task& CellDispatcher::Add(const DispatchRequest& request) {
   Task& task = this->tasks[request.task];
   task.request = request;
@@ -402,7 +440,7 @@
   }
   for (const TaskId& id : abandoned) {
     this->queue.Cancel(id, now);
-    this->End(id, DispatchState::kNotRun, "registrar_silent");
+    this->End(id, DispatchState::kNotRun, kRegistrarSilent);
   }
 }
 
--- a/Source/Core/Entry/cell_dispatcher.h
+++ b/Source/Core/Entry/cell_dispatcher.h
@@ -12,6 +12,7 @@
 #include "Core/Common/result.h"
 #include "Core/Common/time.h"
 #include "Core/Declaration/pool.h"
+#include "Core/Entry/cell_load.h"
 #include "Core/Entry/cell_workers.h"
 #include "Core/Entry/dispatch_messages.h"
 #include "Core/Entry/worker_directory.h"
@@ -56,6 +57,9 @@
   // False if the task is not known here.
   bool Renew(const TaskId& task, Milliseconds valid_until);
   void Cancel(const TaskId& task);
+  // Ends the tasks that wait as not run, so that their registrars send them to
+  // another cell.
+  void HandBackWaiting(const std::string& reason);
   std::optional<DispatchState> StateOf(const TaskId& task) const;
 
   // Tasks whose leases this instance renews at the worker.
@@ -74,6 +78,7 @@
   std::size_t Running(const TeamName& team) const;
   std::size_t Waiting(const TeamName& team) const;
   Duration EstimatedWait(const TeamName& team, TaskClass task_class) const;
+  CellLoad Load() const;
   const PoolName& pool() const { return this->pool_name; }
   const ZoneName& zone() const { return this->zone_name; }
 
@@ -94,6 +99,7 @@
   };
   enum class Attempt { kStarted, kTeamBlocked, kRefused };
 
+  Duration MeanWait(TaskClass task_class) const;
   void Pump();
   bool PumpOnce(std::set<WorkerName>* unfit);
   Attempt Begin(const FairTask& next,
--- a/Source/Core/Entry/dispatch_messages.h
+++ b/Source/Core/Entry/dispatch_messages.h
@@ -61,6 +61,10 @@
   static Result<DispatchUpdate> FromJson(const Json::Value& value);
 };
 
+// Reasons of kNotRun after which the registrar sends the task again.
+inline constexpr char kRegistrarSilent[] = "registrar_silent";
+inline constexpr char kZoneOut[] = "zone_out";
+
 const char* DispatchStateName(DispatchState state);
 bool IsFinal(DispatchState state);
 
--- a/Source/Core/Entry/dispatch_service.cc
+++ b/Source/Core/Entry/dispatch_service.cc
@@ -244,6 +244,18 @@
   return std::nullopt;
 }
 
+std::vector<CellLoad> DispatchService::Loads() const {
+  std::vector<CellLoad> loads;
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    if (this->OwnerOf(entry.first.first, entry.first.second) ==
+        this->context->self) {
+      loads.push_back(entry.second->Load());
+    }
+  }
+  return loads;
+}
+
 std::size_t DispatchService::Running(const TeamName& team) const {
   std::size_t count = 0;
   for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
@@ -299,6 +311,10 @@
   for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
        this->dispatchers) {
     this->Configure(entry.second.get());
+    if (this->control->document().zones_out().count(entry.first.second) != 0) {
+      // They would otherwise wait for a start that the zone does not permit.
+      entry.second->HandBackWaiting(kZoneOut);
+    }
   }
 }
 
--- a/Source/Core/Entry/dispatch_service.h
+++ b/Source/Core/Entry/dispatch_service.h
@@ -75,6 +75,8 @@
   cells() const {
     return this->dispatchers;
   }
+  // Loads of the cells whose dispatcher is this instance.
+  std::vector<CellLoad> Loads() const;
   std::size_t Running(const TeamName& team) const;
   std::size_t Waiting(const TeamName& team) const;
   // Stops starting; running tasks are followed to their end.
--- a/Source/Core/Entry/task_record.h
+++ b/Source/Core/Entry/task_record.h
@@ -61,6 +61,9 @@
   bool sent = false;
   bool recovering = false;
   bool cancelled = false;
+  // An idempotent task that was sent before while not every worker could be
+  // asked: it must not be called "not run" any more.
+  bool may_have_run = false;
   int attempts = 0;
   std::vector<std::function<void()>> waiters;
 
--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -44,6 +44,10 @@
 constexpr Milliseconds kClaimPatience{9000};
 constexpr Milliseconds kClaimPause{50};
 constexpr int kRefusedCode = -32010;
+// Between two looks at an empty retry budget.
+constexpr Milliseconds kBudgetPause{100};
+constexpr Milliseconds kOwnLoadPeriod{50};
+constexpr char kCellsSection[] = "cells";
 constexpr char kRouteStep[] = "task.route";
 constexpr std::size_t kMaxRecords = 200000;
 
@@ -92,9 +96,22 @@
       control(control),
       dispatch(dispatch),
       directory(directory),
-      claims(claims) {}
+      claims(claims),
+      router(context, directory) {}
 
 void TaskService::Start() {
+  this->router.Start();
+  this->peers->AddSection(
+      kCellsSection,
+      [this]() { return ZoneRouter::ToJson(this->dispatch->Loads()); },
+      [this](const EntryName&, const Json::Value& section) {
+        this->router.OnSection(section);
+      });
+  this->context->loop->Every(kOwnLoadPeriod, [this]() {
+    for (const CellLoad& load : this->dispatch->Loads()) {
+      this->router.OnLoad(load);
+    }
+  });
   this->claims->Start(
       [this](const TaskId& id, bool ready) { this->OnClaim(id, ready); });
   this->context->loop->Every(kRenewPeriod, [this]() {
@@ -269,8 +286,14 @@
     return;
   }
   if (update.state == DispatchState::kNotRun && !record->cancelled &&
-      update.reason == "registrar_silent") {
+      update.reason == kRegistrarSilent) {
     // The dispatcher dropped it for lack of renewals; it did not run.
+    this->Redispatch(record);
+    return;
+  }
+  if (update.state == DispatchState::kNotRun && !record->cancelled &&
+      update.reason == kZoneOut) {
+    // Not charged to the retry budget: operators moved it, no failure did.
     record->sent = false;
     this->Dispatch(record->id, std::nullopt);
     return;
@@ -323,6 +346,7 @@
   record.pool = service->pool;
   record.urgent = queue->queue_class == QueueClass::kUrgent;
   record.idempotent = queue->idempotent;
+  this->retries.OnRequest();
   record.registered = Now();
   record.deadline = record.registered + submission.deadline;
   if (!submission.idempotency_key.empty()) {
@@ -451,27 +475,12 @@
       .value_or(this->context->self);
 }
 
-std::optional<ZoneName> TaskService::ChooseZone(
-    const TaskRecord& record) const {
-  const std::set<ZoneName>& out = this->control->document().zones_out();
-  std::map<ZoneName, std::size_t> workers;
-  for (const WorkerInfo* worker : this->directory->InPool(record.pool)) {
-    if (!worker->leaving && out.count(worker->listed.zone) == 0) {
-      ++workers[worker->listed.zone];
-    }
-  }
-  std::vector<ZoneName> zones;
-  for (const std::pair<const ZoneName, std::size_t>& entry : workers) {
-    zones.insert(zones.end(), entry.second, entry.first);
-  }
-  if (zones.empty()) {
-    return std::nullopt;
-  }
-  // The own zone first; later attempts are spread by the number of workers.
-  if (record.attempts <= 1 && workers.count(this->context->zone) != 0) {
-    return this->context->zone;
-  }
-  return zones[this->context->random->Below(zones.size())];
+std::optional<ZoneName> TaskService::ChooseZone(const TaskRecord& record) {
+  this->router.SetZonesOut(this->control->document().zones_out());
+  const CellChoice choice =
+      this->router.Choose(record.pool, record.urgent, record.zone);
+  this->context->decisions->Write(kRoutingLog, choice.ToLog(record.id));
+  return choice.zone;
 }
 
 void TaskService::Dispatch(const TaskId& id,
@@ -557,15 +566,39 @@
     this->Finish(record, DispatchState::kNotRun, error.ToString());
     return;
   }
-  const TaskId id = record->id;
-  // Full jitter; the first other cell is tried at once.
-  const Duration pause =
-      record->attempts == 1
-          ? Duration::zero()
-          : this->context->random->DurationBelow(
-                Milliseconds(20) * (1 << std::min(record->attempts, 6)));
+  if (!this->retries.TryRetry()) {
+    record->refusal = error;
+    this->Finish(record, DispatchState::kNotRun,
+                 error.ToString() + "; the retry budget is used up");
+    return;
+  }
   this->context->loop->After(
-      pause, [this, id]() { this->Dispatch(id, std::nullopt); });
+      RetryBudget::Backoff(record->attempts, *this->context->random),
+      [this, id = record->id]() { this->Dispatch(id, std::nullopt); });
+}
+
+void TaskService::Redispatch(TaskRecord* record) {
+  record->sent = false;
+  const TaskId id = record->id;
+  const Duration pause = RetryBudget::Backoff(std::max(record->attempts, 1),
+                                              *this->context->random);
+  if (this->retries.TryRetry()) {
+    this->context->loop->After(
+        pause, [this, id]() { this->Dispatch(id, std::nullopt); });
+    return;
+  }
+  if (record->cancelled || Now() >= record->deadline) {
+    this->Dispatch(id, std::nullopt);  // ends it
+    return;
+  }
+  // The task was accepted, so it waits for the budget until its deadline.
+  this->context->loop->After(std::max<Duration>(pause, kBudgetPause),
+                             [this, id]() {
+                               TaskRecord* const found = this->Find(id);
+                               if (found != nullptr && !IsFinal(found->state)) {
+                                 this->Redispatch(found);
+                               }
+                             });
 }
 
 void TaskService::Renew() {
@@ -653,8 +686,12 @@
   for (const std::pair<const WorkerName, WorkerInfo>& entry :
        this->directory->workers()) {
     // Where an earlier registrar sent the task is not known.
-    if (entry.second.pool == record->pool &&
-        (record->recovered || entry.second.listed.zone == record->zone)) {
+    // A worker that has changed its pool still knows what it ran.
+    if (entry.first == record->worker) {
+      inquiry.pending.insert(entry.first);
+    } else if (entry.second.pool == record->pool &&
+               (record->recovered ||
+                entry.second.listed.zone == record->zone)) {
       inquiry.pending.insert(entry.first);
     }
   }
@@ -746,8 +783,8 @@
   if (complete || record->idempotent) {
     // No worker of the cell has it and none can start it any more.
     record->recovering = false;
-    record->sent = false;
-    this->Dispatch(id, std::nullopt);
+    record->may_have_run = record->may_have_run || !complete;
+    this->Redispatch(record);
     return;
   }
   if (Now() - record->granted_until > kInquiryPatience) {
@@ -759,8 +796,12 @@
 }
 
 void TaskService::Finish(TaskRecord* record,
-                         DispatchState state,
+                         DispatchState reported,
                          const std::string& reason) {
+  const DispatchState state =
+      reported == DispatchState::kNotRun && record->may_have_run
+          ? DispatchState::kUnknown
+          : reported;
   record->state = state;
   record->reason = reason;
   record->ended = Now();
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -13,6 +13,8 @@
 #include "Core/Common/identifiers.h"
 #include "Core/Common/result.h"
 #include "Core/Entry/task_record.h"
+#include "Core/Entry/zone_router.h"
+#include "Core/Routing/retry_budget.h"
 
 namespace daisyroad {
 
@@ -83,7 +85,9 @@
   void AdoptEarlier(const TaskId& id, const Json::Value& earlier);
   void Dispatch(const TaskId& id, const std::optional<WorkerName>& running_on);
   void OnSent(const TaskId& id, const EntryName& owner, const Status& status);
-  std::optional<ZoneName> ChooseZone(const TaskRecord& record) const;
+  std::optional<ZoneName> ChooseZone(const TaskRecord& record);
+  // Sends an accepted task again when the retry budget permits it.
+  void Redispatch(TaskRecord* record);
   void RefusedByCell(TaskRecord* record, const Error& error);
   void Renew();
   void OnStates(
@@ -115,6 +119,8 @@
   DispatchService* dispatch;
   WorkerDirectory* directory;
   ClaimService* claims;
+  ZoneRouter router;
+  RetryBudget retries;
   std::map<TaskId, TaskRecord> records;
   std::map<std::string, TaskId> by_key;
   std::map<TaskId, Inquiry> inquiries;
--- a/Source/UnitTests/Dispatch/cell_dispatcher_test.cc
+++ b/Source/UnitTests/Dispatch/cell_dispatcher_test.cc
@@ -90,6 +90,20 @@
   CHECK(fixture.workers.starts.size() == 1);
 }
 
+// Guards against tasks that wait for their deadline in a zone taken out.
+TEST_CASE("Waiting tasks are handed back as not run, running ones stay") {
+  DispatchFixture fixture(1);
+  const TaskId running = fixture.Submit("a");
+  fixture.AnswerStart(0, StartOutcome::kStarted);
+  fixture.may_start = false;
+  const TaskId waiting = fixture.Submit("b");
+  fixture.cell->HandBackWaiting(kZoneOut);
+  CHECK(fixture.LastState(waiting) == DispatchState::kNotRun);
+  CHECK(fixture.updates[waiting].reason == kZoneOut);
+  CHECK(fixture.LastState(running) == DispatchState::kRunning);
+  CHECK(fixture.cell->Waiting(TeamName("team")) == 0);
+}
+
 // Guards against a team at its upper limit that holds up the others.
 TEST_CASE("A team at its limit does not block other teams") {
   DispatchFixture fixture(1);
