Routing: probe a worker on a new connection after an unanswered request

Open connections can go silent for good. Requests on them ran out of time one after the other, and a silent long poll was noticed after 11 s. MonitoredWorkerClient applies ConnectionMonitor to each request: after the request timeout (1 s) it asks for the status on a new connection. If that one answers, HttpClient::RetireConnections ends the requests in progress and keeps later ones off the connections made so far, and the tasks at the worker are asked for by identifier. Leases are renewed each second, so a silent connection is found after 2 s plus the probe by this arithmetic; it was not measured against stand-ins. A poll is probed once it owes the report of an ended task.

For 2 s after a retirement each request has a connection of its own that is not kept; then CURLOPT_MAXLIFETIME_CONN closes all older ones. Ruled out: CURLOPT_FRESH_CONNECT until one request succeeds, since libcurl may use an old connection again afterwards.

--- a/Source/Core/Entry/cell_dispatcher.h
+++ b/Source/Core/Entry/cell_dispatcher.h
@@ -68,6 +68,8 @@
   void OnLeasesRenewed(const WorkerName& worker,
                        const LeaseReply& reply,
                        MonotonicTime sent);
+  // Asks for each task at the worker by its identifier on a new connection.
+  void InquireAll(const WorkerName& worker);
   void OnWorkerChanged(const WorkerName& worker);
   void Tick();
 
@@ -115,6 +117,8 @@
                     const WorkerName& worker,
                     const Result<StartReply>& reply);
   void Inquire(const TaskId& id);
+  void Ask(const TaskId& id, const WorkerInfo& worker);
+  void OnAsked(const TaskId& id, const Result<TaskReport>& report);
   void OnFate(const TaskId& id, const Result<TaskReport>& report);
   void OnRunning(Task* task);
   void PutBack(Task* task, const std::string& why);
--- a/Source/Core/Entry/cell_dispatcher_fate.cc
+++ b/Source/Core/Entry/cell_dispatcher_fate.cc
@@ -71,13 +71,43 @@
     this->WorkerLost(&found->second, "worker_gone");
     return;
   }
-  // A new connection, since the one in use may have gone silent.
-  this->context->workers->Report(worker->listed.address, id, true,
+  this->Ask(id, *worker);
+}
+
+void CellDispatcher::InquireAll(const WorkerName& name) {
+  const WorkerInfo* worker = this->directory->Find(name);
+  const std::set<TaskId> asked = this->cell_workers.TasksOn(name);
+  for (const TaskId& id : asked) {
+    // The others are asked for when their start ends without an answer.
+    if (worker != nullptr && this->tasks.at(id).phase == Phase::kRunning) {
+      this->Ask(id, *worker);
+    }
+  }
+}
+
+// On a new connection, since the one in use may have gone silent.
+void CellDispatcher::Ask(const TaskId& id, const WorkerInfo& worker) {
+  this->context->workers->Report(worker.listed.address, id, true,
                                  [this, id](const Result<TaskReport>& report) {
-                                   this->OnFate(id, report);
+                                   this->OnAsked(id, report);
                                  });
 }
 
+void CellDispatcher::OnAsked(const TaskId& id,
+                             const Result<TaskReport>& report) {
+  const auto found = this->tasks.find(id);
+  // Only what this instance started is certain to be reported to it.
+  if (found != this->tasks.end() && found->second.start_before.count() != 0 &&
+      report.ok() && report.value().state != WorkerTaskState::kUnknown &&
+      report.value().state != WorkerTaskState::kRunning) {
+    const WorkerInfo* worker = this->directory->Find(found->second.worker);
+    if (worker != nullptr) {
+      this->context->workers->ExpectFinished(worker->listed.address);
+    }
+  }
+  this->OnFate(id, report);
+}
+
 void CellDispatcher::OnFate(const TaskId& id,
                             const Result<TaskReport>& report) {
   const auto found = this->tasks.find(id);
--- a/Source/Core/Entry/dispatch_service.cc
+++ b/Source/Core/Entry/dispatch_service.cc
@@ -461,6 +461,25 @@
       });
 }
 
+void DispatchService::OnSilentConnection(const std::string& address,
+                                         const WorkerStatus& status) {
+  std::vector<WorkerName> names;
+  for (const std::pair<const WorkerName, WorkerInfo>& entry :
+       this->directory->workers()) {
+    if (entry.second.listed.address == address && entry.second.present) {
+      names.push_back(entry.first);
+    }
+  }
+  for (const WorkerName& name : names) {
+    this->directory->OnReply(name, status.now, status.incarnation,
+                             status.leaving);
+    for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>&
+             entry : this->dispatchers) {
+      entry.second->InquireAll(name);
+    }
+  }
+}
+
 void DispatchService::OnFinished(const WorkerName& worker,
                                  const std::vector<TaskReport>& reports) {
   for (const TaskReport& report : reports) {
--- a/Source/Core/Entry/dispatch_service.h
+++ b/Source/Core/Entry/dispatch_service.h
@@ -79,6 +79,9 @@
   std::vector<CellLoad> Loads() const;
   std::size_t Running(const TeamName& team) const;
   std::size_t Waiting(const TeamName& team) const;
+  // The kept connections to a worker were silent; it answered on a new one.
+  void OnSilentConnection(const std::string& address,
+                          const WorkerStatus& status);
   // Stops starting; running tasks are followed to their end.
   void BeginShutdown() { this->stopping = true; }
 
--- a/Source/Core/Entry/entry_instance.cc
+++ b/Source/Core/Entry/entry_instance.cc
@@ -15,6 +15,7 @@
 #include "Core/Entry/dispatch_service.h"
 #include "Core/Entry/entry_context.h"
 #include "Core/Entry/limit_service.h"
+#include "Core/Entry/monitored_worker_client.h"
 #include "Core/Entry/operator_api.h"
 #include "Core/Entry/peer_service.h"
 #include "Core/Entry/problem.h"
@@ -148,6 +149,10 @@
         [this](const DispatchUpdate& update) { this->tasks.OnUpdate(update); },
         [this](const TeamName& team) { return this->limits.TryStart(team); },
         [this](const TeamName& team) { this->limits.OnFinished(team); });
+    this->monitored_workers.Watch(
+        [this](const std::string& address, const WorkerStatus& status) {
+          this->dispatch.OnSilentConnection(address, status);
+        });
     this->limits.Start();
     this->tasks.Start();
     this->peers.Start([this]() { return this->control.Report(); },
@@ -180,7 +185,7 @@
     this->context.rpc = &this->rpc;
     this->context.store = &this->store;
     this->context.instance_list = &this->instance_list;
-    this->context.workers = &this->workers;
+    this->context.workers = &this->monitored_workers;
     this->context.metrics = &this->metrics;
     this->context.decisions = &this->decisions;
     this->context.random = &this->random;
@@ -299,6 +304,7 @@
   HttpStoreClient store;
   HttpInstanceListClient instance_list;
   HttpWorkerClient workers;
+  MonitoredWorkerClient monitored_workers{&this->context, &this->workers};
   PeerService peers;
   ControlService control;
   WorkerDirectory directory;
--- a/Source/Core/Platform/http_worker_client.cc
+++ b/Source/Core/Platform/http_worker_client.cc
@@ -271,6 +271,10 @@
                  });
 }
 
+void HttpWorkerClient::RetireConnections(const std::string& address) {
+  this->http->RetireConnections(address);
+}
+
 void HttpWorkerClient::Exchange(const std::string& method,
                                 const std::string& address,
                                 const std::string& path,
--- a/Source/Core/Platform/http_worker_client.h
+++ b/Source/Core/Platform/http_worker_client.h
@@ -44,6 +44,7 @@
                WorkerCommand command,
                const TaskId& task,
                CommandCallback callback) override;
+  void RetireConnections(const std::string& address) override;
 
  private:
   using JsonCallback = std::function<void(Result<Json::Value>, int status)>;
--- a/Source/Core/Platform/worker_client.h
+++ b/Source/Core/Platform/worker_client.h
@@ -58,6 +58,14 @@
                        WorkerCommand command,
                        const TaskId& task,
                        CommandCallback callback) = 0;
+  // Ends the requests to the worker that are in progress, with kTimeout, and
+  // uses none of the connections made so far again. For clients that keep
+  // connections.
+  virtual void RetireConnections(const std::string& /*address*/) {}
+  // A task of this holder has ended at the worker and was not reported, so a
+  // WaitFinished in progress should be answered now. For clients that watch
+  // their connections.
+  virtual void ExpectFinished(const std::string& /*address*/) {}
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -11,6 +11,7 @@
 #include <thread>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace daisyroad {
 namespace {
@@ -19,6 +20,20 @@
 constexpr std::size_t kMaxAnswerBytes = 64U << 20;
 constexpr long kMaxIdleConnections = 512;
 
+// libcurl counts the age of a connection in whole seconds, so for this long
+// after a retirement every request gets a connection of its own. It is not
+// kept, since a worker accepts few connections.
+constexpr std::chrono::seconds kOwnConnections{2};
+// libcurl does not use a connection again that was idle for 118 s, so all
+// retired ones are gone by then.
+constexpr std::chrono::seconds kRetirementKept{600};
+
+std::string AuthorityOf(const std::string& url) {
+  const std::size_t scheme = url.find("://");
+  const std::size_t begin = scheme == std::string::npos ? 0 : scheme + 3;
+  return url.substr(begin, url.find('/', begin) - begin);
+}
+
 struct Exchange {
   HttpClientRequest request;
   HttpClient::Callback callback;
@@ -130,6 +145,21 @@
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, exchange);
 }
 
+// Keeps the exchange off connections that are older than `since`.
+void AvoidOlderConnections(CURL* handle, Duration since) {
+  if (since < kOwnConnections) {
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+    return;
+  }
+  // A connection is closed when its age in whole seconds is above the limit.
+  // One second less than `since` closes all that are older than it.
+  const std::int64_t seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(since).count();
+  curl_easy_setopt(handle, CURLOPT_MAXLIFETIME_CONN,
+                   static_cast<long>(seconds - 1));
+}
+
 }  // namespace
 
 class HttpClient::Impl {
@@ -165,9 +195,18 @@
     curl_multi_wakeup(this->multi);
   }
 
+  void Retire(const std::string& authority) {
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->to_retire.push_back(authority);
+    }
+    curl_multi_wakeup(this->multi);
+  }
+
  private:
   void Run() {
     while (!this->stopping) {
+      this->RetireQueued();
       this->StartQueued();
       int running = 0;
       curl_multi_perform(this->multi, &running);
@@ -176,6 +215,56 @@
     }
   }
 
+  void RetireQueued() {
+    std::vector<std::string> batch;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      batch.swap(this->to_retire);
+    }
+    const std::chrono::steady_clock::time_point now =
+        std::chrono::steady_clock::now();
+    for (const std::string& authority : batch) {
+      this->retired[authority] = now;
+      this->EndActive(authority);
+    }
+  }
+
+  void EndActive(const std::string& authority) {
+    std::vector<CURL*> handles;
+    for (const std::pair<CURL* const, std::unique_ptr<Exchange>>& entry :
+         this->active) {
+      const HttpClientRequest& request = entry.second->request;
+      if (!request.fresh_connection && AuthorityOf(request.url) == authority) {
+        handles.push_back(entry.first);
+      }
+    }
+    for (CURL* const handle : handles) {
+      const std::unique_ptr<Exchange> exchange =
+          std::move(this->active[handle]);
+      this->active.erase(handle);
+      // Removing an unfinished transfer closes its connection.
+      curl_multi_remove_handle(this->multi, handle);
+      this->Answer(exchange.get(),
+                   Error{Errc::kTimeout, "http." + exchange->request.method,
+                         exchange->request.url, "the connection is silent"});
+    }
+  }
+
+  void AvoidRetired(const Exchange& exchange) {
+    const std::unordered_map<
+        std::string, std::chrono::steady_clock::time_point>::iterator found =
+        this->retired.find(AuthorityOf(exchange.request.url));
+    if (found == this->retired.end() || exchange.request.fresh_connection) {
+      return;
+    }
+    const Duration since = std::chrono::steady_clock::now() - found->second;
+    if (since > kRetirementKept) {
+      this->retired.erase(found);
+      return;
+    }
+    AvoidOlderConnections(exchange.handle, since);
+  }
+
   void StartQueued() {
     std::deque<std::unique_ptr<Exchange>> batch;
     {
@@ -185,6 +274,7 @@
     for (std::unique_ptr<Exchange>& exchange : batch) {
       exchange->handle = curl_easy_init();
       Configure(exchange.get());
+      this->AvoidRetired(*exchange);
       CURL* const handle = exchange->handle;
       this->active[handle] = std::move(exchange);
       curl_multi_add_handle(this->multi, handle);
@@ -213,6 +303,10 @@
     Result<HttpResponse> result =
         code == CURLE_OK ? Result<HttpResponse>(std::move(exchange->response))
                          : Result<HttpResponse>(ToError(code, *exchange));
+    this->Answer(exchange, std::move(result));
+  }
+
+  void Answer(Exchange* exchange, Result<HttpResponse> result) {
     this->executor([callback = std::move(exchange->callback),
                     result = std::move(result)]() { callback(result); });
   }
@@ -222,6 +316,10 @@
   std::atomic<bool> stopping = false;
   std::mutex mutex;
   std::deque<std::unique_ptr<Exchange>> queue;
+  std::vector<std::string> to_retire;
+  // Time of the last retirement by authority; used by the thread only.
+  std::unordered_map<std::string, std::chrono::steady_clock::time_point>
+      retired;
   std::unordered_map<CURL*, std::unique_ptr<Exchange>> active;
   std::thread thread;
 };
@@ -235,4 +333,8 @@
   this->impl->Enqueue(std::move(request), std::move(callback));
 }
 
+void HttpClient::RetireConnections(const std::string& authority) {
+  this->impl->Retire(authority);
+}
+
 }  // namespace daisyroad
--- a/Source/Core/Transport/http_client.h
+++ b/Source/Core/Transport/http_client.h
@@ -44,6 +44,10 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   void Send(HttpClientRequest request, Callback callback);
+  // Gives up the connections made so far to `authority` (host:port): requests
+  // in progress on them end with kTimeout, later ones use new connections.
+  // Requests with `fresh_connection` go on.
+  void RetireConnections(const std::string& authority);
 
  private:
   class Impl;
--- a/Source/UnitTests/Dispatch/fake_workers.h
+++ b/Source/UnitTests/Dispatch/fake_workers.h
@@ -68,6 +68,9 @@
                WorkerCommand command,
                const TaskId& task,
                CommandCallback callback) override;
+  void RetireConnections(const std::string& address) override {
+    this->retired.push_back(address);
+  }
 
   std::vector<StartCall> starts;
   std::vector<ReportCall> reports;
@@ -75,6 +78,7 @@
   std::vector<StatusCall> statuses;
   std::vector<PollCall> polls;
   std::vector<CommandCall> commands;
+  std::vector<std::string> retired;
 };
 
 }  // namespace daisyroad
--- a/Source/UnitTests/Transport/transport_test.cc
+++ b/Source/UnitTests/Transport/transport_test.cc
@@ -76,6 +76,58 @@
   CHECK(Fetch(request).error().code == Errc::kUnavailable);
 }
 
+// Guards against a request that goes out on a kept connection which was given
+// up as silent, and against waiting for the answer of one in progress.
+TEST_CASE("After a retirement no earlier connection is used") {
+  HttpServer server;
+  std::vector<std::string> peers;
+  std::vector<HttpResponder> kept;  // a dropped one closes its connection
+  REQUIRE(
+      server
+          .Start(HttpServerOptions(),
+                 [&](const HttpRequest& request, const HttpResponder& respond) {
+                   peers.push_back(request.peer);
+                   if (request.path == "/hang") {
+                     kept.push_back(respond);
+                   } else {
+                     respond(HttpResponse());
+                   }
+                 })
+          .ok());
+  EventLoop loop;
+  HttpClient client(
+      [&loop](std::function<void()> function) { loop.Post(function); });
+  std::vector<Result<HttpResponse>> answers;
+  const auto send = [&](const std::string& path, Duration wait) {
+    HttpClientRequest request;
+    request.url = Url(server, path);
+    request.timeout = Milliseconds(10000);
+    client.Send(request, [&](const Result<HttpResponse>& response) {
+      answers.push_back(response);
+    });
+    loop.RunFor(wait);
+  };
+  send("/", Milliseconds(100));
+  send("/", Milliseconds(100));
+  REQUIRE(peers.size() == 2);
+  CHECK(peers[0] == peers[1]);
+  send("/hang", Milliseconds(100));
+  send("/", Milliseconds(100));  // leaves an idle connection behind
+  CHECK(answers.size() == 3);
+  client.RetireConnections("127.0.0.1:" + std::to_string(server.port()));
+  loop.RunFor(Milliseconds(100));
+  REQUIRE(answers.size() == 4);
+  CHECK(answers[3].error().code == Errc::kTimeout);
+  send("/", Milliseconds(100));
+  loop.RunFor(Milliseconds(2100));
+  send("/", Milliseconds(100));
+  REQUIRE(peers.size() == 6);
+  for (std::size_t i = 4; i < 6; ++i) {
+    CHECK(peers[i] != peers[0]);
+    CHECK(peers[i] != peers[3]);
+  }
+}
+
 // Guards against a body above the limit that is taken or crashes the server.
 TEST_CASE("A body above the limit is not delivered") {
   HttpServer server;
