--- a/Source/Core/Entry/cell_workers.cc
+++ b/Source/Core/Entry/cell_workers.cc
@@ -1,6 +1,7 @@
 #include "Core/Entry/cell_workers.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "Core/Common/log_decision.h"
@@ -32,7 +33,7 @@
 }
 
 std::int64_t Percent(double part) {
-  return static_cast<std::int64_t>(part * 100.0 + 0.5);
+  return std::lround(part * 100.0);
 }
 
 }  // namespace
--- a/Source/UnitTests/Dispatch/cell_dispatcher_test.cc
+++ b/Source/UnitTests/Dispatch/cell_dispatcher_test.cc
@@ -104,6 +104,21 @@
   CHECK(fixture.cell->Waiting(TeamName("team")) == 0);
 }
 
+// Guards against a second run of a task, or a lost end, when the connection on
+// which it was started has gone silent.
+TEST_CASE("Tasks on a silent connection are asked for by identifier") {
+  DispatchFixture fixture(1);
+  const TaskId task = fixture.Submit("t", false);
+  fixture.AnswerStart(0, StartOutcome::kStarted);
+  fixture.cell->InquireAll(WorkerName("w0"));
+  REQUIRE(fixture.workers.reports.size() == 1);
+  CHECK(fixture.workers.reports[0].fresh_connection);
+  fixture.workers.reports[0].answer(
+      fixture.MakeReport(task, WorkerTaskState::kFailed));
+  CHECK(fixture.LastState(task) == DispatchState::kFailed);
+  CHECK(fixture.workers.starts.size() == 1);
+}
+
 // Guards against a team at its upper limit that holds up the others.
 TEST_CASE("A team at its limit does not block other teams") {
   DispatchFixture fixture(1);
