--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -687,11 +687,9 @@
        this->directory->workers()) {
     // Where an earlier registrar sent the task is not known.
     // A worker that has changed its pool still knows what it ran.
-    if (entry.first == record->worker) {
-      inquiry.pending.insert(entry.first);
-    } else if (entry.second.pool == record->pool &&
-               (record->recovered ||
-                entry.second.listed.zone == record->zone)) {
+    if (entry.first == record->worker ||
+        (entry.second.pool == record->pool &&
+         (record->recovered || entry.second.listed.zone == record->zone))) {
       inquiry.pending.insert(entry.first);
     }
   }
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -165,8 +165,8 @@
 class HttpClient::Impl {
  public:
   explicit Impl(Executor executor) : executor(std::move(executor)) {
-    static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
-    static_cast<void>(global);
+    static const CURLcode kGlobal = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(kGlobal);
     this->multi = curl_multi_init();
     curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
     this->thread = std::thread([this]() { this->Run(); });
--- a/Source/UnitTests/Dispatch/dispatch_fixture.cc
+++ b/Source/UnitTests/Dispatch/dispatch_fixture.cc
@@ -13,8 +13,8 @@
 
 DispatchFixture::DispatchFixture(int worker_count)
     : worker_count(worker_count) {
-  static const bool initialized = (InitializeLogging(LogLevel::kError), true);
-  static_cast<void>(initialized);
+  static const bool kInitialized = (InitializeLogging(LogLevel::kError), true);
+  static_cast<void>(kInitialized);
   this->context.self = EntryName("entry.1");
   this->context.zone = ZoneName(kZone);
   this->context.settings.task_lease = Milliseconds(200);
