--- a/Source/Core/Entry/dispatch_service.cc
+++ b/Source/Core/Entry/dispatch_service.cc
@@ -244,14 +244,23 @@
   return std::nullopt;
 }
 
+std::vector<CellLoad> DispatchService::Loads() const {
+  std::vector<CellLoad> loads;
+  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
+       this->dispatchers) {
+    if (this->OwnerOf(entry.first.first, entry.first.second) ==
+        this->context->self) {
+      loads.push_back(entry.second->Load());
+    }
+  }
+  return loads;
+}
+
 std::size_t DispatchService::Running(const TeamName& team) const {
   std::size_t count = 0;
   for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
        this->dispatchers) {
-    const std::map<TeamName, std::size_t> running =
-        entry.second->RunningByTeam();
-    const auto found = running.find(team);
-    count += found == running.end() ? 0 : found->second;
+    count += entry.second->Running(team);
   }
   return count;
 }
@@ -260,10 +269,7 @@
   std::size_t count = 0;
   for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
        this->dispatchers) {
-    const std::map<TeamName, std::size_t> waiting =
-        entry.second->WaitingByTeam();
-    const auto found = waiting.find(team);
-    count += found == waiting.end() ? 0 : found->second;
+    count += entry.second->Waiting(team);
   }
   return count;
 }
@@ -305,6 +311,10 @@
   for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
        this->dispatchers) {
     this->Configure(entry.second.get());
+    if (this->control->document().zones_out().count(entry.first.second) != 0) {
+      // They would otherwise wait for a start that the zone does not permit.
+      entry.second->HandBackWaiting(kZoneOut);
+    }
   }
 }
 
@@ -451,6 +461,25 @@
       });
 }
 
+void DispatchService::OnSilentConnection(const std::string& address,
+                                         const WorkerStatus& status) {
+  std::vector<WorkerName> names;
+  for (const std::pair<const WorkerName, WorkerInfo>& entry :
+       this->directory->workers()) {
+    if (entry.second.listed.address == address && entry.second.present) {
+      names.push_back(entry.first);
+    }
+  }
+  for (const WorkerName& name : names) {
+    this->directory->OnReply(name, status.now, status.incarnation,
+                             status.leaving);
+    for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>&
+             entry : this->dispatchers) {
+      entry.second->InquireAll(name);
+    }
+  }
+}
+
 void DispatchService::OnFinished(const WorkerName& worker,
                                  const std::vector<TaskReport>& reports) {
   for (const TaskReport& report : reports) {
--- a/Source/Core/Entry/dispatch_service.h
+++ b/Source/Core/Entry/dispatch_service.h
@@ -75,8 +75,13 @@
   cells() const {
     return this->dispatchers;
   }
+  // Loads of the cells whose dispatcher is this instance.
+  std::vector<CellLoad> Loads() const;
   std::size_t Running(const TeamName& team) const;
   std::size_t Waiting(const TeamName& team) const;
+  // The kept connections to a worker were silent; it answered on a new one.
+  void OnSilentConnection(const std::string& address,
+                          const WorkerStatus& status);
   // Stops starting; running tasks are followed to their end.
   void BeginShutdown() { this->stopping = true; }
 
--- a/Source/Core/Platform/http_worker_client.h
+++ b/Source/Core/Platform/http_worker_client.h
@@ -45,6 +45,7 @@
                const TaskId& task,
                const std::string& incarnation,
                CommandCallback callback) override;
+  void RetireConnections(const std::string& address) override;
 
  private:
   using JsonCallback = std::function<void(Result<Json::Value>, int status)>;
