--- /dev/null
+++ b/Source/Load/call_driver.h
@@ -0,0 +1,65 @@
+#ifndef SOURCE_LOAD_CALL_DRIVER_H_
+#define SOURCE_LOAD_CALL_DRIVER_H_
+
+#include <json/value.h>
+
+#include <cstddef>
+#include <vector>
+
+#include "Core/Common/random.h"
+#include "Core/Common/result.h"
+#include "Core/Transport/http_client.h"
+#include "Load/call_record.h"
+#include "Load/call_settings.h"
+
+namespace daisyroad {
+
+class EventLoop;
+
+// Sends planned calls, retries them through other entry instances where the
+// `outcome` of the answer allows it, and checks every answer against its
+// request. Runs on the loop's thread.
+class CallDriver {
+ public:
+  CallDriver(EventLoop* loop,
+             CallSettings settings,
+             const std::vector<PlannedCall>& calls);
+
+  // Sends each call at its time after `start`.
+  void Start(MonotonicTime start);
+  bool finished() const { return this->open == 0; }
+  const std::vector<CallRecord>& records() const { return this->calls; }
+
+ private:
+  struct Progress {
+    MonotonicTime give_up;
+    int pauses = 0;
+  };
+
+  void SendDue();
+  void Submit(std::size_t index);
+  void Poll(std::size_t index);
+  void Cancel(std::size_t index);
+  void OnReply(std::size_t index, const Result<HttpResponse>& reply, bool poll);
+  void OnTask(std::size_t index, const HttpResponse& response);
+  void OnProblem(std::size_t index, const HttpResponse& response, bool poll);
+  void OnDone(CallRecord* record, const Json::Value& task);
+  void Retry(std::size_t index, bool poll);
+  void End(CallRecord* record, CallState state);
+  HttpClientRequest NewRequest(const CallRecord& record);
+
+  EventLoop* loop;
+  CallSettings settings;
+  std::vector<CallRecord> calls;
+  std::vector<Progress> progress;
+  std::size_t open;
+  std::size_t next_due = 0;
+  std::size_t next_entry = 0;
+  MonotonicTime start;
+  Random random;
+  HttpClient http;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_LOAD_CALL_DRIVER_H_
--- /dev/null
+++ b/Source/Load/load_run.h
@@ -0,0 +1,30 @@
+#ifndef SOURCE_LOAD_LOAD_RUN_H_
+#define SOURCE_LOAD_LOAD_RUN_H_
+
+#include <vector>
+
+#include "Load/call_record.h"
+#include "Load/call_settings.h"
+#include "Load/event_player.h"
+#include "Load/planned_call.h"
+#include "Load/played_event.h"
+
+namespace daisyroad {
+
+struct LoadRunResult {
+  std::vector<CallRecord> calls;
+  std::vector<PlayedEvent> events;
+  WallTime started;
+  WallTime ended;
+};
+
+// Plays calls and events against live entry instances and returns when every
+// call has ended and every event has been played.
+LoadRunResult PlayLoad(const CallSettings& settings,
+                       const std::vector<PlannedCall>& calls,
+                       const EventPlayer::Options& event_options,
+                       const std::vector<ScriptedEvent>& events);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_LOAD_LOAD_RUN_H_
--- /dev/null
+++ b/Source/UnitTests/Load/load_units_test.cc
@@ -0,0 +1,3 @@
+// Faults of the platform under load, played against real processes.
+
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/Source/UnitTests/Load/test_deployment.h
@@ -0,0 +1,82 @@
+#ifndef SOURCE_UNITTESTS_LOAD_TEST_DEPLOYMENT_H_
+#define SOURCE_UNITTESTS_LOAD_TEST_DEPLOYMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Load/blocking_http.h"
+#include "Load/load_run.h"
+#include "Load/run_audit.h"
+#include "UnitTests/Load/child_process.h"
+
+namespace daisyroad {
+
+// A small site of real processes on free ports of 127.0.0.1: zones north and
+// south with two entry instances and two workers of 8 slots each, and the
+// platform's stand-ins. Teams shop (share 2) and office (share 1) may use the
+// queues confirmations (not idempotent), quotes (idempotent) and runs (long,
+// idempotent). All processes are ended with this object.
+class TestDeployment {
+ public:
+  static constexpr int kEntries = 4;  // in zones north, south, north, south
+  static constexpr int kWorkers = 4;  // in zones north, south, north, south
+  static constexpr int kTeamLimit = 20;
+
+  // Returns when every entry instance is ready and knows the teams' keys;
+  // throws std::runtime_error otherwise.
+  explicit TestDeployment(std::uint64_t seed);
+  ~TestDeployment();
+
+  ChildProcess* entry(int index) { return this->entries[index].get(); }
+  std::string store() const { return this->AddressOf(kStorePort); }
+  std::string worker(int index) const {
+    return this->AddressOf(kFirstWorkerPort + index);
+  }
+
+  // `rate` calls a second for `length`, the same for the same seed.
+  std::vector<PlannedCall> Calls(Milliseconds length, int rate) const;
+  // Plays the calls and events, then waits until the workers have ended their
+  // tasks.
+  LoadRunResult Play(const std::vector<PlannedCall>& calls,
+                     const std::vector<ScriptedEvent>& events);
+  std::vector<StartRecord> Starts();
+  AuditReport Audit(const LoadRunResult& run);
+
+ private:
+  static constexpr int kStorePort = 0;
+  static constexpr int kInstancesPort = 1;
+  static constexpr int kFirstWorkerPort = 2;
+  static constexpr int kFirstCallerPort = kFirstWorkerPort + kWorkers;
+  static constexpr int kFirstPeerPort = kFirstCallerPort + kEntries;
+  static constexpr int kPorts = kFirstPeerPort + kEntries;
+
+  std::string AddressOf(int offset) const;
+  std::string OutputOf(const std::string& name) const;
+  void StartPlatform();
+  void StartEntry(int index);
+  std::string EntrySettings(int index) const;
+  void AwaitReady();
+  void Declare();
+  void GiveKeys();
+  void AwaitKeys();
+  // Repeats until the call succeeds; throws after 15 s.
+  Json::Value Operate(const std::string& method,
+                      const std::string& path,
+                      const Json::Value& body);
+
+  std::uint64_t seed;
+  int base_port;
+  std::string folder;
+  BlockingHttp http;
+  std::map<TeamName, std::string> secrets;
+  std::map<TeamName, std::string> key_ids;
+  std::vector<std::unique_ptr<ChildProcess>> platform;
+  std::vector<std::unique_ptr<ChildProcess>> entries;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_UNITTESTS_LOAD_TEST_DEPLOYMENT_H_
