Entry: answer unknown when a registrar is lost after it took the task

A request that a remote registrar had taken was answered 503 not_run when the registrar then died: the lookup's "connection refused" was read as "this request was not received", which holds for the submission only.

--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -51,6 +51,21 @@
                task["reason"].asString()};
 }
 
+// Once the registrar has taken a task, an error of a later call leaves open
+// whether the task ran, even if that call was certainly not received.
+TaskService::Callback AfterReceipt(TaskService::Callback callback) {
+  return [callback = std::move(callback)](const Result<Json::Value>& task) {
+    if (task.ok() || task.error().code != Errc::kUnavailable ||
+        task.error().step.rfind("rpc.", 0) != 0) {
+      callback(task);
+      return;
+    }
+    Error error = task.error();
+    error.code = Errc::kTimeout;
+    callback(error);
+  };
+}
+
 }  // namespace
 
 TaskService::TaskService(EntryContext* context,
@@ -101,7 +116,7 @@
           callback(RefusalOf(reply.value()));
         } else {
           this->WaitRemote(address, TaskId(reply.value()["id"].asString()),
-                           until, callback);
+                           until, AfterReceipt(callback));
         }
       });
 }
