--- a/Source/Load/event_player.cc
+++ b/Source/Load/event_player.cc
@@ -95,7 +95,7 @@
                           const Result<HttpResponse>& reply) {
   const std::string detail =
       reply.ok() ? reply.value().body : reply.error().ToString();
-  if (reply.ok() && reply.value().status == 200) {
+  if (reply.ok() && reply.value().status / 100 == 2) {
     this->End(index, true, detail);
     return;
   }
--- a/Source/StandIns/Worker/worker_server.cc
+++ b/Source/StandIns/Worker/worker_server.cc
@@ -331,6 +331,7 @@
     item["worker"] = this->options.name;
     item["started_ms"] = Json::Int64(UnixMilliseconds(record.started));
     item["ended_ms"] = Json::Int64(UnixMilliseconds(record.ended));
+    item["resumed"] = record.resumed;
     list.append(item);
   }
   return list;
--- a/Source/StandIns/Worker/worker_state.cc
+++ b/Source/StandIns/Worker/worker_state.cc
@@ -98,9 +98,10 @@
   task.resumed = now;
   task.lease_until = now + request.lease;
   this->last_record[task.id] = this->records.size();
-  this->records.push_back(
-      StartRecord{task.id, task.team, task.payload["echo"].asString(),
-                  std::chrono::system_clock::now(), WallTime()});
+  this->records.push_back(StartRecord{task.id, task.team,
+                                      task.payload["echo"].asString(),
+                                      std::chrono::system_clock::now(),
+                                      WallTime(), !request.checkpoint.empty()});
   Task& stored = this->tasks[request.task] = std::move(task);
   if (fail_at_once) {
     this->End(&stored, WorkerTaskState::kFailed, now);
--- a/Source/StandIns/Worker/worker_state.h
+++ b/Source/StandIns/Worker/worker_state.h
@@ -42,7 +42,8 @@
     std::string team;
     std::string echo;
     WallTime started;
-    WallTime ended;  // epoch while running
+    WallTime ended;        // epoch while running
+    bool resumed = false;  // continues from a checkpoint
   };
 
   WorkerState(int slots, std::string incarnation, MonotonicTime boot);
--- a/Source/UnitTests/Load/daemon_fault_test.cc
+++ b/Source/UnitTests/Load/daemon_fault_test.cc
@@ -5,26 +5,17 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 
+#include "UnitTests/Load/run_checks.h"
 #include "UnitTests/Load/test_deployment.h"
 
 namespace daisyroad {
 namespace {
 
-ScriptedEvent At(Milliseconds time, const SendSignal& signal) {
-  return ScriptedEvent{time, signal};
-}
-
-std::size_t CountDone(const LoadRunResult& run) {
-  return static_cast<std::size_t>(std::count_if(
-      run.calls.begin(), run.calls.end(),
-      [](const CallRecord& call) { return call.state == CallState::kDone; }));
-}
-
 void CheckTrueAnswers(const AuditReport& report) {
-  CHECK(report.wrong == std::vector<std::string>());
-  CHECK(report.doubled == std::vector<std::string>());
-  CHECK(report.false_not_run == std::vector<std::string>());
-  CHECK(report.done_not_run == std::vector<std::string>());
+  CHECK(report.wrong == Echoes());
+  CHECK(report.doubled == Echoes());
+  CHECK(report.false_not_run == Echoes());
+  CHECK(report.done_not_run == Echoes());
   for (const std::pair<const TeamName, int>& team : report.most_running) {
     CHECK(team.second <= TestDeployment::kTeamLimit);
   }
@@ -39,11 +30,48 @@
   TestDeployment site(101);
   const LoadRunResult run = site.Play(
       site.Calls(Milliseconds(8000), 40),
-      {At(Milliseconds(3000), SendSignal{site.entry(1)->id(), SIGKILL})});
+      {{Milliseconds(3000), SendSignal{site.entry(1)->id(), SIGKILL}}});
+  const AuditReport report = site.Audit(run);
+  INFO(DescribeRun(run));
+  CheckTrueAnswers(report);
+  CHECK(report.lost == Echoes());
+  CHECK(CountUndone(run) == 0);
+}
+
+// Guards against an instance that wakes up with old authority: it must neither
+// start what others have run meanwhile nor start work in the zone taken out.
+TEST_CASE("A paused entry instance starts nothing that it may not start",
+          "[pause_entry]") {
+  TestDeployment site(102);
+  const pid_t paused = site.entry(1)->id();
+  const LoadRunResult run =
+      site.Play(site.Calls(Milliseconds(13000), 30),
+                {{Milliseconds(2000), SendSignal{paused, SIGSTOP}},
+                 {Milliseconds(4000), ChangeZone{ZoneName("south"), true}},
+                 {Milliseconds(10000), SendSignal{paused, SIGCONT}}});
+  const AuditReport report = site.Audit(run);
+  INFO(DescribeRun(run));
+  CHECK(EveryEventWorked(run));
+  CheckTrueAnswers(report);
+  CHECK(report.out_zone_starts == Echoes());
+  CHECK(report.lost == Echoes());
+}
+
+// Guards against requests cut by a planned stop: each one that was accepted
+// gets its answer, and a refusal says truly that the request has not run.
+TEST_CASE("A planned stop cuts no request", "[stop_entry]") {
+  TestDeployment site(103);
+  const LoadRunResult run = site.Play(
+      site.Calls(Milliseconds(8000), 40),
+      {{Milliseconds(3000), SendSignal{site.entry(1)->id(), SIGTERM}}});
   const AuditReport report = site.Audit(run);
+  INFO(DescribeRun(run));
   CheckTrueAnswers(report);
-  CHECK(report.lost == std::vector<std::string>());
-  CHECK(CountDone(run) == run.calls.size());
+  CHECK(report.lost == Echoes());
+  CHECK(CountUndone(run) == 0);
+  CHECK(std::none_of(run.calls.begin(), run.calls.end(),
+                     [](const CallRecord& call) { return call.uncertain; }));
+  CHECK(site.entry(1)->WaitForEnd(Milliseconds(5000)) == 0);
 }
 
 }  // namespace daisyroad
