--- a/Source/Load/event_player.cc
+++ b/Source/Load/event_player.cc
@@ -52,7 +52,8 @@
   } else if (const ChangeZone* zone = std::get_if<ChangeZone>(&event.action)) {
     this->Send(index, this->RequestFor(*zone));
   } else {
-    this->Send(index, this->RequestFor(std::get<WithdrawTeamKey>(event.action)));
+    this->Send(index,
+               this->RequestFor(std::get<WithdrawTeamKey>(event.action)));
   }
 }
 
--- a/Source/Load/run_audit.cc
+++ b/Source/Load/run_audit.cc
@@ -95,7 +95,8 @@
 
 void AuditKeys(const LoadRunResult& run, AuditReport* report) {
   for (const PlayedEvent& event : run.events) {
-    const WithdrawTeamKey* key = std::get_if<WithdrawTeamKey>(&event.event.action);
+    const WithdrawTeamKey* key =
+        std::get_if<WithdrawTeamKey>(&event.event.action);
     if (key == nullptr || !event.ok) {
       continue;
     }
--- /dev/null
+++ b/Source/Load/share_meter.cc
@@ -0,0 +1,192 @@
+#include "Load/share_meter.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "Core/Declaration/declaration.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr Milliseconds kStep{100};
+// A pool counts as full above this fraction of its slots: a slot is empty for a
+// moment between two tasks.
+constexpr double kFullFraction = 0.9;
+
+// Number of open intervals at each step, kept as differences.
+class StepCounts {
+ public:
+  StepCounts(WallTime start, std::size_t steps)
+      : start(start), changes(steps + 1) {}
+
+  void Add(WallTime from, WallTime to) {
+    ++this->changes[this->StepOf(from)];
+    --this->changes[this->StepOf(to)];
+  }
+
+  std::vector<int> Counts() const {
+    std::vector<int> counts;
+    int count = 0;
+    for (const int change : this->changes) {
+      count += change;
+      counts.push_back(count);
+    }
+    return counts;
+  }
+
+ private:
+  std::size_t StepOf(WallTime time) const {
+    const std::int64_t step = (time - this->start) / kStep;
+    return static_cast<std::size_t>(std::clamp<std::int64_t>(
+        step, 0, static_cast<std::int64_t>(this->changes.size()) - 1));
+  }
+
+  WallTime start;
+  std::vector<int> changes;
+};
+
+class PoolShares {
+ public:
+  PoolShares(const Declaration& declaration,
+             const Pool& pool,
+             const LoadRunResult& run)
+      : declaration(declaration),
+        pool(pool),
+        run(run),
+        steps(static_cast<std::size_t>((run.ended - run.started) / kStep) + 1) {
+  }
+
+  std::vector<ShareUse> Measure(const std::vector<StartRecord>& starts) {
+    std::map<std::string, WallTime> first_start;
+    for (const StartRecord& start : starts) {
+      const auto known = first_start.emplace(start.echo, start.started).first;
+      known->second = std::min(known->second, start.started);
+      if (start.pool == this->pool.name) {
+        this->Counter(&this->running, start.team)
+            .Add(start.started, start.ended);
+      }
+    }
+    for (const CallRecord& call : this->run.calls) {
+      if (this->Uses(call.plan.queue) && call.state != CallState::kNotSent) {
+        const auto start = first_start.find(call.plan.echo);
+        this->Counter(&this->waiting, call.plan.team)
+            .Add(call.sent,
+                 start == first_start.end() ? call.ended : start->second);
+      }
+    }
+    return this->Compare();
+  }
+
+ private:
+  using Counters = std::map<TeamName, StepCounts>;
+  using Series = std::map<TeamName, std::vector<int>>;
+
+  StepCounts& Counter(Counters* counters, const TeamName& team) {
+    return counters->try_emplace(team, this->run.started, this->steps)
+        .first->second;
+  }
+
+  bool Uses(const QueueName& name) const {
+    const TaskQueue* queue = this->declaration.FindQueue(name);
+    const Service* service =
+        queue == nullptr ? nullptr
+                         : this->declaration.FindService(queue->service);
+    return service != nullptr && service->pool == this->pool.name;
+  }
+
+  static Series ToSeries(const Counters& counters) {
+    Series series;
+    for (const std::pair<const TeamName, StepCounts>& counter : counters) {
+      series[counter.first] = counter.second.Counts();
+    }
+    return series;
+  }
+
+  std::vector<ShareUse> Compare() {
+    const Series run_counts = ToSeries(this->running);
+    const Series wait_counts = ToSeries(this->waiting);
+    std::map<TeamName, ShareUse> uses;
+    for (std::size_t step = 0; step < this->steps; ++step) {
+      if (this->IsFull(run_counts, step)) {
+        this->AddStep(run_counts, wait_counts, step, &uses);
+      }
+    }
+    std::vector<ShareUse> list;
+    for (const std::pair<const TeamName, ShareUse>& use : uses) {
+      list.push_back(use.second);
+    }
+    return list;
+  }
+
+  bool IsFull(const Series& run_counts, std::size_t step) const {
+    int total = 0;
+    for (const std::pair<const TeamName, std::vector<int>>& team : run_counts) {
+      total += team.second[step];
+    }
+    const std::int64_t slots =
+        this->pool.TotalWorkers() * this->pool.worker.slots;
+    return slots > 0 && total >= kFullFraction * static_cast<double>(slots);
+  }
+
+  void AddStep(const Series& run_counts,
+               const Series& wait_counts,
+               std::size_t step,
+               std::map<TeamName, ShareUse>* uses) const {
+    double shares = 0.0;
+    double used = 0.0;
+    std::vector<const Team*> backlogged;
+    for (const Team& team : this->declaration.teams) {
+      const auto waits = wait_counts.find(team.name);
+      const auto runs = run_counts.find(team.name);
+      if (waits == wait_counts.end() || waits->second[step] <= 0) {
+        continue;
+      }
+      const int count = runs == run_counts.end() ? 0 : runs->second[step];
+      if (count >= team.upper_limit) {
+        continue;  // its limit holds it back, not its share
+      }
+      backlogged.push_back(&team);
+      shares += static_cast<double>(team.share);
+      used += count;
+    }
+    if (backlogged.size() < 2) {
+      return;
+    }
+    const double seconds = std::chrono::duration<double>(kStep).count();
+    for (const Team* team : backlogged) {
+      ShareUse& use = (*uses)[team->name];
+      use.pool = this->pool.name;
+      use.team = team->name;
+      use.busy_seconds += seconds;
+      const auto runs = run_counts.find(team->name);
+      const int count = runs == run_counts.end() ? 0 : runs->second[step];
+      use.slot_seconds += seconds * count;
+      use.due_seconds +=
+          seconds * used * static_cast<double>(team->share) / shares;
+    }
+  }
+
+  const Declaration& declaration;
+  const Pool& pool;
+  const LoadRunResult& run;
+  std::size_t steps;
+  Counters running;
+  Counters waiting;
+};
+
+}  // namespace
+
+std::vector<ShareUse> MeasureShares(const Declaration& declaration,
+                                    const LoadRunResult& run,
+                                    const std::vector<StartRecord>& starts) {
+  std::vector<ShareUse> uses;
+  for (const Pool& pool : declaration.pools) {
+    const std::vector<ShareUse> of_pool =
+        PoolShares(declaration, pool, run).Measure(starts);
+    uses.insert(uses.end(), of_pool.begin(), of_pool.end());
+  }
+  return uses;
+}
+
+}  // namespace daisyroad
