--- a/Source/Load/run_report.cc
+++ b/Source/Load/run_report.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <map>
 
+#include "Core/Common/json.h"
 #include "Core/Declaration/declaration.h"
 #include "Load/latency_histogram.h"
 #include "Load/run_audit.h"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr std::size_t kMostExamples = 10;
+constexpr std::size_t kReasonLength = 120;
 
 double InMilliseconds(std::chrono::microseconds time) {
   return static_cast<double>(time.count()) / 1000.0;
@@ -82,6 +84,32 @@
   return counts;
 }
 
+// Last problem of a call without what differs from call to call.
+std::string ReasonOf(const CallRecord& call) {
+  const Result<Json::Value> problem = ParseJson(call.detail);
+  std::string detail = call.detail;
+  if (problem.ok() && problem.value().isObject()) {
+    detail = problem.value()["detail"].asString();
+  }
+  detail.erase(std::remove_if(detail.begin(), detail.end(),
+                              [](char c) { return c >= '0' && c <= '9'; }),
+               detail.end());
+  return std::string(StateName(call.state)) + " " +
+         std::to_string(call.status) + " " + detail.substr(0, kReasonLength);
+}
+
+// How often each reason was the last one of a call that was not done.
+Json::Value CountReasons(const LoadRunResult& run) {
+  Json::Value counts(Json::objectValue);
+  for (const CallRecord& call : run.calls) {
+    if (call.state == CallState::kNotRun || call.state == CallState::kUnknown) {
+      Json::Value& count = counts[ReasonOf(call)];
+      count = count.asUInt64() + 1;
+    }
+  }
+  return counts;
+}
+
 // Time to the answer and to the first start, by queue.
 Json::Value QueueFigures(const LoadRunResult& run,
                          const std::vector<StartRecord>& starts) {
@@ -226,6 +254,7 @@
   report["seconds"] = seconds;
   report["calls"] = Json::UInt64(run.calls.size());
   report["states"] = CountStates(run);
+  report["reasons"] = CountReasons(run);
   report["done_per_second"] = report["states"]["done"].asDouble() / seconds;
   report["late_answers"] = Finding(audit.late);
   report["findings"] = Findings(audit);
