--- a/Source/Load/latency_histogram.cc
+++ b/Source/Load/latency_histogram.cc
@@ -17,7 +17,7 @@
   if (value < kSteps) {
     return value;
   }
-  const int shift = std::bit_width(value) - 1 - kStepBits;
+  const int shift = static_cast<int>(std::bit_width(value)) - 1 - kStepBits;
   return kSteps * static_cast<std::size_t>(shift) + (value >> shift);
 }
 
--- a/Source/Load/share_meter.cc
+++ b/Source/Load/share_meter.cc
@@ -27,6 +27,7 @@
 
   std::vector<int> Counts() const {
     std::vector<int> counts;
+    counts.reserve(this->changes.size());
     int count = 0;
     for (const int change : this->changes) {
       count += change;
--- a/Source/UnitTests/Load/daemon_fault_test.cc
+++ b/Source/UnitTests/Load/daemon_fault_test.cc
@@ -12,10 +12,10 @@
 namespace {
 
 void CheckTrueAnswers(const AuditReport& report) {
-  CHECK(report.wrong == Echoes());
-  CHECK(report.doubled == Echoes());
-  CHECK(report.false_not_run == Echoes());
-  CHECK(report.done_not_run == Echoes());
+  CHECK_THAT(report.wrong, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.doubled, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.false_not_run, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.done_not_run, Catch::Matchers::Equals(Echoes()));
   for (const std::pair<const TeamName, int>& team : report.most_running) {
     CHECK(team.second <= TestDeployment::kTeamLimit);
   }
@@ -34,7 +34,7 @@
   const AuditReport report = site.Audit(run);
   INFO(DescribeRun(run));
   CheckTrueAnswers(report);
-  CHECK(report.lost == Echoes());
+  CHECK_THAT(report.lost, Catch::Matchers::Equals(Echoes()));
   CHECK(CountUndone(run) == 0);
 }
 
@@ -53,8 +53,8 @@
   INFO(DescribeRun(run));
   CHECK(EveryEventWorked(run));
   CheckTrueAnswers(report);
-  CHECK(report.out_zone_starts == Echoes());
-  CHECK(report.lost == Echoes());
+  CHECK_THAT(report.out_zone_starts, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.lost, Catch::Matchers::Equals(Echoes()));
 }
 
 // Guards against requests cut by a planned stop: each one that was accepted
@@ -67,7 +67,7 @@
   const AuditReport report = site.Audit(run);
   INFO(DescribeRun(run));
   CheckTrueAnswers(report);
-  CHECK(report.lost == Echoes());
+  CHECK_THAT(report.lost, Catch::Matchers::Equals(Echoes()));
   CHECK(CountUndone(run) == 0);
   CHECK(std::none_of(run.calls.begin(), run.calls.end(),
                      [](const CallRecord& call) { return call.uncertain; }));
--- a/Source/UnitTests/Load/daemon_platform_test.cc
+++ b/Source/UnitTests/Load/daemon_platform_test.cc
@@ -40,9 +40,9 @@
       FAIL_CHECK("not done: " << call.plan.echo);
     }
   }
-  CHECK(report.wrong == Echoes());
-  CHECK(report.doubled == Echoes());
-  CHECK(report.false_not_run == Echoes());
+  CHECK_THAT(report.wrong, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.doubled, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.false_not_run, Catch::Matchers::Equals(Echoes()));
 }
 
 // Guards against a second start of a task whose first start took effect while
@@ -63,8 +63,8 @@
   INFO(DescribeRun(run));
   CHECK(EveryEventWorked(run));
   CHECK(CountUndone(run) == 0);
-  CHECK(report.wrong == Echoes());
-  CHECK(report.doubled == Echoes());
+  CHECK_THAT(report.wrong, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.doubled, Catch::Matchers::Equals(Echoes()));
 }
 
 // Guards against tasks that hang, fail or run twice when every open connection
@@ -81,8 +81,8 @@
   INFO(DescribeRun(run));
   CHECK(EveryEventWorked(run));
   CHECK(CountUndone(run) == 0);
-  CHECK(report.wrong == Echoes());
-  CHECK(report.doubled == Echoes());
+  CHECK_THAT(report.wrong, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.doubled, Catch::Matchers::Equals(Echoes()));
 }
 
 // Guards against an entry instance that goes on accepting a withdrawn key.
@@ -95,7 +95,7 @@
   const AuditReport report = site.Audit(run);
   INFO(DescribeRun(run));
   REQUIRE(EveryEventWorked(run));
-  CHECK(report.withdrawn_accepts == Echoes());
+  CHECK_THAT(report.withdrawn_accepts, Catch::Matchers::Equals(Echoes()));
   std::size_t refused = 0;
   for (const CallRecord& call : run.calls) {
     refused += call.status == 401 ? 1 : 0;
@@ -119,8 +119,8 @@
   const std::vector<StartRecord> starts = site.Starts();
   INFO(DescribeRun(run));
   REQUIRE(EveryEventWorked(run));
-  CHECK(report.out_zone_starts == Echoes());
-  CHECK(report.doubled == Echoes());
+  CHECK_THAT(report.out_zone_starts, Catch::Matchers::Equals(Echoes()));
+  CHECK_THAT(report.doubled, Catch::Matchers::Equals(Echoes()));
   CHECK(CountUndone(run) == 0);
   CHECK(CountStarts(starts, south, run.started, run.events[0].sent) > 0);
   CHECK(CountStarts(starts, south, run.events[1].answered, run.ended) > 0);
--- a/Source/UnitTests/Load/load_units_test.cc
+++ b/Source/UnitTests/Load/load_units_test.cc
@@ -59,7 +59,7 @@
       run, {StartOf("a", Milliseconds(1)), StartOf("a", Milliseconds(2)),
             StartOf("b", Milliseconds(1)), resumed});
   CHECK(report.doubled == Echoes{"a"});
-  CHECK(report.done_not_run == Echoes());
+  CHECK_THAT(report.done_not_run, Catch::Matchers::Equals(Echoes()));
 }
 
 // Guards against refusals that are taken at their word, and against blaming a
