--- a/Source/Load/event_player.cc
+++ b/Source/Load/event_player.cc
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr Milliseconds kRepeatPause{200};
-constexpr Milliseconds kOperatorTimeout{6000};
+// Longer than the 10 s for which an entry instance pursues a change.
+constexpr Milliseconds kOperatorTimeout{12000};
 
 bool IsFault(const ScriptedEvent& event) {
   return std::holds_alternative<PostFault>(event.action);
--- a/Source/Load/run_report.cc
+++ b/Source/Load/run_report.cc
@@ -292,7 +292,11 @@
 bool IsClean(const Json::Value& report) {
   const std::vector<std::string> findings = report["findings"].getMemberNames();
   const std::vector<std::string> teams = report["teams"].getMemberNames();
-  return std::all_of(findings.begin(), findings.end(),
+  // An event that failed leaves its checks without an object.
+  return std::all_of(
+             report["events"].begin(), report["events"].end(),
+             [](const Json::Value& event) { return event["ok"].asBool(); }) &&
+         std::all_of(findings.begin(), findings.end(),
                      [&report](const std::string& name) {
                        return report["findings"][name]["count"] == 0;
                      }) &&
