Entry: keep the identifier of a recovered task

It now keeps its first identifier, and an instance that is asked for a task of an ended registrar asks the others.

--- a/Source/Core/Entry/task_record.cc
+++ b/Source/Core/Entry/task_record.cc
@@ -75,7 +75,9 @@
 
 Json::Value TaskRecord::ToJson() const {
   Json::Value value;
-  value["id"] = this->id.str();
+  // The caller knows the task, and the worker answers for it, under the
+  // identifier of its first registrar.
+  value["id"] = this->recovered ? this->earlier.str() : this->id.str();
   value["queue"] = this->submission.queue.str();
   value["team"] = this->submission.team.str();
   value["state"] = this->state == DispatchState::kNotRun
--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -191,13 +191,47 @@
     return;
   }
   const EntryName registrar = RegistrarFromId(id);
-  const std::optional<std::string> address = this->peers->AddressOf(registrar);
-  if (registrar == this->context->self || !address) {
-    callback(Error{Errc::kNotFound, "task.lookup", registrar.str(),
-                   "no such task, or its registrar has ended"});
+  if (registrar == this->context->self) {
+    callback(
+        Error{Errc::kNotFound, "task.lookup", registrar.str(), "no such task"});
+    return;
+  }
+  const std::optional<PeerService::Peer> peer = this->peers->Find(registrar);
+  if (peer && this->peers->IsLive(*peer)) {
+    this->WaitRemote(peer->address, id, Now() + wait, std::move(callback));
     return;
   }
-  this->WaitRemote(*address, id, Now() + wait, std::move(callback));
+  std::vector<std::string> addresses;
+  for (const PeerService::Peer& live : this->peers->Live()) {
+    addresses.push_back(live.address);
+  }
+  this->LookupAnywhere(id, addresses, Now() + wait, callback);
+}
+
+void TaskService::LookupAnywhere(const TaskId& id,
+                                 const std::vector<std::string>& addresses,
+                                 MonotonicTime until,
+                                 const Callback& callback) {
+  if (addresses.empty()) {
+    callback(Error{Errc::kNotFound, "task.lookup", RegistrarFromId(id).str(),
+                   "no instance knows the task; its registrar has ended"});
+    return;
+  }
+  Json::Value params;
+  params["task"] = id.str();
+  const std::string address = addresses.back();
+  std::vector<std::string> others = addresses;
+  others.pop_back();
+  this->context->rpc->Call(address, "task.lookup", params, kRpcTimeout,
+                           [this, id, address, others, until,
+                            callback](const Result<Json::Value>& reply) {
+                             if (reply.ok()) {
+                               this->WaitRemote(address, id, until, callback);
+                             } else {
+                               this->LookupAnywhere(id, others, until,
+                                                    callback);
+                             }
+                           });
 }
 
 void TaskService::Cancel(const TaskId& id, Callback callback) {
@@ -426,6 +460,7 @@
   record->recovered = true;
   record->recovering = true;
   record->earlier = earlier;
+  this->by_earlier[earlier] = id;
   const EntryName registrar = RegistrarFromId(earlier);
   const std::optional<std::string> address = this->peers->AddressOf(registrar);
   if (!address || this->claims->HasEnded(registrar)) {
@@ -894,7 +929,9 @@
 }
 
 TaskRecord* TaskService::Find(const TaskId& id) {
-  const auto found = this->records.find(id);
+  const auto alias = this->by_earlier.find(id);
+  const auto found =
+      this->records.find(alias == this->by_earlier.end() ? id : alias->second);
   return found == this->records.end() ? nullptr : &found->second;
 }
 
@@ -911,6 +948,7 @@
     if (key != this->by_key.end() && key->second == entry->first) {
       this->by_key.erase(key);
     }
+    this->by_earlier.erase(record.earlier);
     entry = this->records.erase(entry);
   }
 }
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -110,6 +110,12 @@
                   const TaskId& id,
                   MonotonicTime until,
                   Callback callback);
+  // Asks the live instances one by one: the registrar has ended, and another
+  // one may have recovered the task.
+  void LookupAnywhere(const TaskId& id,
+                      const std::vector<std::string>& addresses,
+                      MonotonicTime until,
+                      const Callback& callback);
   TaskRecord* Find(const TaskId& id);
   void Forget();
 
@@ -123,6 +129,7 @@
   RetryBudget retries;
   std::map<TaskId, TaskRecord> records;
   std::map<std::string, TaskId> by_key;
+  std::map<TaskId, TaskId> by_earlier;  // identifier at an earlier registrar
   std::map<TaskId, Inquiry> inquiries;
 };
 
