Entry: ask idle workers less often and poll quick work sooner

A worker without tasks is now asked every 4 s. The demo waits for the ramp by which a returning zone fills. A checkpointed task that is not idempotent is not started again from its beginning after its dispatcher was lost.

--- a/Source/Core/Diagnosis/connection_rules.cc
+++ b/Source/Core/Diagnosis/connection_rules.cc
@@ -126,11 +126,12 @@
     }
     const std::string& from = path.first.first.str();
     const std::string& to = path.first.second.str();
-    found =
-        Finding{Verdict::kNetwork, *onset,
-                "the path from zone " + from + " to the workers of zone " + to,
-                "Workers of zone " + to + " did not answer zone " + from +
-                    " while they answered another zone."};
+    std::string part = "the path from zone ";
+    part.append(from).append(" to the workers of zone ").append(to);
+    std::string text = "Workers of zone ";
+    text.append(to).append(" did not answer zone ").append(from);
+    text.append(" while they answered another zone.");
+    found = Finding{Verdict::kNetwork, *onset, part, text};
   }
   return found;
 }
--- a/Source/Core/Diagnosis/fault_classifier.cc
+++ b/Source/Core/Diagnosis/fault_classifier.cc
@@ -134,6 +134,7 @@
     }
   }
   std::vector<Finding> findings;
+  findings.reserve(earliest.size());
   for (const auto& [verdict, finding] : earliest) {
     findings.push_back(finding);
   }
--- a/Source/Core/Entry/dispatch_service.cc
+++ b/Source/Core/Entry/dispatch_service.cc
@@ -18,6 +18,9 @@
 
 constexpr Milliseconds kTick{50};
 constexpr Milliseconds kLeasePeriod{1000};
+// A worker without tasks is asked less often: at the design size an instance
+// follows 105 workers, and a request a second to each cost 2% of a core.
+constexpr Milliseconds kIdlePeriod{4000};
 constexpr Milliseconds kRpcTimeout{1000};
 constexpr Milliseconds kUpdatePause{200};
 constexpr int kUpdateAttempts = 50;
@@ -27,6 +30,7 @@
 
 std::vector<std::string> Names(const std::vector<EntryName>& entries) {
   std::vector<std::string> names;
+  names.reserve(entries.size());
   for (const EntryName& entry : entries) {
     names.push_back(entry.str());
   }
@@ -437,6 +441,11 @@
     tasks.insert(tasks.end(), running.begin(), running.end());
   }
   const MonotonicTime sent = Now();
+  if (tasks.empty() && worker->reachable && worker->has_clock &&
+      sent - worker->heard_at < kIdlePeriod) {
+    this->renewing.erase(name);
+    return;
+  }
   // A renewal that is held up beyond the freshness bound is ignored by the
   // worker, so that a paused instance keeps no task that others have given up.
   const WorkerClock renew_before =
--- a/Source/Core/Entry/task_service.cc
+++ b/Source/Core/Entry/task_service.cc
@@ -28,6 +28,8 @@
 
 constexpr Milliseconds kRenewPeriod{1000};
 constexpr Milliseconds kRpcTimeout{1000};
+// Longest pause; quick work is asked for sooner, so that polling adds little to
+// its time.
 constexpr Milliseconds kRemotePoll{50};
 constexpr Milliseconds kInquiryPause{500};
 // Time for which a dispatcher may start a task after a renewal was sent, plus a
@@ -219,7 +221,7 @@
   }
   Json::Value params;
   params["task"] = id.str();
-  const std::string address = addresses.back();
+  const std::string& address = addresses.back();
   std::vector<std::string> others = addresses;
   others.pop_back();
   this->context->rpc->Call(address, "task.lookup", params, kRpcTimeout,
@@ -752,43 +754,12 @@
     return;
   }
   found->second.pending.erase(worker);
-  if (!report.ok()) {
+  // A worker that restarted since the task may have been sent has forgotten
+  // what it ran, so its "unknown" says nothing.
+  if (!report.ok() || (report.value().state == WorkerTaskState::kUnknown &&
+                       !RemembersAll(*record, report.value()))) {
     found->second.silent.insert(worker);
-  } else if (report.value().state == WorkerTaskState::kRunning) {
-    this->inquiries.erase(found);
-    if (record->recovered) {
-      // Nobody renews its lease any more; it ends, or the lease ends it.
-      this->context->loop->After(kInquiryPause,
-                                 [this, id]() { this->AskWorkers(id); });
-      return;
-    }
-    record->recovering = false;
-    this->Dispatch(id, worker);
-    return;
-  } else if (report.value().state == WorkerTaskState::kDone ||
-             report.value().state == WorkerTaskState::kFailed) {
-    this->inquiries.erase(found);
-    const TaskReport& fate = report.value();
-    const bool whole = Sha256Hex(fate.answer) == fate.digest;
-    record->worker = worker;
-    record->answer = fate.answer;
-    record->digest = fate.digest;
-    if (fate.state == WorkerTaskState::kFailed) {
-      this->Finish(record, DispatchState::kFailed, "task_failed");
-    } else {
-      this->Finish(record,
-                   whole ? DispatchState::kDone : DispatchState::kUnknown,
-                   whole ? "" : "answer_incomplete");
-    }
-    return;
-  } else if (report.value().state == WorkerTaskState::kUnknown &&
-             !RemembersAll(*record, report.value())) {
-    // It restarted since the task may have been sent, and forgot what it ran.
-    found->second.silent.insert(worker);
-  } else if (report.value().state == WorkerTaskState::kStopped &&
-             !record->idempotent) {
-    this->inquiries.erase(found);
-    this->Finish(record, DispatchState::kStopped, "stopped_at_worker");
+  } else if (this->Settles(record, worker, report.value())) {
     return;
   }
   if (found->second.pending.empty()) {
@@ -796,6 +767,58 @@
   }
 }
 
+bool TaskService::Settles(TaskRecord* record,
+                          const WorkerName& worker,
+                          const TaskReport& report) {
+  const TaskId id = record->id;
+  switch (report.state) {
+    case WorkerTaskState::kRunning:
+      this->inquiries.erase(id);
+      if (record->recovered) {
+        // Its answer is awaited at the worker; if nobody renews its lease any
+        // more, the lease ends it.
+        this->context->loop->After(kInquiryPause,
+                                   [this, id]() { this->AskWorkers(id); });
+        return true;
+      }
+      record->recovering = false;
+      this->Dispatch(id, worker);
+      return true;
+    case WorkerTaskState::kDone:
+    case WorkerTaskState::kFailed:
+      this->inquiries.erase(id);
+      this->TakeAnswer(record, worker, report);
+      return true;
+    case WorkerTaskState::kStopped:
+    case WorkerTaskState::kCheckpointed:
+      // Started again from the beginning, its first part would run twice.
+      if (record->idempotent) {
+        return false;
+      }
+      this->inquiries.erase(id);
+      this->Finish(record, DispatchState::kStopped, "stopped_at_worker");
+      return true;
+    case WorkerTaskState::kUnknown:
+      return false;
+  }
+  return false;
+}
+
+void TaskService::TakeAnswer(TaskRecord* record,
+                             const WorkerName& worker,
+                             const TaskReport& report) {
+  record->worker = worker;
+  record->answer = report.answer;
+  record->digest = report.digest;
+  if (report.state == WorkerTaskState::kFailed) {
+    this->Finish(record, DispatchState::kFailed, "task_failed");
+  } else if (Sha256Hex(report.answer) == report.digest) {
+    this->Finish(record, DispatchState::kDone, "");
+  } else {
+    this->Finish(record, DispatchState::kUnknown, "answer_incomplete");
+  }
+}
+
 void TaskService::ConcludeInquiry(const TaskId& id) {
   TaskRecord* const record = this->Find(id);
   const bool complete = this->inquiries[id].silent.empty();
@@ -899,12 +922,13 @@
 void TaskService::WaitRemote(const std::string& address,
                              const TaskId& id,
                              MonotonicTime until,
-                             Callback callback) {
+                             Callback callback,
+                             Milliseconds pause) {
   Json::Value params;
   params["task"] = id.str();
   this->context->rpc->Call(
       address, "task.lookup", params, kRpcTimeout,
-      [this, address, id, until,
+      [this, address, id, until, pause,
        callback = std::move(callback)](const Result<Json::Value>& reply) {
         if (reply.ok()) {
           const std::string outcome = reply.value()["outcome"].asString();
@@ -922,8 +946,9 @@
           return;
         }
         this->context->loop->After(
-            kRemotePoll, [this, address, id, until, callback]() {
-              this->WaitRemote(address, id, until, callback);
+            pause, [this, address, id, until, callback, pause]() {
+              this->WaitRemote(address, id, until, callback,
+                               std::min(2 * pause, kRemotePoll));
             });
       });
 }
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -66,6 +66,8 @@
 
  private:
   // State of the inquiry about a task whose dispatcher was lost.
+  static constexpr Milliseconds kFirstRemotePoll{5};
+
   struct Inquiry {
     std::set<WorkerName> pending;
     std::set<WorkerName> silent;
@@ -100,6 +102,13 @@
   void OnWorkerAsked(const TaskId& id,
                      const WorkerName& worker,
                      const Result<TaskReport>& report);
+  // True if the report of one worker decides the fate of the task.
+  bool Settles(TaskRecord* record,
+               const WorkerName& worker,
+               const TaskReport& report);
+  void TakeAnswer(TaskRecord* record,
+                  const WorkerName& worker,
+                  const TaskReport& report);
   void ConcludeInquiry(const TaskId& id);
   void Finish(TaskRecord* record,
               DispatchState state,
@@ -109,7 +118,8 @@
   void WaitRemote(const std::string& address,
                   const TaskId& id,
                   MonotonicTime until,
-                  Callback callback);
+                  Callback callback,
+                  Milliseconds pause = kFirstRemotePoll);
   // Asks the live instances one by one: the registrar has ended, and another
   // one may have recovered the task.
   void LookupAnywhere(const TaskId& id,
--- a/Source/Ctl/command_table.cc
+++ b/Source/Ctl/command_table.cc
@@ -59,8 +59,8 @@
 }  // namespace
 
 const std::vector<Command>& AllCommands() {
-  static const std::vector<Command> commands = CollectCommands();
-  return commands;
+  static const std::vector<Command> kCommands = CollectCommands();
+  return kCommands;
 }
 
 const Command* FindCommand(const std::vector<std::string>& words) {
--- a/Source/Ctl/response_text.cc
+++ b/Source/Ctl/response_text.cc
@@ -74,8 +74,8 @@
   for (const std::string& name : object.getMemberNames()) {
     const std::string value = Text(object[name]);
     if (!value.empty()) {
-      text +=
-          name + ":" + std::string(width - name.size() + 1, ' ') + value + "\n";
+      text.append(name).append(":");
+      text.append(width - name.size() + 1, ' ').append(value).append("\n");
     }
   }
   return text;
--- a/Source/Load/share_meter.cc
+++ b/Source/Load/share_meter.cc
@@ -114,6 +114,7 @@
       }
     }
     std::vector<ShareUse> list;
+    list.reserve(uses.size());
     for (const std::pair<const TeamName, ShareUse>& use : uses) {
       list.push_back(use.second);
     }
--- a/Tools/demo.sh
+++ b/Tools/demo.sh
@@ -299,8 +299,13 @@
 say "Bring zone east back"
 show zone in east
 wait_until 5 "every entry instance has the zone back" every_entry_has "$(current_version)"
-ZONES_IN=$(zones_of_work 24 after) || fail "work was refused or has a wrong answer"
-echo "24 tasks done; started in $(count_zones <<<"$ZONES_IN")"
+# A returning zone fills by a ramp of 10 s, so that it is not stampeded.
+for attempt in 1 2 3 4 5 6 7 8; do
+  ZONES_IN=$(zones_of_work 24 "after-$attempt") || fail "work was refused or has a wrong answer"
+  echo "24 tasks done; started in $(count_zones <<<"$ZONES_IN")"
+  grep -qx east <<<"$ZONES_IN" && break
+  sleep 1
+done
 grep -qx east <<<"$ZONES_IN" || fail "no task started in the zone that was brought back"
 
 say "Withdraw the key of the team schools"
