--- a/Source/Core/Entry/operator_api.cc
+++ b/Source/Core/Entry/operator_api.cc
@@ -27,6 +27,9 @@
 constexpr std::chrono::seconds kMaxTailWait{60};
 constexpr Milliseconds kTailPeriod{100};
 constexpr std::size_t kDefaultHistory = 20;
+// Nine instances that join one after another make nine versions.
+constexpr int kTextRetries = 10;
+constexpr Milliseconds kTextRetryPause{100};
 
 HttpResponse JsonResponse(const Json::Value& body) {
   HttpResponse response;
@@ -364,9 +367,57 @@
                          parsed.error().detail));
     return;
   }
-  this->Change(request, ApplyDeclaration{text.value()},
-               BaseVersion(body.value(), control->document().version()),
-               Json::Value(Json::objectValue), respond);
+  this->ApplyText(request, text.value(),
+                  BaseVersion(body.value(), control->document().version()),
+                  respond);
+}
+
+void OperatorApi::ApplyText(const HttpRequest& request,
+                            const std::string& text,
+                            std::uint64_t base,
+                            const HttpResponder& respond) {
+  ControlService* const control = this->services.control;
+  if (base == control->document().version()) {
+    this->ChangeText(request, text, base, kTextRetries, respond);
+    return;
+  }
+  control->FetchDeclaration(base, [this, control, request, text, base, respond](
+                                      const Result<std::string>& reviewed) {
+    const ControlDocument& document = control->document();
+    const bool same =
+        reviewed.ok() && reviewed.value() == document.declaration();
+    this->ChangeText(request, text, same ? document.version() : base,
+                     same ? kTextRetries : 0, respond);
+  });
+}
+
+void OperatorApi::ChangeText(const HttpRequest& request,
+                             const std::string& text,
+                             std::uint64_t base,
+                             int retries,
+                             const HttpResponder& respond) {
+  ControlService* const control = this->services.control;
+  const std::string in_force = control->document().declaration();
+  this->Change(request, ApplyDeclaration{text}, base,
+               Json::Value(Json::objectValue),
+               [this, control, request, text, retries, in_force,
+                respond](const HttpResponse& response) {
+                 if (response.status != 409 || retries == 0) {
+                   respond(response);
+                   return;
+                 }
+                 this->context->loop->After(
+                     kTextRetryPause, [this, control, request, text, retries,
+                                       in_force, respond, response]() {
+                       const ControlDocument& document = control->document();
+                       if (document.declaration() != in_force) {
+                         respond(response);
+                         return;
+                       }
+                       this->ChangeText(request, text, document.version(),
+                                        retries - 1, respond);
+                     });
+               });
 }
 
 void OperatorApi::Validate(const HttpRequest& request,
@@ -432,8 +483,7 @@
           respond(ErrorResponse(text.error()));
           return;
         }
-        this->Change(request, ApplyDeclaration{text.value()}, base,
-                     Json::Value(Json::objectValue), respond);
+        this->ApplyText(request, text.value(), base, respond);
       });
 }
 
--- a/Source/Core/Entry/operator_api.h
+++ b/Source/Core/Entry/operator_api.h
@@ -58,6 +58,19 @@
               const Json::Value& extra,
               const HttpResponder& respond);
 
+  // Bases the declaration on the version in force if the declaration has not
+  // changed since `base`: instances that join or leave and keys that are given
+  // make versions too, and are no reason to review the text again.
+  void ApplyText(const HttpRequest& request,
+                 const std::string& text,
+                 std::uint64_t base,
+                 const HttpResponder& respond);
+  void ChangeText(const HttpRequest& request,
+                  const std::string& text,
+                  std::uint64_t base,
+                  int retries,
+                  const HttpResponder& respond);
+
   void Status(const HttpRequest&, const std::string&, const HttpResponder&);
   void Declaration(const HttpRequest&,
                    const std::string&,
--- a/Source/Core/Entry/task_record.cc
+++ b/Source/Core/Entry/task_record.cc
@@ -5,6 +5,10 @@
 
 namespace daisyroad {
 
+EntryName RegistrarOfTask(const TaskId& id) {
+  return EntryName(id.str().substr(0, id.str().rfind('-')));
+}
+
 std::string TaskSubmission::Fingerprint() const {
   Json::Value value = this->ToJson();
   value.removeMember("deadline_ms");
--- a/Source/Core/Entry/task_record.h
+++ b/Source/Core/Entry/task_record.h
@@ -16,6 +16,10 @@
 
 namespace daisyroad {
 
+// The registrar that gave the task its identifier: it has the form
+// NAME.INCARNATION-DIGITS.
+EntryName RegistrarOfTask(const TaskId& id);
+
 // What a caller asked for.
 struct TaskSubmission {
   TeamName team;
--- a/Source/Core/Entry/task_service.h
+++ b/Source/Core/Entry/task_service.h
@@ -67,6 +67,16 @@
  private:
   // State of the inquiry about a task whose dispatcher was lost.
   static constexpr Milliseconds kFirstRemotePoll{5};
+  static constexpr Milliseconds kRpcTimeout{1000};
+  // Time for which a dispatcher may start a task after a renewal was sent, plus
+  // a margin for the time the message was under way.
+  static constexpr Milliseconds kGrant{3500};
+  // A claim that cannot be written within this time is refused, so that the
+  // caller can try again while its own patience lasts. It covers the 5 s after
+  // which the keys of a silent instance are taken over.
+  static constexpr Milliseconds kClaimPatience{9000};
+  static constexpr Milliseconds kClaimPause{50};
+  static constexpr char kRouteStep[] = "task.route";
 
   struct Inquiry {
     std::set<WorkerName> pending;
