--- a/Source/Core/Entry/control_service.h
+++ b/Source/Core/Entry/control_service.h
@@ -101,8 +101,8 @@
   void FetchPartFrom(const PartDigest& digest, const ControlSource& source);
   void OnAdopted();
   void ContinueCaughtUp();
-  void Apply(const ChangeId& id, const std::vector<ChangeAction>& actions);
-  void Apply(const ChangeId& id, const ChangeAction& action);
+  void Advance(const ChangeId& id, const std::vector<ChangeAction>& actions);
+  void Advance(const ChangeId& id, const ChangeAction& action);
   void WriteParts(const ChangeId& id,
                   const WriteVersion& write,
                   std::vector<PartDigest> remaining);
--- a/Source/Core/Entry/problem.cc
+++ b/Source/Core/Entry/problem.cc
@@ -94,4 +94,20 @@
   return 500;
 }
 
+HttpResponse JsonResponse(const Json::Value& body) {
+  HttpResponse response;
+  response.headers["content-type"] = "application/json";
+  response.body = WriteJson(body);
+  return response;
+}
+
+HttpResponse ErrorResponse(const Error& error) {
+  return PlainProblem(HttpStatusOf(error), error.code.message(),
+                      error.ToString());
+}
+
+HttpResponse MethodProblem() {
+  return PlainProblem(405, "method not allowed", "see docs/api.md");
+}
+
 }  // namespace daisyroad
--- a/Source/Core/Entry/problem.h
+++ b/Source/Core/Entry/problem.h
@@ -1,6 +1,8 @@
 #ifndef SOURCE_CORE_ENTRY_PROBLEM_H_
 #define SOURCE_CORE_ENTRY_PROBLEM_H_
 
+#include <json/value.h>
+
 #include <string>
 
 #include "Core/Common/error.h"
@@ -29,6 +31,12 @@
 
 int HttpStatusOf(const Error& error);
 
+// 200 with a JSON body.
+HttpResponse JsonResponse(const Json::Value& body);
+// Plain problem with the status of the error code.
+HttpResponse ErrorResponse(const Error& error);
+HttpResponse MethodProblem();
+
 }  // namespace daisyroad
 
 #endif  // SOURCE_CORE_ENTRY_PROBLEM_H_
