--- a/Source/Ctl/argument_parser.cc
+++ b/Source/Ctl/argument_parser.cc
@@ -168,7 +168,7 @@
   bool only_words = false;
   for (std::size_t i = 0; i < arguments.size(); ++i) {
     const std::string& argument = arguments[i];
-    if (only_words || argument.rfind("-", 0) != 0 || argument == "-") {
+    if (only_words || !argument.starts_with('-') || argument == "-") {
       invocation.words.push_back(argument);
     } else if (argument == "--") {
       only_words = true;
