--- a/Source/StandIns/Instances/main.cc
+++ b/Source/StandIns/Instances/main.cc
@@ -1,17 +1,15 @@
 // standin-instances: the platform's lagging instance list for tests, with the
 // part of the Consul API that HttpInstanceListClient and standin-worker use.
 
-#include <csignal>
 #include <cstdint>
-#include <iostream>
 #include <string>
 
 #include "Core/Common/json.h"
 #include "Core/Common/logging.h"
 #include "Core/Transport/event_loop.h"
-#include "Core/Transport/http_server.h"
 #include "StandIns/Common/fault_settings.h"
 #include "StandIns/Common/json_reply.h"
+#include "StandIns/Common/run_stand_in.h"
 #include "StandIns/Instances/instance_list_state.h"
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
@@ -50,27 +48,15 @@
   EventLoop loop;
   FaultSettings faults;
   InstanceListState state(Milliseconds(absl::GetFlag(FLAGS_lag_ms)));
-  HttpServer server;
-  HttpServerOptions options;
-  options.port = absl::GetFlag(FLAGS_port);
-  const Status started = server.Start(
-      options, [&](const HttpRequest& request, const HttpResponder& respond) {
-        loop.Post([&faults, &state, request, respond]() {
-          if (request.path == "/standin/faults") {
-            respond(SetFaults(request, &faults));
-          } else if (faults.Hears(request)) {
-            respond(Serve(request, &state));
-          }
-        });
-      });
-  if (!started.ok()) {
-    std::cerr << started.error().ToString() << "\n";
-    return 1;
-  }
-  loop.OnSignals({SIGTERM, SIGINT}, [&loop](int) { loop.Stop(); });
-  loop.Run();
-  server.Stop();
-  return 0;
+  return RunStandIn(absl::GetFlag(FLAGS_port), &loop,
+                    [&faults, &state](const HttpRequest& request,
+                                      const HttpResponder& respond) {
+                      if (request.path == "/standin/faults") {
+                        respond(SetFaults(request, &faults));
+                      } else if (faults.Hears(request)) {
+                        respond(Serve(request, &state));
+                      }
+                    });
 }
 
 }  // namespace
--- a/Source/StandIns/Store/main.cc
+++ b/Source/StandIns/Store/main.cc
@@ -2,9 +2,7 @@
 // the Consul KV HTTP API that HttpStoreClient uses. GET /standin/calls counts
 // the calls, a waiting watch as one.
 
-#include <csignal>
 #include <cstdint>
-#include <iostream>
 #include <list>
 #include <string>
 #include <utility>
@@ -13,9 +11,9 @@
 #include "Core/Common/logging.h"
 #include "Core/Platform/base64.h"
 #include "Core/Transport/event_loop.h"
-#include "Core/Transport/http_server.h"
 #include "StandIns/Common/fault_settings.h"
 #include "StandIns/Common/json_reply.h"
+#include "StandIns/Common/run_stand_in.h"
 #include "StandIns/Store/store_state.h"
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
@@ -189,22 +187,11 @@
   InitializeLogging(LogLevel::kWarning);
   EventLoop loop;
   StoreServer store(&loop);
-  HttpServer server;
-  HttpServerOptions options;
-  options.port = absl::GetFlag(FLAGS_port);
-  const Status started = server.Start(
-      options, [&](const HttpRequest& request, const HttpResponder& respond) {
-        loop.Post(
-            [&store, request, respond]() { store.Handle(request, respond); });
+  return RunStandIn(
+      absl::GetFlag(FLAGS_port), &loop,
+      [&store](const HttpRequest& request, const HttpResponder& respond) {
+        store.Handle(request, respond);
       });
-  if (!started.ok()) {
-    std::cerr << started.error().ToString() << "\n";
-    return 1;
-  }
-  loop.OnSignals({SIGTERM, SIGINT}, [&loop](int) { loop.Stop(); });
-  loop.Run();
-  server.Stop();
-  return 0;
 }
 
 }  // namespace
