Schedule: end every fake machine with its model

Cause: a paused fake machine keeps what arrives in a backlog whose functions hold the owner of the machine, a reference cycle. The address sanitizer reported leaks in the claims and limits tests; the decisions themselves leak nothing. The models now end all machines of a run.

--- a/Source/UnitTests/Claims/claims_model.cc
+++ b/Source/UnitTests/Claims/claims_model.cc
@@ -21,6 +21,12 @@
   }
 }
 
+ClaimsModel::~ClaimsModel() {
+  for (const std::shared_ptr<FakeMachine>& machine : this->machines) {
+    machine->End();
+  }
+}
+
 std::string ClaimsModel::Run(Totals* totals) {
   this->ChangeRoster();
   for (int i = 0; i < 12; ++i) {
@@ -52,6 +58,7 @@
   node->zone = ZoneName(this->names % 2 == 0 ? "za" : "zb");
   this->names += 1;
   node->machine = std::make_shared<FakeMachine>(&this->queue, &this->random);
+  this->machines.push_back(node->machine);
   node->registry =
       std::make_unique<ClaimRegistry>(node->name, ClaimRegistry::Options());
   this->nodes.push_back(node);
@@ -91,7 +98,7 @@
   const Duration length = this->random.DurationBelow(std::chrono::seconds(8));
   switch (this->random.Below(6)) {
     case 0:
-      machine->alive = false;
+      machine->End();
       std::erase(this->nodes, node);
       this->AddNode();
       this->ChangeRoster();
--- a/Source/UnitTests/Claims/claims_model.h
+++ b/Source/UnitTests/Claims/claims_model.h
@@ -29,6 +29,9 @@
   };
 
   explicit ClaimsModel(std::uint64_t seed);
+  ~ClaimsModel();
+  ClaimsModel(const ClaimsModel&) = delete;
+  ClaimsModel& operator=(const ClaimsModel&) = delete;
   // Empty, or the first invariant that was broken.
   std::string Run(Totals* totals);
 
@@ -94,6 +97,8 @@
   Random random;
   EventQueue queue;
   std::vector<NodeRef> nodes;
+  // Every machine of the run, also those that ended.
+  std::vector<std::shared_ptr<FakeMachine>> machines;
   std::vector<ClaimRoster> rosters;
   std::map<LogName, std::map<std::uint64_t, Stored>> store;
   std::vector<Worker> workers;
--- a/Source/UnitTests/Limits/limits_model.cc
+++ b/Source/UnitTests/Limits/limits_model.cc
@@ -46,6 +46,12 @@
   }
 }
 
+LimitsModel::~LimitsModel() {
+  for (const std::shared_ptr<FakeMachine>& machine : this->machines) {
+    machine->End();
+  }
+}
+
 std::string LimitsModel::Run(Totals* totals) {
   for (int i = 0; i < 12; ++i) {
     this->queue.After(this->random.DurationBelow(kRunTime),
@@ -74,6 +80,7 @@
   node->name = EntryName("e" + std::to_string(this->names));
   this->names += 1;
   node->machine = std::make_shared<FakeMachine>(&this->queue, &this->random);
+  this->machines.push_back(node->machine);
   node->holder = std::make_unique<AllotmentHolder>(node->name, HolderOptions(),
                                                    this->random.Below(1000000));
   this->nodes.push_back(node);
@@ -194,7 +201,7 @@
   const Duration length = this->random.DurationBelow(std::chrono::seconds(15));
   switch (this->random.Below(7)) {
     case 0:
-      machine->alive = false;
+      machine->End();
       std::erase(this->nodes, node);
       this->AddNode();
       break;
--- a/Source/UnitTests/Limits/limits_model.h
+++ b/Source/UnitTests/Limits/limits_model.h
@@ -28,6 +28,9 @@
   };
 
   explicit LimitsModel(std::uint64_t seed);
+  ~LimitsModel();
+  LimitsModel(const LimitsModel&) = delete;
+  LimitsModel& operator=(const LimitsModel&) = delete;
   // Empty, or the first invariant that was broken.
   std::string Run(Totals* totals);
 
@@ -108,6 +111,8 @@
   Random random;
   EventQueue queue;
   std::vector<NodeRef> nodes;
+  // Every machine of the run, also those that ended.
+  std::vector<std::shared_ptr<FakeMachine>> machines;
   std::vector<Worker> workers;
   std::vector<Version> versions;
   std::set<EntryName> roster;
--- a/Source/UnitTests/Schedule/fake_machine.h
+++ b/Source/UnitTests/Schedule/fake_machine.h
@@ -51,6 +51,13 @@
     }
   }
 
+  // Ends the process. What it has not handled is dropped, and with it the
+  // references by which the backlog would keep its owner alive.
+  void End() {
+    this->alive = false;
+    this->backlog.clear();
+  }
+
   // A request to a server: `serve` runs there; `done` gets its answer, or
   // nothing after the timeout. Both directions can lose or delay the message,
   // so a request may take effect long after it was given up.
