--- /dev/null
+++ b/Source/Core/Common/boot_clock.h
@@ -0,0 +1,23 @@
+#ifndef SOURCE_CORE_COMMON_BOOT_CLOCK_H_
+#define SOURCE_CORE_COMMON_BOOT_CLOCK_H_
+
+#include <chrono>
+
+namespace daisyroad {
+
+// Monotonic clock that also counts the time that the machine was suspended,
+// for leases granted by others.
+struct BootClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  [[maybe_unused]] static constexpr bool is_steady = true;
+
+  // NOLINTNEXTLINE(readability-identifier-naming): name set by the standard
+  static time_point now() noexcept;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_COMMON_BOOT_CLOCK_H_
--- a/Source/Core/Common/logging.cc
+++ b/Source/Core/Common/logging.cc
@@ -12,9 +12,10 @@
     kFleetLog,  kMembershipLog, kStandInLog, kTransportLog,
 };
 
-// The library's own console output goes to standard output, which the programs
-// keep for their results; this callback writes standard error instead.
-class StandardErrorDispatch : public el::LogDispatchCallback {
+LogOutput g_output = LogOutput::kStandardError;
+
+// The library's own console output cannot be told where to go.
+class StreamDispatch : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) noexcept override {
     if (data->dispatchAction() != el::base::DispatchAction::NormalLog) {
@@ -24,7 +25,9 @@
       const std::string line =
           data->logMessage()->logger()->logBuilder()->build(data->logMessage(),
                                                             true);
-      std::cerr << line << std::flush;
+      std::ostream& stream =
+          g_output == LogOutput::kStandardError ? std::cerr : std::cout;
+      stream << line << std::flush;
     } catch (...) {
       // A log line that cannot be written must not end the process.
     }
@@ -37,7 +40,8 @@
 
 }  // namespace
 
-void InitializeLogging(LogLevel minimum) {
+void InitializeLogging(LogLevel minimum, LogOutput output) {
+  g_output = output;
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
@@ -56,8 +60,7 @@
     el::Loggers::getLogger(channel);
     el::Loggers::reconfigureLogger(channel, configuration);
   }
-  el::Helpers::installLogDispatchCallback<StandardErrorDispatch>(
-      "StandardErrorDispatch");
+  el::Helpers::installLogDispatchCallback<StreamDispatch>("StreamDispatch");
 }
 
 }  // namespace daisyroad
--- a/Source/Core/Common/logging.h
+++ b/Source/Core/Common/logging.h
@@ -8,6 +8,7 @@
 namespace daisyroad {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
+enum class LogOutput { kStandardError, kStandardOutput };
 
 // Names of the log channels, one per subsystem; use as
 // CLOG(INFO, kRoutingLog) << ...
@@ -21,9 +22,10 @@
 inline constexpr char kTransportLog[] = "transport";
 inline constexpr char kStandInLog[] = "standin";
 
-// Registers the channels and writes to standard error, one line an event with
-// UTC time, level and channel. Call once, before the first log line.
-void InitializeLogging(LogLevel minimum);
+// Registers the channels and writes one line an event with UTC time, level and
+// channel. Call once, before the first log line.
+void InitializeLogging(LogLevel minimum,
+                       LogOutput output = LogOutput::kStandardError);
 
 }  // namespace daisyroad
 
--- /dev/null
+++ b/Source/Core/Jobs/job_codec.cc
@@ -0,0 +1,185 @@
+// JSON of the records that the store keeps of a job.
+
+#include <chrono>
+
+#include "Core/Common/json.h"
+#include "Core/Jobs/job_progress.h"
+
+namespace daisyroad {
+namespace {
+
+std::int64_t UnixMilliseconds(WallTime time) {
+  return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch())
+      .count();
+}
+
+WallTime FromUnixMilliseconds(std::int64_t value) {
+  return WallTime(Milliseconds(value));
+}
+
+Json::Value TaskToJson(const TaskRef& task) {
+  Json::Value json(Json::arrayValue);
+  json.append(task.occurrence);
+  json.append(task.step);
+  json.append(task.index);
+  return json;
+}
+
+bool ReadTask(const JobId& job, const Json::Value& json, TaskRef* task) {
+  if (!json.isArray() || json.size() < 3 || !json[0].isInt() ||
+      !json[1].isInt() || !json[2].isInt()) {
+    return false;
+  }
+  *task = TaskRef{job, json[0].asInt(), json[1].asInt(), json[2].asInt()};
+  return true;
+}
+
+Error BadRecord(const JobId& job, const std::string& detail) {
+  return Error{Errc::kProtocol, "jobs.parse", job.str(), detail};
+}
+
+Json::Value StepToJson(const StepSpec& step) {
+  Json::Value json(Json::objectValue);
+  json["tasks"] = step.task_count;
+  json["cpu"] = Json::Int64(step.request.cpu_millicores);
+  json["memory"] = Json::Int64(step.request.memory_mb);
+  json["accelerators"] = Json::Int64(step.request.accelerators);
+  json["estimate"] = Json::Int64(step.estimate.count());
+  for (const int before : step.after) {
+    json["after"].append(before);
+  }
+  json["checkpoints"] = step.saves_checkpoints;
+  json["gang"] = step.is_gang;
+  json["same_rack"] = step.same_rack;
+  json["copies"] = step.allows_copies;
+  json["service"] = step.is_service;
+  json["idle_capacity"] = step.uses_idle_capacity;
+  json["label"] = step.required_label;
+  json["data_rack"] = step.data_rack;
+  json["image"] = step.image;
+  json["max_per_worker"] = step.max_per_worker;
+  json["latency_target"] = Json::Int64(step.latency_target.count());
+  json["budget"] = step.disruption_budget;
+  return json;
+}
+
+StepSpec StepFromJson(const Json::Value& json) {
+  StepSpec step;
+  step.task_count = json["tasks"].asInt();
+  step.request.cpu_millicores = json["cpu"].asInt64();
+  step.request.memory_mb = json["memory"].asInt64();
+  step.request.accelerators = json["accelerators"].asInt64();
+  step.estimate = Milliseconds(json["estimate"].asInt64());
+  for (const Json::Value& before : json["after"]) {
+    step.after.push_back(before.asInt());
+  }
+  step.saves_checkpoints = json["checkpoints"].asBool();
+  step.is_gang = json["gang"].asBool();
+  step.same_rack = json["same_rack"].asBool();
+  step.allows_copies = json["copies"].asBool();
+  step.is_service = json["service"].asBool();
+  step.uses_idle_capacity = json["idle_capacity"].asBool();
+  step.required_label = json["label"].asString();
+  step.data_rack = json["data_rack"].asString();
+  step.image = json["image"].asString();
+  step.max_per_worker = json["max_per_worker"].asInt();
+  step.latency_target = Milliseconds(json["latency_target"].asInt64());
+  step.disruption_budget = json["budget"].asInt();
+  return step;
+}
+
+}  // namespace
+
+Json::Value ToJson(const JobProgress& progress) {
+  Json::Value json(Json::objectValue);
+  json["status"] = ToString(progress.status);
+  for (const TaskRef& task : progress.done) {
+    json["done"].append(TaskToJson(task));
+  }
+  for (const std::pair<const TaskRef, int>& entry : progress.failures) {
+    Json::Value row = TaskToJson(entry.first);
+    row.append(entry.second);
+    json["failures"].append(row);
+  }
+  return json;
+}
+
+Result<JobProgress> ParseJobProgress(const JobId& job,
+                                     const Json::Value& json) {
+  JobProgress progress;
+  const Result<std::string> status = JsonString(json, "status");
+  if (!status.ok()) {
+    return status.error();
+  }
+  bool is_known = false;
+  for (const JobStatus candidate :
+       {JobStatus::kQueued, JobStatus::kRunning, JobStatus::kCompleted,
+        JobStatus::kFailed, JobStatus::kCancelled}) {
+    if (status.value() == ToString(candidate)) {
+      progress.status = candidate;
+      is_known = true;
+    }
+  }
+  if (!is_known) {
+    return BadRecord(job, "unknown status " + status.value());
+  }
+  for (const Json::Value& row : json["done"]) {
+    TaskRef task;
+    if (!ReadTask(job, row, &task)) {
+      return BadRecord(job, "malformed list of done tasks");
+    }
+    progress.done.insert(task);
+  }
+  for (const Json::Value& row : json["failures"]) {
+    TaskRef task;
+    if (!ReadTask(job, row, &task) || row.size() != 4 || !row[3].isInt()) {
+      return BadRecord(job, "malformed list of failures");
+    }
+    progress.failures[task] = row[3].asInt();
+  }
+  return progress;
+}
+
+Json::Value ToJson(const AcceptedJob& job) {
+  Json::Value json(Json::objectValue);
+  json["id"] = job.id.str();
+  json["queue"] = job.queue.str();
+  json["pool"] = job.pool.str();
+  json["team"] = job.team.str();
+  json["accepted"] = Json::Int64(UnixMilliseconds(job.accepted_at));
+  json["payload"] = job.spec.payload;
+  for (const StepSpec& step : job.spec.steps) {
+    json["steps"].append(StepToJson(step));
+  }
+  json["occurrences"] = job.spec.occurrences;
+  json["first_due"] = Json::Int64(UnixMilliseconds(job.spec.first_due));
+  json["interval"] = Json::Int64(job.spec.interval.count());
+  return json;
+}
+
+Result<AcceptedJob> ParseAcceptedJob(const Json::Value& json) {
+  AcceptedJob job;
+  try {
+    job.id = JobId(json["id"].asString());
+    job.queue = QueueName(json["queue"].asString());
+    job.pool = PoolName(json["pool"].asString());
+    job.team = TeamName(json["team"].asString());
+    job.accepted_at = FromUnixMilliseconds(json["accepted"].asInt64());
+    job.spec.payload = json["payload"].asString();
+    for (const Json::Value& step : json["steps"]) {
+      job.spec.steps.push_back(StepFromJson(step));
+    }
+    job.spec.occurrences = json["occurrences"].asInt();
+    job.spec.first_due = FromUnixMilliseconds(json["first_due"].asInt64());
+    job.spec.interval = Milliseconds(json["interval"].asInt64());
+  } catch (const Json::Exception& exception) {
+    return BadRecord(job.id, exception.what());
+  }
+  std::string reason;
+  if (job.id.empty() || !IsRunnable(job.spec, &reason)) {
+    return BadRecord(job.id, "not a job: " + reason);
+  }
+  return job;
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Jobs/job_state.h
@@ -0,0 +1,85 @@
+#ifndef SOURCE_CORE_JOBS_JOB_STATE_H_
+#define SOURCE_CORE_JOBS_JOB_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Common/time.h"
+#include "Core/Jobs/job_progress.h"
+#include "Core/Jobs/job_spec.h"
+
+namespace daisyroad {
+
+enum class RunState {
+  kOrdered,   // the order to start was sent, no answer yet
+  kActive,    // the worker has confirmed it
+  kUnsure,    // the order was not answered; it is being stopped
+  kStopping,  // the worker was told to stop it
+};
+
+// One start of a task on a worker.
+struct RunRecord {
+  std::int64_t number = 0;
+  WorkerName worker;
+  RunState state = RunState::kOrdered;
+  MonotonicTime ordered_at;
+  // Time since which the worker's word includes the run: reports asked for
+  // later must show it.
+  std::optional<MonotonicTime> confirmed_at;
+  std::optional<MonotonicTime> stop_sent_at;
+  // The worker has answered the order to stop: the run is or was there, or
+  // never will be.
+  std::optional<MonotonicTime> stop_answered_at;
+  // First report that shows the run at work at full speed.
+  std::optional<MonotonicTime> at_work_since;
+  // First report of an uninterrupted series that shows no progress.
+  std::optional<MonotonicTime> idle_since;
+  int percent = 100;
+  int wanted_percent = 100;
+  std::int64_t load = 0;  // see ActiveRun
+};
+
+struct TaskState {
+  bool is_done = false;
+  int failures = 0;
+  std::int64_t last_run = 0;
+  std::string checkpoint;
+  WorkerName failed_on;  // where the last run failed
+  std::vector<RunRecord> runs;
+};
+
+struct StepState {
+  std::vector<TaskState> tasks;
+  int done = 0;
+};
+
+// One pass through the steps of a job.
+struct OccurrenceState {
+  std::vector<StepState> steps;
+  int steps_done = 0;
+};
+
+struct JobState {
+  AcceptedJob job;
+  JobStatus status = JobStatus::kQueued;
+  std::map<int, OccurrenceState> occurrences;
+  int occurrences_done = 0;
+  bool has_started = false;
+  // Objective and longest chain of declared durations, from the queue's policy.
+  WallTime objective;
+  // Known since; jobs found at a change of the scheduler may have runs
+  // on workers that have not answered yet.
+  bool may_have_unknown_runs = false;
+  // Changes of what must be stored: all, those being written, those stored.
+  std::int64_t changes = 0;
+  std::int64_t changes_in_flight = 0;
+  std::int64_t saved_changes = 0;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_JOBS_JOB_STATE_H_
--- /dev/null
+++ b/Source/Core/Jobs/objective.cc
@@ -0,0 +1,114 @@
+#include "Core/Jobs/objective.h"
+
+#include <algorithm>
+
+namespace daisyroad {
+namespace {
+
+// Longest chain through the steps for which `is_open` holds.
+template <typename Predicate>
+Milliseconds LongestChain(const JobSpec& spec, Predicate is_open) {
+  std::vector<Milliseconds> ends(spec.steps.size(), Milliseconds(0));
+  Milliseconds longest{0};
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    for (const int before : spec.steps[i].after) {
+      ends[i] = std::max(ends[i], ends[before]);
+    }
+    if (is_open(i)) {
+      ends[i] += spec.steps[i].estimate;
+    }
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+const OccurrenceState* FirstOpen(const JobState& job) {
+  for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
+    if (entry.second.steps_done <
+        static_cast<int>(entry.second.steps.size())) {
+      return &entry.second;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+Milliseconds RemainingChain(const JobState& job) {
+  const OccurrenceState* const open = FirstOpen(job);
+  if (open == nullptr) {
+    return Milliseconds(0);
+  }
+  return LongestChain(job.job.spec, [open](std::size_t step) {
+    return open->steps[step].done <
+           static_cast<int>(open->steps[step].tasks.size());
+  });
+}
+
+double RemainingWork(const JobState& job) {
+  const OccurrenceState* const open = FirstOpen(job);
+  double work = 0.0;
+  if (open == nullptr) {
+    return work;
+  }
+  for (std::size_t i = 0; i < open->steps.size(); ++i) {
+    const StepSpec& step = job.job.spec.steps[i];
+    const double tasks = step.task_count - open->steps[i].done;
+    work += tasks * static_cast<double>(step.request.cpu_millicores) *
+            static_cast<double>(step.estimate.count()) / 1000.0;
+  }
+  return work;
+}
+
+WallTime ObjectiveOf(const AcceptedJob& job, const QueuePolicy& policy) {
+  const Milliseconds chain =
+      LongestChain(job.spec, [](std::size_t) { return true; });
+  const WallTime begin =
+      job.spec.occurrences > 0 ? job.spec.first_due : job.accepted_at;
+  return begin + policy.slack +
+         Milliseconds(static_cast<std::int64_t>(
+             policy.stretch * static_cast<double>(chain.count())));
+}
+
+Resources ReservedBy(const StepSpec& step) {
+  Resources reserved = step.request;
+  if (step.uses_idle_capacity) {
+    reserved.cpu_millicores = 0;
+  }
+  return reserved;
+}
+
+OccurrenceState NewOccurrence(const JobSpec& spec) {
+  OccurrenceState occurrence;
+  for (const StepSpec& step : spec.steps) {
+    occurrence.steps.emplace_back();
+    occurrence.steps.back().tasks.resize(step.task_count);
+  }
+  return occurrence;
+}
+
+JobProgress ProgressOf(const JobState& job) {
+  JobProgress progress;
+  progress.status = job.status;
+  if (IsFinal(job.status)) {
+    return progress;
+  }
+  for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
+    for (std::size_t s = 0; s < entry.second.steps.size(); ++s) {
+      const std::vector<TaskState>& tasks = entry.second.steps[s].tasks;
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        const TaskRef ref{job.job.id, entry.first, static_cast<int>(s),
+                          static_cast<int>(i)};
+        if (tasks[i].is_done) {
+          progress.done.insert(ref);
+        }
+        if (tasks[i].failures > 0) {
+          progress.failures[ref] = tasks[i].failures;
+        }
+      }
+    }
+  }
+  return progress;
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Jobs/pool_load.h
@@ -0,0 +1,29 @@
+#ifndef SOURCE_CORE_JOBS_POOL_LOAD_H_
+#define SOURCE_CORE_JOBS_POOL_LOAD_H_
+
+#include <cstdint>
+#include <map>
+
+#include "Core/Common/identifiers.h"
+
+namespace daisyroad {
+
+// How full a pool is, for those who move machines between pools.
+struct PoolLoad {
+  struct Worker {
+    int runs = 0;
+    int service_runs = 0;
+    bool is_vacating = false;
+  };
+
+  // Millicores of all usable workers, of their runs, and of tasks that could
+  // run if there were room.
+  std::int64_t capacity = 0;
+  std::int64_t used = 0;
+  std::int64_t waiting = 0;
+  std::map<WorkerName, Worker> workers;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_JOBS_POOL_LOAD_H_
--- /dev/null
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -0,0 +1,415 @@
+#include "Core/Jobs/pool_scheduler.h"
+
+#include <algorithm>
+
+#include "Core/Common/log_decision.h"
+#include "Core/Jobs/objective.h"
+
+namespace daisyroad {
+namespace {
+
+const QueuePolicy kDefaultPolicy;
+
+}  // namespace
+
+PoolScheduler::PoolScheduler(const PoolName& pool,
+                             const SchedulerSettings& settings,
+                             std::int64_t first_run,
+                             MonotonicTime unknown_runs_over_at)
+    : pool(pool),
+      settings(settings),
+      first_run(first_run),
+      unknown_runs_over_at(unknown_runs_over_at) {}
+
+void PoolScheduler::SetPolicies(std::map<QueueName, QueuePolicy> policies) {
+  this->policies = std::move(policies);
+}
+
+void PoolScheduler::SetZonesOut(std::set<ZoneName> zones) {
+  this->zones_out = std::move(zones);
+}
+
+void PoolScheduler::SetAllotments(std::map<TeamName, Resources> allotments) {
+  this->allotments = std::move(allotments);
+}
+
+void PoolScheduler::SetVacating(const std::set<WorkerName>& workers) {
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    entry.second.is_vacating = workers.contains(entry.first);
+  }
+}
+
+void PoolScheduler::AddJob(AcceptedJob job,
+                           const JobProgress& progress,
+                           bool may_have_runs,
+                           MonotonicTime now) {
+  if (this->jobs.contains(job.id)) {
+    return;
+  }
+  const JobId id = job.id;
+  JobState& state = this->jobs[id];
+  state.job = std::move(job);
+  state.status = progress.status;
+  state.may_have_unknown_runs = may_have_runs;
+  state.objective = ObjectiveOf(state.job, this->PolicyOf(state));
+  if (IsFinal(state.status)) {
+    return;
+  }
+  this->open_jobs.insert(id);
+  if (state.job.spec.occurrences == 0) {
+    this->OpenDueOccurrences(&state, WallTime::max());
+  } else {
+    // The occurrences that the stored progress speaks of.
+    for (const TaskRef& task : progress.done) {
+      state.occurrences[task.occurrence];
+    }
+    for (std::pair<const int, OccurrenceState>& entry : state.occurrences) {
+      entry.second = NewOccurrence(state.job.spec);
+    }
+  }
+  for (const std::pair<const TaskRef, int>& entry : progress.failures) {
+    if (TaskState* const task = this->FindTask(entry.first)) {
+      task->failures = entry.second;
+    }
+  }
+  for (const TaskRef& task : progress.done) {
+    state.has_started = true;
+    this->FinishTask(&state, task, now);
+  }
+  this->Note("job_known", TaskRef{id}, 0, WorkerName(),
+             may_have_runs ? "found" : "accepted");
+}
+
+void PoolScheduler::CancelJob(const JobId& job, MonotonicTime now) {
+  const std::map<JobId, JobState>::iterator found = this->jobs.find(job);
+  if (found != this->jobs.end() && !IsFinal(found->second.status)) {
+    this->Close(&found->second, JobStatus::kCancelled, now);
+  }
+}
+
+void PoolScheduler::ForgetJob(const JobId& job) {
+  this->jobs.erase(job);
+  this->open_jobs.erase(job);
+  this->unsaved.erase(job);
+}
+
+std::vector<std::pair<JobId, JobProgress>> PoolScheduler::TakeUnsaved(
+    std::size_t most,
+    MonotonicTime now) {
+  std::vector<std::pair<JobId, JobProgress>> batch;
+  if (!this->has_unsaved_final && now < this->next_save) {
+    return batch;
+  }
+  std::vector<JobId> ids(this->unsaved.begin(), this->unsaved.end());
+  std::stable_partition(ids.begin(), ids.end(), [this](const JobId& id) {
+    return IsFinal(this->jobs.at(id).status);
+  });
+  ids.resize(std::min(ids.size(), most));
+  for (const JobId& id : ids) {
+    JobState& state = this->jobs.at(id);
+    batch.emplace_back(id, ProgressOf(state));
+    state.changes_in_flight = state.changes;
+    this->unsaved.erase(id);
+  }
+  this->next_save = now + this->settings.save_interval;
+  this->has_unsaved_final =
+      std::any_of(this->unsaved.begin(), this->unsaved.end(),
+                  [this](const JobId& id) {
+                    return IsFinal(this->jobs.at(id).status);
+                  });
+  return batch;
+}
+
+void PoolScheduler::OnSaved(const std::vector<JobId>& jobs) {
+  for (const JobId& id : jobs) {
+    const std::map<JobId, JobState>::iterator found = this->jobs.find(id);
+    if (found == this->jobs.end()) {
+      continue;
+    }
+    JobState& state = found->second;
+    state.saved_changes = state.changes_in_flight;
+    if (state.saved_changes != state.changes) {
+      this->unsaved.insert(id);
+    }
+  }
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    this->AcknowledgeSavedEnds(&entry.second);
+  }
+}
+
+void PoolScheduler::OnSaveFailed(const std::vector<JobId>& jobs) {
+  for (const JobId& id : jobs) {
+    const std::map<JobId, JobState>::iterator found = this->jobs.find(id);
+    if (found != this->jobs.end()) {
+      this->unsaved.insert(id);
+      this->has_unsaved_final |= IsFinal(found->second.status);
+    }
+  }
+}
+
+std::optional<JobStatus> PoolScheduler::StatusOf(const JobId& job) const {
+  const std::map<JobId, JobState>::const_iterator found = this->jobs.find(job);
+  if (found == this->jobs.end()) {
+    return std::nullopt;
+  }
+  const JobState& state = found->second;
+  if (IsFinal(state.status) && state.changes != state.saved_changes) {
+    return JobStatus::kRunning;
+  }
+  if (!IsFinal(state.status)) {
+    return state.has_started ? JobStatus::kRunning : JobStatus::kQueued;
+  }
+  return state.status;
+}
+
+int PoolScheduler::PendingJobs(const QueueName& queue) const {
+  int pending = 0;
+  for (const JobId& id : this->open_jobs) {
+    const JobState& state = this->jobs.at(id);
+    pending += state.job.queue == queue && !state.has_started;
+  }
+  return pending;
+}
+
+bool PoolScheduler::IsRecovering(MonotonicTime now) const {
+  if (now >= this->unknown_runs_over_at) {
+    return false;
+  }
+  return std::any_of(
+      this->workers.begin(), this->workers.end(),
+      [](const std::pair<const WorkerName, WorkerState>& entry) {
+        return !entry.second.is_known;
+      });
+}
+
+std::vector<std::string> PoolScheduler::TakeDecisions() {
+  return std::exchange(this->decisions, {});
+}
+
+std::vector<Order> PoolScheduler::TakeOrders(MonotonicTime now,
+                                             WallTime wall) {
+  this->ExpireLeases(now);
+  this->StopStalledRuns(now);
+  this->MoveServicesAway(now);
+  this->PlaceTasks(now, wall);
+  this->RepeatStops(now);
+  this->AskReports(now);
+  this->ForgetEmptyWorkers();
+  return std::exchange(this->orders, {});
+}
+
+const QueuePolicy& PoolScheduler::PolicyOf(const JobState& job) const {
+  const std::map<QueueName, QueuePolicy>::const_iterator found =
+      this->policies.find(job.job.queue);
+  return found == this->policies.end() ? kDefaultPolicy : found->second;
+}
+
+TaskState* PoolScheduler::FindTask(const TaskRef& task) {
+  const std::map<JobId, JobState>::iterator job = this->jobs.find(task.job);
+  if (job == this->jobs.end()) {
+    return nullptr;
+  }
+  const std::map<int, OccurrenceState>::iterator occurrence =
+      job->second.occurrences.find(task.occurrence);
+  if (occurrence == job->second.occurrences.end() || task.step < 0 ||
+      task.step >= static_cast<int>(occurrence->second.steps.size())) {
+    return nullptr;
+  }
+  StepState& step = occurrence->second.steps[task.step];
+  if (task.index < 0 || task.index >= static_cast<int>(step.tasks.size())) {
+    return nullptr;
+  }
+  return &step.tasks[task.index];
+}
+
+const StepSpec& PoolScheduler::SpecOf(const JobState& job,
+                                      const TaskRef& task) const {
+  return job.job.spec.steps[task.step];
+}
+
+RunRecord* PoolScheduler::FindRun(const TaskRef& task, std::int64_t run) {
+  TaskState* const state = this->FindTask(task);
+  if (state == nullptr) {
+    return nullptr;
+  }
+  for (RunRecord& record : state->runs) {
+    if (record.number == run) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+RunRecord* PoolScheduler::AddRun(JobState* job,
+                                 const TaskRef& task,
+                                 std::int64_t number,
+                                 const WorkerName& worker,
+                                 MonotonicTime now) {
+  TaskState* const state = this->FindTask(task);
+  RunRecord record;
+  record.number = number;
+  record.worker = worker;
+  record.ordered_at = now;
+  state->runs.push_back(record);
+  state->last_run = std::max(state->last_run, number);
+  const StepSpec& step = this->SpecOf(*job, task);
+  WorkerState& host = this->workers.at(worker);
+  host.runs.emplace(task, number);
+  host.used += ReservedBy(step);
+  host.idle_capacity_runs += step.uses_idle_capacity;
+  host.targeted_runs += step.latency_target.count() > 0;
+  this->used[job->job.team] += step.request;
+  job->has_started = true;
+  return &state->runs.back();
+}
+
+void PoolScheduler::RemoveRun(const TaskRef& task, std::int64_t number) {
+  TaskState* const state = this->FindTask(task);
+  const std::vector<RunRecord>::iterator found = std::find_if(
+      state->runs.begin(), state->runs.end(),
+      [number](const RunRecord& run) { return run.number == number; });
+  if (found == state->runs.end()) {
+    return;
+  }
+  JobState& job = this->jobs.at(task.job);
+  const StepSpec& step = this->SpecOf(job, task);
+  WorkerState& host = this->workers.at(found->worker);
+  host.runs.erase({task, number});
+  host.used -= ReservedBy(step);
+  host.idle_capacity_runs -= step.uses_idle_capacity;
+  host.targeted_runs -= step.latency_target.count() > 0;
+  this->used[job.job.team] -= step.request;
+  state->runs.erase(found);
+}
+
+void PoolScheduler::StopRunOf(const TaskRef& task,
+                              RunRecord* run,
+                              MonotonicTime now) {
+  if (run->state == RunState::kStopping) {
+    return;
+  }
+  // An order to start that is still on its way must not be overtaken: the
+  // worker refuses the run once it has been told to stop it.
+  run->state = run->state == RunState::kOrdered ? RunState::kUnsure
+                                                : RunState::kStopping;
+  run->stop_sent_at = now;
+  this->orders.emplace_back(StopRun{run->worker, task, run->number});
+}
+
+void PoolScheduler::StopAllRuns(JobState* job, MonotonicTime now) {
+  for (std::pair<const int, OccurrenceState>& entry : job->occurrences) {
+    for (std::size_t s = 0; s < entry.second.steps.size(); ++s) {
+      std::vector<TaskState>& tasks = entry.second.steps[s].tasks;
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        for (RunRecord& run : tasks[i].runs) {
+          this->StopRunOf(TaskRef{job->job.id, entry.first,
+                                  static_cast<int>(s), static_cast<int>(i)},
+                          &run, now);
+        }
+      }
+    }
+  }
+}
+
+void PoolScheduler::Touch(JobState* job) {
+  ++job->changes;
+  this->unsaved.insert(job->job.id);
+}
+
+void PoolScheduler::OpenDueOccurrences(JobState* job, WallTime wall) {
+  const JobSpec& spec = job->job.spec;
+  const int count = std::max(1, spec.occurrences);
+  for (int i = static_cast<int>(job->occurrences.size()); i < count; ++i) {
+    if (spec.occurrences > 0 && wall < spec.first_due + i * spec.interval) {
+      return;
+    }
+    job->occurrences.emplace(i, NewOccurrence(spec));
+  }
+}
+
+void PoolScheduler::FinishTask(JobState* job,
+                               const TaskRef& task,
+                               MonotonicTime now) {
+  TaskState* const state = this->FindTask(task);
+  if (state == nullptr || state->is_done) {
+    return;
+  }
+  OccurrenceState& occurrence = job->occurrences.at(task.occurrence);
+  StepState& step = occurrence.steps[task.step];
+  // One end of a gang stands for all its members.
+  const bool is_gang = this->SpecOf(*job, task).is_gang;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    if ((is_gang || static_cast<int>(i) == task.index) &&
+        !step.tasks[i].is_done) {
+      step.tasks[i].is_done = true;
+      ++step.done;
+    }
+  }
+  for (RunRecord& run : state->runs) {
+    if (!is_gang) {
+      this->StopRunOf(task, &run, now);
+    }
+  }
+  if (step.done < static_cast<int>(step.tasks.size())) {
+    return;
+  }
+  if (++occurrence.steps_done < static_cast<int>(occurrence.steps.size())) {
+    return;
+  }
+  if (++job->occurrences_done >= std::max(1, job->job.spec.occurrences)) {
+    this->Close(job, JobStatus::kCompleted, now);
+  }
+}
+
+void PoolScheduler::FailTask(JobState* job,
+                             const TaskRef& task,
+                             MonotonicTime now) {
+  TaskState* const state = this->FindTask(task);
+  const StepSpec& step = this->SpecOf(*job, task);
+  if (step.is_service) {
+    return;
+  }
+  ++state->failures;
+  int failures = state->failures;
+  if (step.is_gang) {
+    failures = 0;
+    for (const TaskState& member :
+         job->occurrences.at(task.occurrence).steps[task.step].tasks) {
+      failures += member.failures;
+    }
+  }
+  this->Touch(job);
+  if (failures >= this->PolicyOf(*job).max_attempts) {
+    this->Close(job, JobStatus::kFailed, now);
+  }
+}
+
+void PoolScheduler::Close(JobState* job,
+                          JobStatus status,
+                          MonotonicTime now) {
+  job->status = status;
+  this->open_jobs.erase(job->job.id);
+  this->Touch(job);
+  this->has_unsaved_final = true;
+  this->StopAllRuns(job, now);
+  this->Note("job_closed", TaskRef{job->job.id}, 0, WorkerName(),
+             ToString(status));
+}
+
+void PoolScheduler::Note(std::string_view decision,
+                         const TaskRef& task,
+                         std::int64_t run,
+                         const WorkerName& worker,
+                         std::string_view reason) {
+  LogDecision line(decision);
+  line.Field("pool", this->pool.str()).Field("task", task.ToString());
+  if (run != 0) {
+    line.Field("run", run);
+  }
+  if (!worker.empty()) {
+    line.Field("worker", worker.str());
+  }
+  this->decisions.push_back(line.Field("reason", reason).line());
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -0,0 +1,385 @@
+// Which task runs next, and on which worker.
+
+#include <algorithm>
+#include <tuple>
+
+#include "Core/Jobs/objective.h"
+#include "Core/Jobs/pool_scheduler.h"
+
+namespace daisyroad {
+namespace {
+
+// Tiers of candidates; lower ones are placed first.
+constexpr int kServiceTier = 0;  // tasks that last, at work for their users
+constexpr int kInTimeTier = 1;   // jobs that can still meet their objective
+constexpr int kLateTier = 2;
+
+// A pass ends after this many candidates in a row that fit nowhere: the pool
+// is full, and the rest are later in the order.
+constexpr int kMisfitsPerPass = 24;
+
+// Weights of a placement's cost, in units of a whole worker left unused.
+constexpr double kOtherRackCost = 4.0;
+constexpr double kDisturbanceCost = 2.0;
+constexpr double kFailedThereCost = 8.0;
+
+double FreePart(std::int64_t capacity, std::int64_t used) {
+  return capacity <= 0 ? 0.0
+                       : static_cast<double>(capacity - used) /
+                             static_cast<double>(capacity);
+}
+
+}  // namespace
+
+void PoolScheduler::PlaceTasks(MonotonicTime now, WallTime wall) {
+  this->unmet.clear();
+  this->reserved_worker = WorkerName();
+  std::vector<Candidate> candidates;
+  this->CollectCandidates(now, wall, &candidates);
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& left, const Candidate& right) {
+              return std::tie(left.tier, left.priority, left.order, left.task) <
+                     std::tie(right.tier, right.priority, right.order,
+                              right.task);
+            });
+  int misfits = 0;
+  for (Candidate& candidate : candidates) {
+    const StepSpec& step = this->SpecOf(*candidate.job, candidate.task);
+    candidate.is_placed = step.is_gang ? this->PlaceGang(candidate, now)
+                                       : this->PlaceOne(candidate, now);
+    misfits = candidate.is_placed ? 0 : misfits + 1;
+    if (misfits >= kMisfitsPerPass) {
+      break;
+    }
+    if (!candidate.is_placed && this->reserved_worker.empty()) {
+      this->ReserveWorker(candidate, now);
+    }
+  }
+  this->MeasureLoad(candidates, now);
+}
+
+void PoolScheduler::CollectCandidates(MonotonicTime now,
+                                      WallTime wall,
+                                      std::vector<Candidate>* candidates) {
+  const bool is_recovering = this->IsRecovering(now);
+  for (const JobId& id : this->open_jobs) {
+    JobState& job = this->jobs.at(id);
+    if (job.may_have_unknown_runs && is_recovering) {
+      continue;
+    }
+    if (job.job.spec.occurrences > 0) {
+      this->OpenDueOccurrences(&job, wall);
+    }
+    Candidate base;
+    base.job = &job;
+    base.priority = this->PolicyOf(job).priority;
+    base.order = RemainingWork(job);
+    base.tier = wall + RemainingChain(job) <= job.objective ? kInTimeTier
+                                                            : kLateTier;
+    for (std::pair<const int, OccurrenceState>& entry : job.occurrences) {
+      const int steps = static_cast<int>(entry.second.steps.size());
+      for (int s = 0; entry.second.steps_done < steps && s < steps; ++s) {
+        if (this->IsReady(job, entry.second, s)) {
+          this->CollectStep(&job, entry.first, s, base, candidates);
+        }
+      }
+    }
+  }
+}
+
+bool PoolScheduler::IsReady(const JobState& job,
+                            const OccurrenceState& state,
+                            int step) const {
+  for (const int before : job.job.spec.steps[step].after) {
+    if (state.steps[before].done <
+        static_cast<int>(state.steps[before].tasks.size())) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void PoolScheduler::CollectStep(JobState* job,
+                                int occurrence,
+                                int step,
+                                const Candidate& base,
+                                std::vector<Candidate>* candidates) {
+  const StepSpec& spec = job->job.spec.steps[step];
+  const StepState& state = job->occurrences.at(occurrence).steps[step];
+  if (spec.is_gang) {
+    const bool is_free =
+        state.done == 0 &&
+        std::all_of(state.tasks.begin(), state.tasks.end(),
+                    [](const TaskState& task) { return task.runs.empty(); });
+    if (is_free) {
+      candidates->push_back(base);
+      candidates->back().task = TaskRef{job->job.id, occurrence, step, 0};
+    }
+    return;
+  }
+  for (std::size_t i = 0; i < state.tasks.size(); ++i) {
+    if (this->MayPlaceTask(state.tasks[i], spec)) {
+      candidates->push_back(base);
+      candidates->back().task =
+          TaskRef{job->job.id, occurrence, step, static_cast<int>(i)};
+      if (spec.is_service) {
+        candidates->back().tier = kServiceTier;
+      }
+    }
+  }
+}
+
+bool PoolScheduler::MayPlaceTask(const TaskState& task,
+                                 const StepSpec& step) const {
+  if (task.is_done) {
+    return false;
+  }
+  if (task.runs.empty()) {
+    return true;
+  }
+  // A run that may never come does not hold up a task that may run twice.
+  return step.allows_copies &&
+         std::all_of(task.runs.begin(), task.runs.end(),
+                     [this](const RunRecord& run) {
+                       return run.state == RunState::kUnsure ||
+                              !this->workers.at(run.worker).IsReachable();
+                     });
+}
+
+bool PoolScheduler::IsUsable(const WorkerState& worker,
+                             MonotonicTime now) const {
+  return worker.is_known && worker.is_listed && worker.missed_reports == 0 &&
+         !worker.listing.is_draining && !worker.is_vacating &&
+         worker.no_starts_before <= now &&
+         !this->zones_out.contains(worker.listing.zone);
+}
+
+bool PoolScheduler::FitsOn(const WorkerState& worker,
+                           const JobState& job,
+                           const TaskRef& task,
+                           const StepSpec& step) const {
+  if (worker.listing.name == this->reserved_worker ||
+      !ReservedBy(step).FitsIn(worker.listing.capacity - worker.used)) {
+    return false;
+  }
+  const std::vector<std::string>& labels = worker.listing.labels;
+  if (!step.required_label.empty() &&
+      std::find(labels.begin(), labels.end(), step.required_label) ==
+          labels.end()) {
+    return false;
+  }
+  if (step.max_per_worker == 0) {
+    return true;
+  }
+  const TaskRef first{job.job.id, task.occurrence, task.step, 0};
+  int count = 0;
+  for (std::set<std::pair<TaskRef, std::int64_t>>::const_iterator run =
+           worker.runs.lower_bound({first, 0});
+       run != worker.runs.end() && run->first.job == first.job &&
+       run->first.occurrence == first.occurrence &&
+       run->first.step == first.step;
+       ++run) {
+    ++count;
+  }
+  return count < step.max_per_worker;
+}
+
+double PoolScheduler::CostOn(const WorkerState& worker,
+                             const JobState& job,
+                             const TaskRef& task,
+                             const StepSpec& step) const {
+  const Resources& capacity = worker.listing.capacity;
+  const double free =
+      std::max(FreePart(capacity.cpu_millicores, worker.used.cpu_millicores),
+               FreePart(capacity.memory_mb, worker.used.memory_mb));
+  // Long-lived tasks are spread, short ones packed.
+  double cost = step.is_service ? -free : free;
+  if (!step.data_rack.empty() && step.data_rack != worker.listing.rack.str()) {
+    cost += kOtherRackCost;
+  }
+  if (step.latency_target.count() > 0) {
+    cost += kDisturbanceCost * worker.idle_capacity_runs;
+  }
+  if (step.uses_idle_capacity) {
+    cost += kDisturbanceCost * worker.targeted_runs;
+  }
+  const TaskState& state =
+      job.occurrences.at(task.occurrence).steps[task.step].tasks[task.index];
+  if (state.failed_on == worker.listing.name) {
+    cost += kFailedThereCost;
+  }
+  return cost;
+}
+
+WorkerState* PoolScheduler::ChooseWorker(const JobState& job,
+                                         const TaskRef& task,
+                                         const RackName& rack,
+                                         MonotonicTime now) {
+  const StepSpec& step = this->SpecOf(job, task);
+  WorkerState* best = nullptr;
+  double best_cost = 0.0;
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    WorkerState& worker = entry.second;
+    if (!this->IsUsable(worker, now) ||
+        !this->FitsOn(worker, job, task, step) ||
+        (!rack.empty() && worker.listing.rack != rack)) {
+      continue;
+    }
+    const double cost = this->CostOn(worker, job, task, step);
+    if (best == nullptr || cost < best_cost) {
+      best = &worker;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+bool PoolScheduler::HasAllotment(const TeamName& team,
+                                 const Resources& request) {
+  const std::map<TeamName, Resources>::const_iterator allotment =
+      this->allotments.find(team);
+  if (allotment == this->allotments.end()) {
+    return true;
+  }
+  if ((this->used[team] + request).FitsIn(allotment->second)) {
+    return true;
+  }
+  this->unmet[team] += request;
+  return false;
+}
+
+bool PoolScheduler::PlaceOne(const Candidate& candidate, MonotonicTime now) {
+  JobState& job = *candidate.job;
+  const StepSpec& step = this->SpecOf(job, candidate.task);
+  WorkerState* const worker =
+      this->ChooseWorker(job, candidate.task, RackName(), now);
+  if (worker == nullptr || !this->HasAllotment(job.job.team, step.request)) {
+    return false;
+  }
+  const TaskState& task = *this->FindTask(candidate.task);
+  this->Start(&job, candidate.task, worker,
+              std::max(task.last_run + 1, this->first_run), now);
+  return true;
+}
+
+bool PoolScheduler::PlaceGang(const Candidate& candidate, MonotonicTime now) {
+  JobState& job = *candidate.job;
+  const StepSpec& step = this->SpecOf(job, candidate.task);
+  Resources request;
+  std::int64_t number = this->first_run;
+  StepState& state =
+      job.occurrences.at(candidate.task.occurrence).steps[candidate.task.step];
+  for (const TaskState& task : state.tasks) {
+    request += step.request;
+    number = std::max(number, task.last_run + 1);
+  }
+  if (!this->HasAllotment(job.job.team, request)) {
+    return false;
+  }
+  std::set<RackName> racks{RackName()};
+  if (step.same_rack) {
+    racks.clear();
+    for (const std::pair<const WorkerName, WorkerState>& entry :
+         this->workers) {
+      racks.insert(entry.second.listing.rack);
+    }
+    // Any placement is better than none if no single rack is large enough.
+    racks.insert(RackName("\x7f"));
+  }
+  for (const RackName& rack : racks) {
+    const RackName wanted = rack.str() == "\x7f" ? RackName() : rack;
+    // Members are placed on a copy of the loads first: all or none.
+    const std::map<WorkerName, WorkerState> before = this->workers;
+    std::vector<std::pair<TaskRef, WorkerName>> chosen;
+    TaskRef task = candidate.task;
+    for (task.index = 0; task.index < step.task_count; ++task.index) {
+      WorkerState* const worker = this->ChooseWorker(job, task, wanted, now);
+      if (worker == nullptr) {
+        break;
+      }
+      worker->used += ReservedBy(step);
+      worker->runs.emplace(task, number);
+      chosen.emplace_back(task, worker->listing.name);
+    }
+    this->workers = before;
+    if (static_cast<int>(chosen.size()) < step.task_count) {
+      continue;
+    }
+    for (const std::pair<TaskRef, WorkerName>& member : chosen) {
+      this->Start(&job, member.first, &this->workers.at(member.second), number,
+                  now);
+    }
+    return true;
+  }
+  return false;
+}
+
+void PoolScheduler::Start(JobState* job,
+                          const TaskRef& task,
+                          WorkerState* worker,
+                          std::int64_t number,
+                          MonotonicTime now) {
+  this->AddRun(job, task, number, worker->listing.name, now);
+  StartRun order;
+  order.worker = worker->listing.name;
+  order.task = task;
+  order.run = number;
+  order.payload = job->job.spec.payload;
+  order.checkpoint = this->FindTask(task)->checkpoint;
+  order.lease_until = this->LeaseFor(worker, now);
+  this->orders.emplace_back(std::move(order));
+  this->Note("run_started", task, number, worker->listing.name,
+             job->job.team.str());
+}
+
+void PoolScheduler::ReserveWorker(const Candidate& candidate,
+                                  MonotonicTime now) {
+  // Keeps the emptiest worker that could run the task from filling up with
+  // smaller tasks that come later in the order.
+  const StepSpec& step = this->SpecOf(*candidate.job, candidate.task);
+  double most_free = -1.0;
+  for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    const WorkerState& worker = entry.second;
+    if (!this->IsUsable(worker, now) ||
+        !ReservedBy(step).FitsIn(worker.listing.capacity)) {
+      continue;
+    }
+    const double free = std::min(
+        FreePart(worker.listing.capacity.cpu_millicores,
+                 worker.used.cpu_millicores),
+        FreePart(worker.listing.capacity.memory_mb, worker.used.memory_mb));
+    if (free > most_free) {
+      most_free = free;
+      this->reserved_worker = entry.first;
+    }
+  }
+}
+
+void PoolScheduler::MeasureLoad(const std::vector<Candidate>& candidates,
+                                MonotonicTime now) {
+  PoolLoad& load = this->current_load;
+  load = PoolLoad();
+  for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    const WorkerState& worker = entry.second;
+    if (this->IsUsable(worker, now)) {
+      load.capacity += worker.listing.capacity.cpu_millicores;
+      load.used += worker.used.cpu_millicores;
+    }
+    PoolLoad::Worker& row = load.workers[entry.first];
+    row.is_vacating = worker.is_vacating;
+    row.runs = static_cast<int>(worker.runs.size());
+    for (const std::pair<TaskRef, std::int64_t>& run : worker.runs) {
+      row.service_runs +=
+          this->SpecOf(this->jobs.at(run.first.job), run.first).is_service;
+    }
+  }
+  for (const Candidate& candidate : candidates) {
+    const StepSpec& step = this->SpecOf(*candidate.job, candidate.task);
+    if (!candidate.is_placed) {
+      load.waiting += step.request.cpu_millicores *
+                      (step.is_gang ? step.task_count : 1);
+    }
+  }
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -0,0 +1,455 @@
+// How the scheduler follows its workers: leases, reports, ends of runs.
+
+#include <algorithm>
+
+#include "Core/Jobs/objective.h"
+#include "Core/Jobs/pool_scheduler.h"
+
+namespace daisyroad {
+namespace {
+
+// Pages of ends that a worker's answer holds at most; a full page may leave
+// out later ends.
+constexpr std::size_t kEndsPerReport = 500;
+
+}  // namespace
+
+void PoolScheduler::SetListing(
+    const std::map<WorkerName, WorkerListing>& listing,
+    MonotonicTime now) {
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    entry.second.is_listed = listing.contains(entry.first);
+  }
+  for (const std::pair<const WorkerName, WorkerListing>& entry : listing) {
+    const bool is_new = !this->workers.contains(entry.first);
+    WorkerState& worker = this->workers[entry.first];
+    if (!is_new && entry.second.incarnation > worker.listing.incarnation &&
+        worker.listing.incarnation != 0) {
+      this->OnWorkerGone(entry.first, now);
+    }
+    const std::int64_t incarnation =
+        std::max(worker.listing.incarnation, entry.second.incarnation);
+    worker.listing = entry.second;
+    worker.listing.incarnation = incarnation;
+    worker.is_listed = true;
+    if (is_new) {
+      worker.next_report = now;
+    }
+  }
+}
+
+void PoolScheduler::OnReport(const WorkerName& name,
+                             const RunReport& report,
+                             MonotonicTime asked_at,
+                             MonotonicTime now) {
+  const std::map<WorkerName, WorkerState>::iterator found =
+      this->workers.find(name);
+  if (found == this->workers.end()) {
+    return;
+  }
+  WorkerState& worker = found->second;
+  worker.is_report_pending = false;
+  worker.next_report = now;
+  worker.missed_reports = 0;
+  if (report.incarnation != worker.listing.incarnation &&
+      report.incarnation != 0) {
+    if (worker.listing.incarnation != 0) {
+      this->OnWorkerGone(name, now);
+    }
+    worker.listing.incarnation = report.incarnation;
+  }
+  worker.is_known = true;
+  worker.delivered_end = worker.asked_end;
+  this->LearnClock(&worker, report.worker_clock, now);
+  for (const RunEnd& end : report.ended) {
+    if (end.sequence > worker.seen_end) {
+      worker.seen_end = end.sequence;
+      worker.last_end_at = now;
+      this->ApplyEnd(&worker, end, now);
+    }
+  }
+  for (const ActiveRun& active : report.active) {
+    this->ApplyActive(&worker, active, now);
+  }
+  if (report.ended.size() < kEndsPerReport) {
+    this->DropMissingRuns(&worker, report, asked_at);
+  }
+  this->AcknowledgeSavedEnds(&worker);
+  this->PaceIdleCapacityRuns(&worker);
+}
+
+void PoolScheduler::OnReportFailed(const WorkerName& name, MonotonicTime now) {
+  const std::map<WorkerName, WorkerState>::iterator found =
+      this->workers.find(name);
+  if (found == this->workers.end()) {
+    return;
+  }
+  WorkerState& worker = found->second;
+  worker.is_report_pending = false;
+  ++worker.missed_reports;
+  worker.next_report =
+      now + (worker.missed_reports < 2 ? Milliseconds(0)
+                                       : this->settings.retry_pause);
+  if (worker.missed_reports == 2) {
+    this->Note("worker_unreachable", TaskRef(), 0, name, "two reports missed");
+  }
+}
+
+void PoolScheduler::OnWorkerGone(const WorkerName& name, MonotonicTime now) {
+  const std::map<WorkerName, WorkerState>::iterator found =
+      this->workers.find(name);
+  if (found == this->workers.end()) {
+    return;
+  }
+  WorkerState& worker = found->second;
+  this->Note("worker_gone", TaskRef(), 0, name,
+             std::to_string(worker.runs.size()) + " runs lost");
+  const std::set<std::pair<TaskRef, std::int64_t>> runs = worker.runs;
+  for (const std::pair<TaskRef, std::int64_t>& run : runs) {
+    this->RemoveRun(run.first, run.second);
+  }
+  worker.seen_end = 0;
+  worker.acknowledged_end = 0;
+  worker.delivered_end = 0;
+  worker.asked_end = 0;
+  worker.unsaved_ends.clear();
+  worker.clock = Milliseconds(0);
+  worker.lease_until = Milliseconds(0);
+  worker.is_known = false;
+  worker.missed_reports = 0;
+  worker.next_report = now;
+}
+
+void PoolScheduler::OnStart(const StartRun& order,
+                            StartOutcome outcome,
+                            std::optional<Milliseconds> worker_clock,
+                            MonotonicTime now) {
+  const std::map<WorkerName, WorkerState>::iterator found =
+      this->workers.find(order.worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  WorkerState& worker = found->second;
+  if (worker_clock) {
+    this->LearnClock(&worker, *worker_clock, now);
+  }
+  RunRecord* const run = this->FindRun(order.task, order.run);
+  if (run == nullptr || run->worker != order.worker) {
+    return;
+  }
+  switch (outcome) {
+    case StartOutcome::kStarted:
+      if (!run->confirmed_at) {
+        run->confirmed_at = now;
+      }
+      if (run->state == RunState::kOrdered) {
+        run->state = RunState::kActive;
+      }
+      return;
+    case StartOutcome::kUnknown:
+      this->Note("start_unknown", order.task, order.run, order.worker,
+                 "no answer; the run is stopped");
+      this->StopRunOf(order.task, run, now);
+      return;
+    case StartOutcome::kFenced:
+      this->is_fenced = true;
+      break;
+    case StartOutcome::kNoRoom:
+      worker.no_starts_before = now + this->settings.full_pause;
+      break;
+    case StartOutcome::kUnhealthy:
+    case StartOutcome::kInvalid:
+      worker.no_starts_before = now + this->settings.suspension;
+      break;
+    case StartOutcome::kNotReceived:
+    case StartOutcome::kOtherWorker:
+      worker.no_starts_before = now + this->settings.retry_pause;
+      worker.missed_reports = std::max(worker.missed_reports, 1);
+      worker.next_report = now;
+      break;
+    case StartOutcome::kStaleRun:
+    case StartOutcome::kLeaseEnded:
+    case StartOutcome::kNoTicket:
+      break;
+  }
+  this->Note("start_refused", order.task, order.run, order.worker,
+             ToString(outcome));
+  this->RemoveRun(order.task, order.run);
+}
+
+void PoolScheduler::OnStop(const StopRun& order,
+                           bool is_answered,
+                           MonotonicTime now) {
+  RunRecord* const run = this->FindRun(order.task, order.run);
+  if (run == nullptr || run->worker != order.worker) {
+    return;
+  }
+  if (is_answered) {
+    run->stop_answered_at = now;
+    WorkerState& worker = this->workers.at(order.worker);
+    worker.next_report = std::min(worker.next_report, now);
+  }
+}
+
+void PoolScheduler::LearnClock(WorkerState* worker,
+                               Milliseconds clock,
+                               MonotonicTime now) {
+  // Answers overtake each other: an older one would turn the clock back.
+  if (clock >= worker->clock) {
+    worker->clock = clock;
+    worker->clock_at = now;
+  }
+}
+
+Milliseconds PoolScheduler::LeaseFor(WorkerState* worker, MonotonicTime now) {
+  if (worker->clock.count() == 0) {
+    return Milliseconds(0);
+  }
+  const Milliseconds elapsed =
+      std::chrono::duration_cast<Milliseconds>(now - worker->clock_at);
+  const Milliseconds until =
+      worker->clock + elapsed + this->settings.longest_lease;
+  worker->lease_until = std::max(worker->lease_until, until);
+  const double remaining = static_cast<double>(
+      (worker->lease_until - worker->clock).count());
+  worker->lease_over_at =
+      worker->clock_at + this->settings.lease_margin +
+      Milliseconds(static_cast<std::int64_t>(
+          remaining / (1.0 - this->settings.worker_clock_drift)));
+  return worker->lease_until;
+}
+
+void PoolScheduler::ApplyEnd(WorkerState* worker,
+                             const RunEnd& end,
+                             MonotonicTime now) {
+  const std::map<JobId, JobState>::iterator found =
+      this->jobs.find(end.task.job);
+  TaskState* const task = this->FindTask(end.task);
+  this->Note("run_ended", end.task, end.run, worker->listing.name,
+             ToString(end.kind));
+  if (task == nullptr) {
+    return;
+  }
+  JobState& job = found->second;
+  const RunRecord* const run = this->FindRun(end.task, end.run);
+  if (run != nullptr && run->worker == worker->listing.name) {
+    this->RemoveRun(end.task, end.run);
+  }
+  task->last_run = std::max(task->last_run, end.run);
+  job.has_started = true;
+  if (!end.checkpoint.empty()) {
+    task->checkpoint = end.checkpoint;
+  }
+  const bool is_open = !IsFinal(job.status) && !task->is_done;
+  if (is_open && end.kind == EndKind::kDone) {
+    this->CountOutcome(worker, false, now);
+    this->Touch(&job);
+    this->FinishTask(&job, end.task, now);
+  } else if (is_open && end.kind == EndKind::kFailed) {
+    this->CountOutcome(worker, true, now);
+    task->failed_on = worker->listing.name;
+    this->FailTask(&job, end.task, now);
+  }
+  // Also ends of jobs that are complete: until that is stored, a later
+  // scheduler would run their tasks again.
+  if (job.changes != job.saved_changes) {
+    worker->unsaved_ends.push_back(
+        UnsavedEnd{end.sequence, job.job.id, job.changes});
+  }
+}
+
+void PoolScheduler::ApplyActive(WorkerState* worker,
+                                const ActiveRun& active,
+                                MonotonicTime now) {
+  const std::map<JobId, JobState>::iterator found =
+      this->jobs.find(active.task.job);
+  TaskState* const task = this->FindTask(active.task);
+  if (task == nullptr) {
+    this->Note("run_stopped", active.task, active.run, worker->listing.name,
+               "its job is not known");
+    this->orders.emplace_back(
+        StopRun{worker->listing.name, active.task, active.run});
+    return;
+  }
+  JobState& job = found->second;
+  RunRecord* run = this->FindRun(active.task, active.run);
+  if (run != nullptr && run->worker != worker->listing.name) {
+    this->Note("run_stopped", active.task, active.run, worker->listing.name,
+               "the run belongs to another worker");
+    this->orders.emplace_back(
+        StopRun{worker->listing.name, active.task, active.run});
+    return;
+  }
+  if (run == nullptr) {
+    this->Note("run_adopted", active.task, active.run, worker->listing.name,
+               "reported by its worker");
+    run = this->AddRun(&job, active.task, active.run, worker->listing.name,
+                       now);
+    run->state = RunState::kActive;
+    const bool is_surplus =
+        task->runs.size() > 1 && !this->SpecOf(job, active.task).allows_copies;
+    if (IsFinal(job.status) || task->is_done || is_surplus) {
+      this->StopRunOf(active.task, run, now);
+    }
+  }
+  if (!run->confirmed_at) {
+    run->confirmed_at = now;
+  }
+  if (run->state == RunState::kOrdered) {
+    run->state = RunState::kActive;
+  } else if (run->state == RunState::kUnsure) {
+    run->state = RunState::kStopping;
+  }
+  run->percent = active.percent;
+  run->load = active.load;
+  const bool is_idle = active.load == 0 && active.percent == 100 &&
+                       this->SpecOf(job, active.task).latency_target.count() == 0;
+  if (!is_idle) {
+    run->idle_since.reset();
+  } else if (!run->idle_since) {
+    run->idle_since = now;
+  }
+  if (active.percent == 100 && !run->at_work_since) {
+    run->at_work_since = now;
+  }
+  if (!active.checkpoint.empty()) {
+    task->checkpoint = active.checkpoint;
+  }
+}
+
+void PoolScheduler::DropMissingRuns(WorkerState* worker,
+                                    const RunReport& report,
+                                    MonotonicTime asked_at) {
+  std::set<std::pair<TaskRef, std::int64_t>> reported;
+  for (const ActiveRun& active : report.active) {
+    reported.emplace(active.task, active.run);
+  }
+  const std::set<std::pair<TaskRef, std::int64_t>> runs = worker->runs;
+  for (const std::pair<TaskRef, std::int64_t>& key : runs) {
+    if (reported.contains(key)) {
+      continue;
+    }
+    const RunRecord* const run = this->FindRun(key.first, key.second);
+    const bool was_confirmed = run->confirmed_at && *run->confirmed_at <= asked_at;
+    const bool cannot_come =
+        run->stop_answered_at && *run->stop_answered_at <= asked_at;
+    if (was_confirmed || cannot_come) {
+      this->Note("run_missing", key.first, key.second, worker->listing.name,
+                 cannot_come ? "stopped before it began" : "not reported");
+      this->RemoveRun(key.first, key.second);
+    }
+  }
+}
+
+void PoolScheduler::AcknowledgeSavedEnds(WorkerState* worker) {
+  while (!worker->unsaved_ends.empty()) {
+    const UnsavedEnd& end = worker->unsaved_ends.front();
+    const std::map<JobId, JobState>::const_iterator job =
+        this->jobs.find(end.job);
+    if (job != this->jobs.end() && job->second.saved_changes < end.change) {
+      worker->acknowledged_end =
+          std::max(worker->acknowledged_end, end.sequence - 1);
+      return;
+    }
+    worker->unsaved_ends.pop_front();
+  }
+  worker->acknowledged_end = worker->seen_end;
+}
+
+void PoolScheduler::ExpireLeases(MonotonicTime now) {
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    WorkerState& worker = entry.second;
+    if (worker.runs.empty() || worker.IsReachable() ||
+        now < worker.lease_over_at) {
+      continue;
+    }
+    this->Note("leases_over", TaskRef(), 0, entry.first,
+               std::to_string(worker.runs.size()) + " runs lapsed");
+    const std::set<std::pair<TaskRef, std::int64_t>> runs = worker.runs;
+    for (const std::pair<TaskRef, std::int64_t>& run : runs) {
+      this->RemoveRun(run.first, run.second);
+    }
+  }
+}
+
+void PoolScheduler::AskReports(MonotonicTime now) {
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    WorkerState& worker = entry.second;
+    const bool owes_ends =
+        worker.delivered_end < worker.acknowledged_end &&
+        now >= worker.last_end_at + this->settings.acknowledge_pause;
+    const bool is_needed = !worker.is_known || !worker.runs.empty() ||
+                           !worker.IsReachable() || owes_ends;
+    if (worker.is_report_pending || now < worker.next_report || !is_needed) {
+      continue;
+    }
+    AskReport ask;
+    ask.worker = entry.first;
+    ask.acknowledged = worker.acknowledged_end;
+    worker.asked_end = worker.acknowledged_end;
+    if (worker.is_known && worker.missed_reports == 0 &&
+        !worker.runs.empty() && !this->HasRunThatMayNeverCome(worker)) {
+      ask.wait = this->settings.report_wait;
+    }
+    if (worker.is_known && !worker.runs.empty()) {
+      ask.lease_until = this->LeaseFor(&worker, now);
+    }
+    worker.is_report_pending = true;
+    this->orders.emplace_back(ask);
+  }
+}
+
+bool PoolScheduler::HasRunThatMayNeverCome(const WorkerState& worker) {
+  for (const std::pair<TaskRef, std::int64_t>& key : worker.runs) {
+    const RunRecord* const run = this->FindRun(key.first, key.second);
+    if (run->state == RunState::kUnsure && run->stop_answered_at) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void PoolScheduler::RepeatStops(MonotonicTime now) {
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    for (const std::pair<TaskRef, std::int64_t>& key : entry.second.runs) {
+      RunRecord* const run = this->FindRun(key.first, key.second);
+      if (run->stop_sent_at && !run->stop_answered_at &&
+          now - *run->stop_sent_at >= this->settings.stop_retry) {
+        run->stop_sent_at = now;
+        this->orders.emplace_back(StopRun{entry.first, key.first, key.second});
+      }
+    }
+  }
+}
+
+void PoolScheduler::ForgetEmptyWorkers() {
+  std::erase_if(this->workers,
+                [](const std::pair<const WorkerName, WorkerState>& entry) {
+                  return !entry.second.is_listed && entry.second.runs.empty();
+                });
+}
+
+void PoolScheduler::CountOutcome(WorkerState* worker,
+                                 bool is_failure,
+                                 MonotonicTime now) {
+  if (!is_failure) {
+    worker->failures_in_row = 0;
+    return;
+  }
+  if (++worker->failures_in_row < this->settings.failures_before_suspension) {
+    return;
+  }
+  // A cause that most workers share is not the workers' fault.
+  const std::ptrdiff_t suspended = std::count_if(
+      this->workers.begin(), this->workers.end(),
+      [now](const std::pair<const WorkerName, WorkerState>& entry) {
+        return entry.second.no_starts_before > now;
+      });
+  if (2 * suspended < static_cast<std::ptrdiff_t>(this->workers.size())) {
+    worker->no_starts_before = now + this->settings.suspension;
+    this->Note("worker_suspended", TaskRef(), 0, worker->listing.name,
+               std::to_string(worker->failures_in_row) + " failures in a row");
+  }
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Jobs/resources.h
@@ -0,0 +1,43 @@
+#ifndef SOURCE_CORE_JOBS_RESOURCES_H_
+#define SOURCE_CORE_JOBS_RESOURCES_H_
+
+#include <cstdint>
+
+namespace daisyroad {
+
+// What a task requests, a worker offers or a team may use.
+struct Resources {
+  std::int64_t cpu_millicores = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  Resources& operator+=(const Resources& other) {
+    this->cpu_millicores += other.cpu_millicores;
+    this->memory_mb += other.memory_mb;
+    this->accelerators += other.accelerators;
+    return *this;
+  }
+  Resources& operator-=(const Resources& other) {
+    this->cpu_millicores -= other.cpu_millicores;
+    this->memory_mb -= other.memory_mb;
+    this->accelerators -= other.accelerators;
+    return *this;
+  }
+  friend Resources operator+(Resources left, const Resources& right) {
+    return left += right;
+  }
+  friend Resources operator-(Resources left, const Resources& right) {
+    return left -= right;
+  }
+  friend bool operator==(const Resources&, const Resources&) = default;
+
+  bool FitsIn(const Resources& room) const {
+    return this->cpu_millicores <= room.cpu_millicores &&
+           this->memory_mb <= room.memory_mb &&
+           this->accelerators <= room.accelerators;
+  }
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_JOBS_RESOURCES_H_
--- /dev/null
+++ b/Source/Core/Jobs/run_report.h
@@ -0,0 +1,55 @@
+#ifndef SOURCE_CORE_JOBS_RUN_REPORT_H_
+#define SOURCE_CORE_JOBS_RUN_REPORT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "Core/Common/time.h"
+#include "Core/Jobs/task_ref.h"
+
+namespace daisyroad {
+
+enum class EndKind {
+  kDone,
+  kFailed,
+  kStopped,
+  kLapsed,    // its lease ended
+  kBroken,    // another member of its gang ended
+  kUnpaired,  // the other members of its gang did not come in time
+};
+
+const char* ToString(EndKind kind);
+
+// A run that a worker has.
+struct ActiveRun {
+  TaskRef task;
+  std::int64_t run = 0;
+  std::string checkpoint;
+  int percent = 0;  // of full speed
+  // Tail latency in milliseconds of a service task with a latency target, else
+  // millicores in use, over about the last half second.
+  std::int64_t load = 0;
+};
+
+// A run that ended on a worker. `sequence` counts up in a worker's life.
+struct RunEnd {
+  std::int64_t sequence = 0;
+  TaskRef task;
+  std::int64_t run = 0;
+  EndKind kind = EndKind::kStopped;
+  std::string checkpoint;
+};
+
+// A worker's answer: all that runs there, and the ends that were not
+// acknowledged yet (the oldest ones if there are many).
+struct RunReport {
+  Milliseconds worker_clock{0};
+  std::int64_t incarnation = 0;
+  std::vector<ActiveRun> active;
+  std::vector<RunEnd> ended;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_JOBS_RUN_REPORT_H_
--- /dev/null
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -0,0 +1,44 @@
+#ifndef SOURCE_CORE_JOBS_SCHEDULER_SETTINGS_H_
+#define SOURCE_CORE_JOBS_SCHEDULER_SETTINGS_H_
+
+#include "Core/Common/time.h"
+
+namespace daisyroad {
+
+// Times that the scheduler of a pool works with. The first group comes from
+// the site's declaration, the second is the project's own choice.
+struct SchedulerSettings {
+  // Longest lease that a worker grants.
+  Milliseconds longest_lease{6000};
+  // Longest time from an order to stop until the run is gone.
+  Milliseconds longest_stop{900};
+  // Part by which a worker's clock may run slow.
+  double worker_clock_drift = 0.02;
+
+  // Longest wait of a report for an end; also the longest time between two
+  // renewals, so several fit into a lease.
+  Milliseconds report_wait{1000};
+  // Pause before a worker that did not answer is asked again.
+  Milliseconds retry_pause{250};
+  // Pause before an unanswered order to stop is repeated.
+  Milliseconds stop_retry{500};
+  // Added to the end of a lease for the time a report is on its way.
+  Milliseconds lease_margin{150};
+  // Ends that complete no job are written together within this time.
+  Milliseconds save_interval{500};
+  // An idle worker is asked once more after its last end, so that it can
+  // forget its ends.
+  Milliseconds acknowledge_pause{1000};
+  // A run that used no processor for this long stands still.
+  Milliseconds stall{1500};
+  // A worker that failed this many runs in a row gets no more for a while.
+  int failures_before_suspension = 2;
+  Milliseconds suspension{4000};
+  // A worker that rejected a run for want of room gets no more for this long;
+  // its load is known from the next report.
+  Milliseconds full_pause{200};
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_JOBS_SCHEDULER_SETTINGS_H_
--- /dev/null
+++ b/Source/Core/Platform/revision_store.h
@@ -0,0 +1,119 @@
+#ifndef SOURCE_CORE_PLATFORM_REVISION_STORE_H_
+#define SOURCE_CORE_PLATFORM_REVISION_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Core/Common/result.h"
+#include "Core/Common/time.h"
+
+namespace daisyroad {
+
+using StoreLease = std::int64_t;  // 0: none
+
+struct StoreItem {
+  std::string key;
+  std::string value;
+  std::int64_t revision = 0;  // of the last change
+};
+
+struct StorePage {
+  std::vector<StoreItem> items;  // by key
+  bool has_more = false;
+  std::int64_t store_revision = 0;
+};
+
+struct StoreChange {
+  std::string key;
+  std::int64_t revision = 0;
+  std::optional<std::string> value;  // none: the key was deleted
+};
+
+// Changes after a revision. `is_history_lost`: they are no longer known, so the
+// prefix must be listed again.
+struct StoreChanges {
+  std::vector<StoreChange> changes;
+  std::int64_t store_revision = 0;
+  bool is_history_lost = false;
+};
+
+struct KeyRevision {
+  std::string key;
+  std::int64_t revision = 0;  // 0: the key does not exist
+};
+
+struct StoreWrite {
+  std::string key;
+  std::string value;
+  StoreLease lease = 0;
+};
+
+// Changes that happen together if all expectations hold. The three lists have
+// at most kMostTransactionEntries entries together.
+struct StoreTransaction {
+  std::vector<KeyRevision> expected;
+  std::vector<StoreWrite> writes;
+  std::vector<std::string> deletions;
+};
+
+inline constexpr std::size_t kMostTransactionEntries = 32;
+
+struct TransactionCommitted {
+  std::int64_t revision = 0;
+};
+// The current state of the expected keys; those that do not exist are left out.
+struct TransactionConflict {
+  std::vector<StoreItem> items;
+};
+using TransactionResult =
+    std::variant<TransactionCommitted, TransactionConflict>;
+
+// Key-value store with one revision counter, transactions, watches and leases.
+//
+// Errors: kUnavailable and kResourceExhausted mean that nothing was done;
+// kNotFound that the lease has ended; any other error leaves open whether the
+// change was or will be made.
+class RevisionStore {
+ public:
+  template <typename T>
+  using Callback = std::function<void(Result<T>)>;
+
+  virtual ~RevisionStore() = default;
+
+  // Linearizable; nothing if the key does not exist.
+  virtual void Get(const std::string& key,
+                   Milliseconds timeout,
+                   Callback<std::optional<StoreItem>> callback) = 0;
+  // The keys of `prefix` that come after the key `after`, if given. Pages are
+  // not one snapshot.
+  virtual void List(const std::string& prefix,
+                    const std::string& after,
+                    Milliseconds timeout,
+                    Callback<StorePage> callback) = 0;
+  // Answers once there is a change after `revision`, or after `wait`.
+  virtual void Watch(const std::string& prefix,
+                     std::int64_t revision,
+                     Milliseconds wait,
+                     Callback<StoreChanges> callback) = 0;
+  virtual void Commit(const StoreTransaction& transaction,
+                      Milliseconds timeout,
+                      Callback<TransactionResult> callback) = 0;
+  virtual void GrantLease(Milliseconds duration,
+                          Milliseconds timeout,
+                          Callback<StoreLease> callback) = 0;
+  virtual void KeepLease(StoreLease lease,
+                         Milliseconds timeout,
+                         Callback<std::monostate> callback) = 0;
+  // Deletes the keys of the lease.
+  virtual void EndLease(StoreLease lease,
+                        Milliseconds timeout,
+                        Callback<std::monostate> callback) = 0;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_PLATFORM_REVISION_STORE_H_
--- /dev/null
+++ b/Source/Core/Platform/run_client.h
@@ -0,0 +1,50 @@
+#ifndef SOURCE_CORE_PLATFORM_RUN_CLIENT_H_
+#define SOURCE_CORE_PLATFORM_RUN_CLIENT_H_
+
+#include <functional>
+#include <optional>
+
+#include "Core/Common/result.h"
+#include "Core/Common/time.h"
+#include "Core/Jobs/order.h"
+#include "Core/Jobs/run_report.h"
+#include "Core/Jobs/start_outcome.h"
+#include "Core/Jobs/worker_listing.h"
+
+namespace daisyroad {
+
+struct StartAnswer {
+  StartOutcome outcome = StartOutcome::kUnknown;
+  std::optional<Milliseconds> worker_clock;
+};
+
+// Gives workers the orders of a scheduler. `fence` is the scheduler's term;
+// workers do nothing for a term lower than the highest they have seen.
+//
+// Errors of reports and stops: kNotFound if another life of the worker
+// answered; kUnavailable if no connection was made.
+class RunClient {
+ public:
+  virtual ~RunClient() = default;
+
+  virtual void Start(const WorkerListing& worker,
+                     const StartRun& order,
+                     std::int64_t fence,
+                     std::function<void(StartAnswer)> callback) = 0;
+  virtual void Stop(const WorkerListing& worker,
+                    const StopRun& order,
+                    std::int64_t fence,
+                    std::function<void(Status)> callback) = 0;
+  virtual void Pace(const WorkerListing& worker,
+                    const PaceRun& order,
+                    std::int64_t fence,
+                    std::function<void(Status)> callback) = 0;
+  virtual void Report(const WorkerListing& worker,
+                      const AskReport& order,
+                      std::int64_t fence,
+                      std::function<void(Result<RunReport>)> callback) = 0;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_PLATFORM_RUN_CLIENT_H_
--- /dev/null
+++ b/Source/Core/Site/job_service.cc
@@ -0,0 +1,371 @@
+#include "Core/Site/job_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Core/Common/json.h"
+#include "Core/Common/log_decision.h"
+#include "Core/Common/logging.h"
+#include "Core/Platform/revision_store.h"
+#include "Core/Site/leadership.h"
+#include "Core/Site/pool_lead.h"
+#include "Core/Site/store_keys.h"
+#include "Core/Transport/event_loop.h"
+#include "Core/Transport/rpc_client.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr Milliseconds kCommitTimeout{700};
+// A caller's last moments still allow one try.
+constexpr Milliseconds kShortestCommit{50};
+constexpr Milliseconds kReadTimeout{600};
+constexpr Milliseconds kPeerTimeout{500};
+constexpr Milliseconds kRetryPause{60};
+// Part of a caller's time kept for the answer to arrive.
+constexpr Milliseconds kAnswerReserve{150};
+// Told to callers whose request was refused.
+constexpr Milliseconds kRetryAfter{500};
+// Keys stop being accepted this long before the bound on withdrawn keys: the
+// reading that would show the withdrawal may be this old.
+constexpr Milliseconds kWithdrawalReserve{700};
+
+MonotonicTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+// A call that did nothing, so that the request may be called refused.
+bool HasDoneNothing(const Error& error) {
+  return error.code == Errc::kUnavailable ||
+         error.code == Errc::kResourceExhausted;
+}
+
+std::optional<JobStatus> ParseStatus(const std::string& text) {
+  for (const JobStatus status :
+       {JobStatus::kQueued, JobStatus::kRunning, JobStatus::kCompleted,
+        JobStatus::kFailed, JobStatus::kCancelled}) {
+    if (text == ToString(status)) {
+      return status;
+    }
+  }
+  return std::nullopt;
+}
+
+void NoteRequest(std::string_view decision,
+                 const CallerRequest& request,
+                 std::int64_t version,
+                 std::string_view outcome) {
+  LogDecision(decision)
+      .Field("job", request.job.str())
+      .Field("queue", request.queue.str())
+      .Field("config", version)
+      .Field("outcome", outcome)
+      .Write(kTasksLog);
+}
+
+}  // namespace
+
+std::string PoolDuty(const PoolName& pool) {
+  return "pool/" + pool.str();
+}
+
+JobService::JobService(RevisionStore* store,
+                       EventLoop* loop,
+                       RpcClient* peers,
+                       const Leadership* leadership,
+                       LeadLookup find_lead,
+                       Milliseconds key_withdrawal)
+    : store(store),
+      loop(loop),
+      peers(peers),
+      leadership(leadership),
+      find_lead(std::move(find_lead)),
+      key_withdrawal(key_withdrawal) {}
+
+void JobService::SetOperatorState(const OperatorState& state,
+                                  BootClock::time_point confirmed_at) {
+  this->operators = state;
+  this->confirmed_at = std::max(this->confirmed_at, confirmed_at);
+}
+
+bool JobService::IsFresh() const {
+  return BootClock::now() - this->confirmed_at <
+         this->key_withdrawal - kWithdrawalReserve;
+}
+
+bool JobService::HasConfig() const {
+  return this->operators.config != nullptr;
+}
+
+JobService::Admission JobService::Admit(const CallerRequest& request) const {
+  Admission admission;
+  if (!this->operators.config) {
+    admission.refusal =
+        RequestRefused{"no declaration is known yet", kRetryAfter};
+    return admission;
+  }
+  const SiteConfig& config = *this->operators.config;
+  const std::map<QueueName, QueueConfig>::const_iterator queue =
+      config.queues.find(request.queue);
+  if (queue == config.queues.end()) {
+    admission.refusal = QueueUnknown();
+    return admission;
+  }
+  admission.queue = queue->second;
+  if (queue->second.is_open) {
+    return admission;
+  }
+  if (!this->IsFresh()) {
+    admission.refusal =
+        RequestRefused{"the declaration of keys is too old", kRetryAfter};
+    return admission;
+  }
+  const std::map<std::string, TeamName>::const_iterator team =
+      config.keys.find(request.key.value_or(""));
+  if (team == config.keys.end()) {
+    admission.refusal = CallerUnauthorized();
+    return admission;
+  }
+  admission.team = team->second;
+  return admission;
+}
+
+void JobService::Submit(const CallerRequest& request,
+                        JobSpec spec,
+                        Callback callback) {
+  const Admission admission = this->Admit(request);
+  const std::int64_t version =
+      this->operators.config ? this->operators.config->version : 0;
+  std::string reason;
+  if (admission.refusal) {
+    NoteRequest("submit", request, version, "refused");
+    callback(*admission.refusal);
+    return;
+  }
+  if (!IsRunnable(spec, &reason)) {
+    NoteRequest("submit", request, version, reason);
+    callback(RequestInvalid{reason});
+    return;
+  }
+  NoteRequest("submit", request, version, "storing");
+  AcceptedJob job;
+  job.id = request.job;
+  job.queue = request.queue;
+  job.pool = admission.queue.pool;
+  job.team = admission.team;
+  job.accepted_at = std::chrono::system_clock::now();
+  job.spec = std::move(spec);
+  this->CommitJob(job, request.deadline - kAnswerReserve, true, callback);
+}
+
+void JobService::CommitJob(const AcceptedJob& job,
+                           MonotonicTime deadline,
+                           bool is_first,
+                           const Callback& callback) {
+  const std::string key = JobKey(job.pool, job.id);
+  StoreTransaction transaction;
+  transaction.expected.push_back({key, 0});
+  transaction.writes.push_back({key, WriteJson(ToJson(job)), 0});
+  const Milliseconds left =
+      std::chrono::duration_cast<Milliseconds>(deadline - Now());
+  this->store->Commit(
+      transaction, std::clamp(left, kShortestCommit, kCommitTimeout),
+      [this, job, deadline, is_first,
+       callback](const Result<TransactionResult>& result) {
+        if (result.ok()) {
+          // A conflict means that the job was accepted before.
+          callback(JobAccepted());
+          return;
+        }
+        CLOG(WARNING, kTasksLog)
+            << "event=job_not_stored job=" << job.id << " error=\""
+            << result.error().ToString() << "\"";
+        // An earlier try of this request may still take effect.
+        if (is_first && HasDoneNothing(result.error())) {
+          callback(RequestRefused{"the store does not take the job",
+                                  kRetryAfter});
+        } else if (Now() + kRetryPause >= deadline) {
+          callback(OutcomeUnknown{"the store did not answer in time"});
+        } else {
+          this->loop->After(kRetryPause, [this, job, deadline, callback]() {
+            this->CommitJob(job, deadline, false, callback);
+          });
+        }
+      });
+}
+
+void JobService::Cancel(const CallerRequest& request, Callback callback) {
+  const Admission admission = this->Admit(request);
+  const std::int64_t version =
+      this->operators.config ? this->operators.config->version : 0;
+  NoteRequest("cancel", request, version,
+              admission.refusal ? "refused" : "storing");
+  if (admission.refusal) {
+    callback(*admission.refusal);
+    return;
+  }
+  const PoolName pool = admission.queue.pool;
+  const JobId job = request.job;
+  const MonotonicTime deadline = request.deadline - kAnswerReserve;
+  const PoolLead* const lead = this->find_lead(pool);
+  if (lead != nullptr && lead->StatusOf(job)) {
+    this->WriteCancel(pool, job, deadline, callback);
+    return;
+  }
+  this->store->Get(
+      JobKey(pool, job), kReadTimeout,
+      [this, pool, job, deadline,
+       callback](const Result<std::optional<StoreItem>>& item) {
+        if (!item.ok()) {
+          callback(RequestRefused{"the store did not answer", kRetryAfter});
+        } else if (!item.value()) {
+          callback(JobUnknown());
+        } else {
+          this->WriteCancel(pool, job, deadline, callback);
+        }
+      });
+}
+
+void JobService::WriteCancel(const PoolName& pool,
+                             const JobId& job,
+                             MonotonicTime deadline,
+                             const Callback& callback) {
+  StoreTransaction transaction;
+  transaction.writes.push_back({CancelKey(pool, job), "", 0});
+  this->store->Commit(
+      transaction, kCommitTimeout,
+      [this, pool, job, deadline,
+       callback](const Result<TransactionResult>& result) {
+        if (result.ok()) {
+          callback(JobCancelled());
+        } else if (Now() + kRetryPause < deadline) {
+          this->loop->After(kRetryPause, [this, pool, job, deadline,
+                                          callback]() {
+            this->WriteCancel(pool, job, deadline, callback);
+          });
+        } else {
+          callback(OutcomeUnknown{"the store did not answer in time"});
+        }
+      });
+}
+
+void JobService::AskStatus(const CallerRequest& request, Callback callback) {
+  const Admission admission = this->Admit(request);
+  if (admission.refusal) {
+    callback(*admission.refusal);
+    return;
+  }
+  const PoolName pool = admission.queue.pool;
+  const JobId job = request.job;
+  const PoolLead* const lead = this->find_lead(pool);
+  if (lead != nullptr) {
+    const std::optional<JobStatus> status = lead->StatusOf(job);
+    if (status) {
+      callback(JobStatusAnswer{*status});
+    } else {
+      this->StatusFromStore(pool, job, callback);
+    }
+    return;
+  }
+  const std::string peer = this->leadership->LeaderAddress(PoolDuty(pool));
+  if (peer.empty()) {
+    this->StatusFromStore(pool, job, callback);
+    return;
+  }
+  Json::Value params;
+  params["pool"] = pool.str();
+  params["job"] = job.str();
+  this->peers->Call(
+      peer, "job.status", params, kPeerTimeout,
+      [this, pool, job, callback](const Result<Json::Value>& result) {
+        std::optional<JobStatus> status;
+        if (result.ok() && result.value().isObject() &&
+            result.value()["status"].isString()) {
+          status = ParseStatus(result.value()["status"].asString());
+        }
+        if (status) {
+          callback(JobStatusAnswer{*status});
+        } else {
+          this->StatusFromStore(pool, job, callback);
+        }
+      });
+}
+
+void JobService::StatusFromStore(const PoolName& pool,
+                                 const JobId& job,
+                                 const Callback& callback) {
+  this->store->Get(
+      ProgressKey(pool, job), kReadTimeout,
+      [this, pool, job,
+       callback](const Result<std::optional<StoreItem>>& item) {
+        if (!item.ok()) {
+          callback(RequestRefused{"neither the scheduler nor the store answers",
+                                  kRetryAfter});
+          return;
+        }
+        if (item.value()) {
+          const Result<Json::Value> json = ParseJson(item.value()->value);
+          const Result<JobProgress> progress =
+              json.ok() ? ParseJobProgress(job, json.value())
+                        : Result<JobProgress>(json.error());
+          if (progress.ok()) {
+            const JobStatus status = progress.value().status;
+            callback(JobStatusAnswer{
+                status == JobStatus::kQueued ? JobStatus::kRunning : status});
+            return;
+          }
+        }
+        this->StatusOfAccepted(pool, job, callback);
+      });
+}
+
+void JobService::StatusOfAccepted(const PoolName& pool,
+                                  const JobId& job,
+                                  const Callback& callback) {
+  this->store->Get(
+      JobKey(pool, job), kReadTimeout,
+      [callback](const Result<std::optional<StoreItem>>& item) {
+        if (!item.ok()) {
+          callback(RequestRefused{"neither the scheduler nor the store answers",
+                                  kRetryAfter});
+        } else if (item.value()) {
+          callback(JobStatusAnswer{JobStatus::kQueued});
+        } else {
+          callback(JobUnknown());
+        }
+      });
+}
+
+void JobService::AskPending(const CallerRequest& request, Callback callback) {
+  const Admission admission = this->Admit(request);
+  if (admission.refusal) {
+    callback(*admission.refusal);
+    return;
+  }
+  const PoolName pool = admission.queue.pool;
+  const PoolLead* const lead = this->find_lead(pool);
+  if (lead != nullptr && lead->is_ready()) {
+    callback(PendingAnswer{lead->PendingJobs(request.queue)});
+    return;
+  }
+  const std::string peer = this->leadership->LeaderAddress(PoolDuty(pool));
+  if (peer.empty()) {
+    callback(RequestRefused{"the pool has no scheduler", kRetryAfter});
+    return;
+  }
+  Json::Value params;
+  params["pool"] = pool.str();
+  params["queue"] = request.queue.str();
+  this->peers->Call(peer, "queue.pending", params, kPeerTimeout,
+                    [callback](const Result<Json::Value>& result) {
+                      if (result.ok() && result.value().isObject() &&
+                          result.value()["jobs"].isInt()) {
+                        callback(PendingAnswer{result.value()["jobs"].asInt()});
+                      } else {
+                        callback(RequestRefused{"the scheduler did not answer",
+                                                kRetryAfter});
+                      }
+                    });
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Site/leadership.cc
@@ -0,0 +1,431 @@
+#include "Core/Site/leadership.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "Core/Common/hash.h"
+#include "Core/Common/json.h"
+#include "Core/Common/logging.h"
+#include "Core/Site/prefix_mirror.h"
+#include "Core/Site/store_keys.h"
+#include "Core/Transport/event_loop.h"
+
+namespace daisyroad {
+namespace {
+
+// Three renewals fit into a lease.
+constexpr Milliseconds kRenewInterval{800};
+constexpr Milliseconds kCallTimeout{700};
+// How often vacant duties are looked at.
+constexpr Milliseconds kCheckInterval{100};
+// Instances start within 300 ms of each other; the first division of the
+// duties waits until they have registered.
+constexpr Milliseconds kSettleTime{700};
+// A vacant duty is taken by the least loaded instance; the others follow one
+// by one if it does not.
+constexpr Milliseconds kRankDelay{150};
+
+struct LeadRecord {
+  std::string node;
+  std::string address;
+  std::int64_t term = 0;
+};
+
+std::string WriteLead(const LeadRecord& record) {
+  Json::Value json;
+  json["node"] = record.node;
+  json["address"] = record.address;
+  json["term"] = Json::Int64(record.term);
+  return WriteJson(json);
+}
+
+std::optional<LeadRecord> ReadLead(const std::string& text) {
+  const Result<Json::Value> json = ParseJson(text);
+  if (!json.ok() || !json.value().isObject() ||
+      !json.value()["node"].isString() || !json.value()["address"].isString() ||
+      !json.value()["term"].isInt64()) {
+    return std::nullopt;
+  }
+  return LeadRecord{json.value()["node"].asString(),
+                    json.value()["address"].asString(),
+                    json.value()["term"].asInt64()};
+}
+
+}  // namespace
+
+struct Leadership::State : std::enable_shared_from_this<State> {
+  RevisionStore* store = nullptr;
+  EventLoop* loop = nullptr;
+  PrefixMirror* mirror = nullptr;
+  std::string node;
+  std::string address;
+  Listener listener;
+  std::set<std::string> duties;
+  std::map<std::string, Term> terms;
+  std::map<std::string, MonotonicTime> vacant_since;
+  std::set<std::string> attempts;  // in progress
+  StoreLease lease = 0;
+  BootClock::time_point lease_valid_until;
+  bool is_granting = false;
+  bool is_renewing = false;
+  bool is_registered = false;
+  bool is_uncertain = false;
+  bool is_stopped = false;
+  MonotonicTime registered_at;
+  MonotonicTime next_renewal;
+
+  std::optional<LeadRecord> LeadOf(const std::string& duty) const {
+    const PrefixMirror::Items::const_iterator found =
+        this->mirror->items().find(kLeadPrefix + duty);
+    return found == this->mirror->items().end()
+               ? std::nullopt
+               : ReadLead(found->second.value);
+  }
+
+  void Tick() {
+    if (this->is_stopped) {
+      return;
+    }
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->loop->After(kCheckInterval, [self]() { self->Tick(); });
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (this->lease == 0) {
+      this->Grant();
+    } else if (now >= this->next_renewal && !this->is_renewing) {
+      this->Renew();
+    }
+    this->CheckValidity();
+    if (!this->is_registered || !this->mirror->is_loaded() ||
+        this->is_uncertain || now < this->registered_at + kSettleTime) {
+      return;
+    }
+    for (const std::string& duty : this->duties) {
+      this->ConsiderDuty(duty, now);
+    }
+  }
+
+  void Grant() {
+    if (this->is_granting) {
+      return;
+    }
+    this->is_granting = true;
+    const BootClock::time_point asked = BootClock::now();
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->store->GrantLease(
+        kLeaseDuration, kCallTimeout, [self, asked](Result<StoreLease> lease) {
+          self->is_granting = false;
+          if (!lease.ok() || self->is_stopped) {
+            return;
+          }
+          self->lease = lease.value();
+          self->lease_valid_until = asked + kLeaseDuration;
+          self->next_renewal = std::chrono::steady_clock::now() + kRenewInterval;
+          self->SetUncertain(false);
+          self->Register();
+        });
+  }
+
+  void Register() {
+    Json::Value json;
+    json["address"] = this->address;
+    StoreTransaction transaction;
+    transaction.writes.push_back(
+        StoreWrite{kNodePrefix + this->node, WriteJson(json), this->lease});
+    const std::shared_ptr<State> self = this->shared_from_this();
+    const StoreLease lease = this->lease;
+    this->store->Commit(
+        transaction, kCallTimeout,
+        [self, lease](Result<TransactionResult> result) {
+          if (self->is_stopped || self->lease != lease) {
+            return;
+          }
+          if (!result.ok()) {
+            self->loop->After(kRankDelay, [self, lease]() {
+              if (self->lease == lease && !self->is_stopped) {
+                self->Register();
+              }
+            });
+            return;
+          }
+          if (!self->is_registered) {
+            self->registered_at = std::chrono::steady_clock::now();
+          }
+          self->is_registered = true;
+          CLOG(INFO, kMembershipLog)
+              << "event=registered node=" << self->node << " lease=" << lease;
+        });
+  }
+
+  void Renew() {
+    this->is_renewing = true;
+    const BootClock::time_point asked = BootClock::now();
+    const StoreLease lease = this->lease;
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->store->KeepLease(
+        lease, kCallTimeout, [self, asked, lease](Result<std::monostate> kept) {
+          self->is_renewing = false;
+          if (self->lease != lease) {
+            return;
+          }
+          const MonotonicTime now = std::chrono::steady_clock::now();
+          if (kept.ok()) {
+            self->lease_valid_until = asked + kLeaseDuration;
+            self->next_renewal = now + kRenewInterval;
+            self->SetUncertain(false);
+          } else if (kept.error().code == Errc::kNotFound) {
+            self->LoseLease();
+          } else {
+            self->next_renewal = now + kCheckInterval;
+          }
+        });
+  }
+
+  void LoseLease() {
+    CLOG(WARNING, kMembershipLog)
+        << "event=lease_ended node=" << this->node << " lease=" << this->lease
+        << " duties=" << this->terms.size();
+    this->lease = 0;
+    this->is_registered = false;
+    this->EndAllTerms("the lease has ended");
+  }
+
+  void CheckValidity() {
+    if (this->lease == 0) {
+      return;
+    }
+    const BootClock::time_point now = BootClock::now();
+    this->SetUncertain(now > this->lease_valid_until);
+    if (now > this->lease_valid_until + kOutageGrace && !this->terms.empty()) {
+      this->EndAllTerms("the store did not answer for too long");
+    }
+  }
+
+  void SetUncertain(bool value) {
+    if (this->is_uncertain == value) {
+      return;
+    }
+    this->is_uncertain = value;
+    CLOG(WARNING, kMembershipLog)
+        << "event=" << (value ? "lease_uncertain" : "lease_confirmed")
+        << " node=" << this->node << " duties=" << this->terms.size();
+  }
+
+  void EndAllTerms(const std::string& reason) {
+    const std::map<std::string, Term> ended = std::exchange(this->terms, {});
+    for (const std::pair<const std::string, Term>& entry : ended) {
+      CLOG(INFO, kMembershipLog)
+          << "decision=term_ended duty=" << entry.first
+          << " fence=" << entry.second.fence << " reason=\"" << reason << "\"";
+      this->listener.on_term_end(entry.first);
+    }
+  }
+
+  void EndTerm(const std::string& duty, const std::string& reason) {
+    if (this->terms.erase(duty) > 0) {
+      CLOG(INFO, kMembershipLog) << "decision=term_ended duty=" << duty
+                                 << " reason=\"" << reason << "\"";
+      this->listener.on_term_end(duty);
+    }
+  }
+
+  // Position of this instance among those that should take the duty.
+  int Rank(const std::string& duty) const {
+    std::map<std::string, int> duties_of;
+    for (const std::pair<const std::string, StoreItem>& entry :
+         this->mirror->items()) {
+      if (entry.first.starts_with(kNodePrefix)) {
+        duties_of.emplace(entry.first.substr(kNodePrefix.size()), 0);
+      }
+    }
+    for (const std::string& other : this->duties) {
+      const std::optional<LeadRecord> lead = this->LeadOf(other);
+      if (lead && duties_of.contains(lead->node)) {
+        ++duties_of[lead->node];
+      }
+    }
+    using Key = std::tuple<int, std::uint64_t, std::string>;
+    const std::uint64_t seed = StableHash(duty);
+    const Key own{duties_of[this->node], StableHash(this->node, seed),
+                  this->node};
+    int rank = 0;
+    for (const std::pair<const std::string, int>& entry : duties_of) {
+      rank += Key{entry.second, StableHash(entry.first, seed), entry.first} <
+              own;
+    }
+    return rank;
+  }
+
+  void ConsiderDuty(const std::string& duty, MonotonicTime now) {
+    const std::optional<LeadRecord> lead = this->LeadOf(duty);
+    const bool is_own_past =
+        lead && lead->node == this->node && !this->terms.contains(duty);
+    if (lead && !is_own_past) {
+      this->vacant_since.erase(duty);
+      return;
+    }
+    const MonotonicTime since =
+        this->vacant_since.emplace(duty, now).first->second;
+    const bool is_turn =
+        is_own_past || now >= since + this->Rank(duty) * kRankDelay;
+    if (is_turn && !this->attempts.contains(duty) &&
+        !this->terms.contains(duty)) {
+      this->Take(duty);
+    }
+  }
+
+  void Take(const std::string& duty) {
+    const PrefixMirror::Items& items = this->mirror->items();
+    const PrefixMirror::Items::const_iterator lead =
+        items.find(kLeadPrefix + duty);
+    const PrefixMirror::Items::const_iterator past =
+        items.find(kTermPrefix + duty);
+    Term term;
+    term.duty = duty;
+    term.number = 1;
+    term.is_predecessor_gone = true;
+    if (past != items.end()) {
+      const std::optional<LeadRecord> record = ReadLead(past->second.value);
+      term.number = record ? record->term + 1 : 1;
+      // A record that was given up names no node.
+      term.is_predecessor_gone =
+          record && (record->node.empty() || record->node == this->node);
+    }
+    const std::string value =
+        WriteLead(LeadRecord{this->node, this->address, term.number});
+    StoreTransaction transaction;
+    transaction.expected = {
+        {kLeadPrefix + duty, lead == items.end() ? 0 : lead->second.revision},
+        {kTermPrefix + duty, past == items.end() ? 0 : past->second.revision}};
+    transaction.writes = {{kLeadPrefix + duty, value, this->lease},
+                          {kTermPrefix + duty, value, 0}};
+    this->attempts.insert(duty);
+    const std::shared_ptr<State> self = this->shared_from_this();
+    const StoreLease lease_used = this->lease;
+    this->store->Commit(
+        transaction, kCallTimeout,
+        [self, term, lease_used](Result<TransactionResult> result) {
+          self->attempts.erase(term.duty);
+          if (!result.ok()) {
+            if (result.error().code == Errc::kNotFound &&
+                self->lease == lease_used) {
+              self->LoseLease();
+            }
+            return;
+          }
+          const TransactionCommitted* const committed =
+              std::get_if<TransactionCommitted>(&result.value());
+          if (committed == nullptr || self->is_stopped ||
+              self->lease != lease_used) {
+            return;
+          }
+          Term begun = term;
+          begun.fence = committed->revision;
+          self->terms[begun.duty] = begun;
+          CLOG(INFO, kMembershipLog)
+              << "decision=term_begun duty=" << begun.duty
+              << " fence=" << begun.fence << " number=" << begun.number
+              << " predecessor="
+              << (begun.is_predecessor_gone ? "gone" : "silent");
+          self->listener.on_term_begin(begun);
+        });
+  }
+
+  // Another instance has the duty, or the record vanished with the lease.
+  void CompareTerms() {
+    for (const std::pair<const std::string, Term>& entry :
+         std::map<std::string, Term>(this->terms)) {
+      const PrefixMirror::Items::const_iterator lead =
+          this->mirror->items().find(kLeadPrefix + entry.first);
+      if (lead != this->mirror->items().end() &&
+          lead->second.revision > entry.second.fence) {
+        this->EndTerm(entry.first, "another instance has it");
+      }
+    }
+  }
+
+  void GiveUp() {
+    StoreTransaction transaction;
+    for (const std::pair<const std::string, Term>& entry : this->terms) {
+      LeadRecord record;
+      record.term = entry.second.number;
+      transaction.expected.push_back(
+          {kLeadPrefix + entry.first, entry.second.fence});
+      transaction.writes.push_back(
+          {kTermPrefix + entry.first, WriteLead(record), 0});
+      transaction.deletions.push_back(kLeadPrefix + entry.first);
+    }
+    transaction.deletions.push_back(kNodePrefix + this->node);
+    this->EndAllTerms("the instance stops");
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->store->Commit(transaction, kCallTimeout,
+                        [self](const Result<TransactionResult>& result) {
+                          CLOG(INFO, kMembershipLog)
+                              << "event=duties_given_up ok=" << result.ok();
+                        });
+  }
+};
+
+Leadership::Leadership(RevisionStore* store,
+                       EventLoop* loop,
+                       PrefixMirror* mirror,
+                       const std::string& node,
+                       const std::string& address,
+                       Listener listener)
+    : state(std::make_shared<State>()) {
+  this->state->store = store;
+  this->state->loop = loop;
+  this->state->mirror = mirror;
+  this->state->node = node;
+  this->state->address = address;
+  this->state->listener = std::move(listener);
+}
+
+Leadership::~Leadership() {
+  this->state->is_stopped = true;
+}
+
+void Leadership::SetDuties(std::set<std::string> duties) {
+  this->state->duties = std::move(duties);
+}
+
+void Leadership::Start() {
+  this->state->Tick();
+}
+
+void Leadership::Stop() {
+  this->state->is_stopped = true;
+  this->state->GiveUp();
+}
+
+void Leadership::OnMirrorChange() {
+  this->state->CompareTerms();
+}
+
+std::string Leadership::LeaderAddress(const std::string& duty) const {
+  const std::optional<LeadRecord> lead = this->state->LeadOf(duty);
+  return lead ? lead->address : "";
+}
+
+std::vector<std::string> Leadership::PeerAddresses() const {
+  std::vector<std::string> addresses;
+  for (const std::pair<const std::string, StoreItem>& entry :
+       this->state->mirror->items()) {
+    const Result<Json::Value> json = ParseJson(entry.second.value);
+    if (entry.first.starts_with(kNodePrefix) &&
+        entry.first != kNodePrefix + this->state->node && json.ok()) {
+      addresses.push_back(json.value()["address"].asString());
+    }
+  }
+  return addresses;
+}
+
+bool Leadership::HasDuty(const std::string& duty) const {
+  return this->state->terms.contains(duty);
+}
+
+const std::map<std::string, Term>& Leadership::terms() const {
+  return this->state->terms;
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Site/limit_keeper.cc
@@ -0,0 +1,129 @@
+#include "Core/Site/limit_keeper.h"
+
+#include "Core/Common/logging.h"
+#include "Core/Site/prefix_mirror.h"
+#include "Core/Site/store_keys.h"
+
+namespace daisyroad {
+namespace {
+
+// Unused allotments are given back this often; other pools wait for them.
+constexpr Milliseconds kReturnInterval{400};
+// Bounds the writes of an instance to the record.
+constexpr Milliseconds kWritePause{40};
+constexpr Milliseconds kCommitTimeout{500};
+
+bool HasLimit(const Resources& limit) {
+  return limit.cpu_millicores < kUnlimited || limit.memory_mb < kUnlimited ||
+         limit.accelerators < kUnlimited;
+}
+
+Resources Find(const std::map<TeamName, Resources>& table,
+               const TeamName& team) {
+  const std::map<TeamName, Resources>::const_iterator found = table.find(team);
+  return found == table.end() ? Resources() : found->second;
+}
+
+}  // namespace
+
+LimitKeeper::LimitKeeper(RevisionStore* store, PrefixMirror* mirror)
+    : store(store), mirror(mirror) {}
+
+void LimitKeeper::SetTeams(const std::map<TeamName, TeamConfig>& teams) {
+  this->limits.clear();
+  for (const std::pair<const TeamName, TeamConfig>& team : teams) {
+    if (HasLimit(team.second.limit)) {
+      this->limits[team.first] = team.second.limit;
+    }
+  }
+}
+
+void LimitKeeper::OnMirrorChange() {
+  const PrefixMirror::Items::const_iterator found =
+      this->mirror->items().find(kLimitsKey);
+  if (found != this->mirror->items().end()) {
+    this->Adopt(found->second.value, found->second.revision);
+  }
+}
+
+void LimitKeeper::Adopt(const std::string& value, std::int64_t revision) {
+  if (revision <= this->revision) {
+    return;
+  }
+  const Result<AllotmentTable> parsed = AllotmentTable::Parse(value);
+  if (!parsed.ok()) {
+    CLOG(ERROR, kLimitsLog) << "event=limits_unreadable revision=" << revision
+                            << " error=\"" << parsed.error().ToString() << "\"";
+    return;
+  }
+  this->table = parsed.value();
+  this->revision = revision;
+}
+
+std::map<TeamName, Resources> LimitKeeper::AllotmentsOf(
+    const PoolName& pool) const {
+  std::map<TeamName, Resources> allotments;
+  for (const std::pair<const TeamName, Resources>& team : this->limits) {
+    allotments[team.first] =
+        this->table.Usable(team.first, pool, team.second);
+  }
+  return allotments;
+}
+
+void LimitKeeper::Report(const PoolName& pool,
+                         const std::map<TeamName, Resources>& used,
+                         const std::map<TeamName, Resources>& wanted,
+                         MonotonicTime now) {
+  if (this->is_writing || now < this->next_write ||
+      !this->mirror->is_loaded()) {
+    return;
+  }
+  MonotonicTime& next_return = this->next_return[pool];
+  const bool gives_back = now >= next_return;
+  if (gives_back) {
+    next_return = now + kReturnInterval;
+  }
+  AllotmentTable changed = this->table;
+  bool is_changed = false;
+  for (const std::pair<const TeamName, Resources>& team : this->limits) {
+    is_changed |= changed.Adjust(team.first, pool, team.second,
+                                 Find(used, team.first),
+                                 Find(wanted, team.first), gives_back);
+  }
+  if (!is_changed) {
+    return;
+  }
+  StoreTransaction transaction;
+  transaction.expected.push_back({kLimitsKey, this->revision});
+  transaction.writes.push_back({kLimitsKey, changed.Write(), 0});
+  this->is_writing = true;
+  this->next_write = now + kWritePause;
+  const std::weak_ptr<bool> alive = this->is_alive;
+  this->store->Commit(
+      transaction, kCommitTimeout,
+      [this, alive, value = transaction.writes.front().value,
+       pool](const Result<TransactionResult>& result) {
+        if (alive.expired()) {
+          return;
+        }
+        this->is_writing = false;
+        if (!result.ok()) {
+          // The mirror shows whether the change was made.
+          CLOG(WARNING, kLimitsLog)
+              << "event=limits_not_written pool=" << pool << " error=\""
+              << result.error().ToString() << "\"";
+          return;
+        }
+        if (const TransactionCommitted* const committed =
+                std::get_if<TransactionCommitted>(&result.value())) {
+          this->Adopt(value, committed->revision);
+          return;
+        }
+        for (const StoreItem& item :
+             std::get<TransactionConflict>(result.value()).items) {
+          this->Adopt(item.value, item.revision);
+        }
+      });
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -0,0 +1,199 @@
+#include "Core/Site/prefix_mirror.h"
+
+#include <set>
+#include <utility>
+
+#include "Core/Common/logging.h"
+#include "Core/Transport/event_loop.h"
+
+namespace daisyroad {
+namespace {
+
+// Longest time a watch waits; a dead connection shows after this and the grace
+// of the store client.
+constexpr Milliseconds kWatchWait{10000};
+constexpr Milliseconds kListTimeout{1000};
+constexpr Milliseconds kRetryPause{150};
+
+}  // namespace
+
+struct PrefixMirror::State : std::enable_shared_from_this<State> {
+  RevisionStore* store = nullptr;
+  EventLoop* loop = nullptr;
+  std::string prefix;
+  Listener listener;
+  Items items;
+  Items listed;
+  std::int64_t revision = 0;
+  bool is_loaded = false;
+  bool is_stopped = false;
+  bool has_failed = false;
+  bool is_refresh_wanted = false;
+
+  void List(const std::string& after) {
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->store->List(this->prefix, after, kListTimeout,
+                      [self](Result<StorePage> page) { self->OnPage(page); });
+  }
+
+  void ListLater() {
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->loop->After(kRetryPause, [self]() { self->Restart(); });
+  }
+
+  void Restart() {
+    if (this->is_stopped) {
+      return;
+    }
+    this->listed.clear();
+    this->revision = 0;
+    this->is_refresh_wanted = false;
+    this->List("");
+  }
+
+  void NoteFailure(const Error& error) {
+    if (!this->has_failed) {
+      this->has_failed = true;
+      CLOG(WARNING, kControlLog)
+          << "event=mirror_lost prefix=" << this->prefix
+          << " error=\"" << error.ToString() << "\"";
+    }
+  }
+
+  void NoteSuccess() {
+    if (this->has_failed) {
+      this->has_failed = false;
+      CLOG(INFO, kControlLog) << "event=mirror_regained prefix="
+                              << this->prefix;
+    }
+  }
+
+  void OnPage(const Result<StorePage>& page) {
+    if (this->is_stopped) {
+      return;
+    }
+    if (!page.ok()) {
+      this->NoteFailure(page.error());
+      this->ListLater();
+      return;
+    }
+    // The watch begins at the first page: later pages may be newer.
+    if (this->revision == 0) {
+      this->revision = page.value().store_revision;
+    }
+    std::string last;
+    for (const StoreItem& item : page.value().items) {
+      this->listed[item.key] = item;
+      last = item.key;
+    }
+    if (page.value().has_more && !last.empty()) {
+      this->List(last);
+      return;
+    }
+    this->NoteSuccess();
+    this->Adopt();
+    this->Watch();
+  }
+
+  void Adopt() {
+    std::vector<StoreChange> changes;
+    for (const std::pair<const std::string, StoreItem>& entry : this->items) {
+      if (!this->listed.contains(entry.first)) {
+        changes.push_back(StoreChange{entry.first, this->revision, {}});
+      }
+    }
+    for (const std::pair<const std::string, StoreItem>& entry : this->listed) {
+      const Items::const_iterator known = this->items.find(entry.first);
+      if (known == this->items.end() ||
+          known->second.revision != entry.second.revision) {
+        changes.push_back(StoreChange{entry.first, entry.second.revision,
+                                      entry.second.value});
+      }
+    }
+    this->items = std::exchange(this->listed, {});
+    this->is_loaded = true;
+    this->listener(changes);
+  }
+
+  void Watch() {
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->store->Watch(
+        this->prefix, this->revision, kWatchWait,
+        [self](Result<StoreChanges> changes) { self->OnChanges(changes); });
+  }
+
+  void OnChanges(const Result<StoreChanges>& changes) {
+    if (this->is_stopped) {
+      return;
+    }
+    if (!changes.ok()) {
+      // What the watch missed meanwhile still shows in the history.
+      this->NoteFailure(changes.error());
+      const std::shared_ptr<State> self = this->shared_from_this();
+      this->loop->After(kRetryPause, [self]() {
+        if (!self->is_stopped) {
+          self->Watch();
+        }
+      });
+      return;
+    }
+    this->NoteSuccess();
+    if (changes.value().is_history_lost || this->is_refresh_wanted) {
+      this->Restart();
+      return;
+    }
+    std::vector<StoreChange> news;
+    for (const StoreChange& change : changes.value().changes) {
+      const Items::iterator known = this->items.find(change.key);
+      if (known != this->items.end() &&
+          known->second.revision >= change.revision) {
+        continue;
+      }
+      if (change.value) {
+        this->items[change.key] =
+            StoreItem{change.key, *change.value, change.revision};
+      } else if (known != this->items.end()) {
+        this->items.erase(known);
+      }
+      news.push_back(change);
+    }
+    this->revision = std::max(this->revision, changes.value().store_revision);
+    if (!news.empty()) {
+      this->listener(news);
+    }
+    this->Watch();
+  }
+};
+
+PrefixMirror::PrefixMirror(RevisionStore* store,
+                           EventLoop* loop,
+                           const std::string& prefix,
+                           Listener listener)
+    : state(std::make_shared<State>()) {
+  this->state->store = store;
+  this->state->loop = loop;
+  this->state->prefix = prefix;
+  this->state->listener = std::move(listener);
+}
+
+PrefixMirror::~PrefixMirror() {
+  this->state->is_stopped = true;
+}
+
+void PrefixMirror::Start() {
+  this->state->Restart();
+}
+
+bool PrefixMirror::is_loaded() const {
+  return this->state->is_loaded;
+}
+
+const PrefixMirror::Items& PrefixMirror::items() const {
+  return this->state->items;
+}
+
+void PrefixMirror::Refresh() {
+  this->state->is_refresh_wanted = true;
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Site/site_instance.cc
@@ -0,0 +1,395 @@
+#include "Core/Site/site_instance.h"
+
+#include <csignal>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "Core/Common/logging.h"
+#include "Core/Common/metrics_registry.h"
+#include "Core/Site/job_service.h"
+#include "Core/Site/leadership.h"
+#include "Core/Site/limit_keeper.h"
+#include "Core/Site/pool_lead.h"
+#include "Core/Site/prefix_mirror.h"
+#include "Core/Site/site_codec.h"
+#include "Core/Site/store_keys.h"
+#include "Core/Transport/event_loop.h"
+#include "Core/Transport/http_client.h"
+#include "Core/Transport/http_server.h"
+#include "Core/Transport/rpc_client.h"
+#include "Core/Transport/rpc_server.h"
+
+namespace daisyroad {
+namespace {
+
+// How often the operators' entries are read. A reading also proves how recent
+// the keys are, which a silent watch does not.
+constexpr Milliseconds kOperatorInterval{500};
+constexpr Milliseconds kOperatorTimeout{700};
+// Part of the grace period left when the process ends by itself.
+constexpr Milliseconds kStopReserve{700};
+// Idle connections of callers are kept: the platform's balancer leaves a
+// caller's connection with its instance.
+constexpr std::chrono::seconds kIdleConnections{120};
+constexpr std::size_t kMostBodyBytes = 1 << 20;
+
+HttpServerOptions OptionsFor(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  HttpServerOptions options;
+  options.address = address.substr(0, colon);
+  options.port =
+      static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+  options.max_body_bytes = kMostBodyBytes;
+  options.request_read_timeout = kIdleConnections;
+  return options;
+}
+
+HttpResponse TextResponse(int status, const std::string& text) {
+  HttpResponse response;
+  response.status = status;
+  response.headers["content-type"] = "text/plain; version=0.0.4";
+  response.body = text;
+  return response;
+}
+
+}  // namespace
+
+class SiteInstance::Impl {
+ public:
+  Impl(const SitePlatform& platform, const SiteSettings& settings)
+      : platform(platform),
+        settings(settings),
+        rpc_client(platform.http),
+        site_mirror(platform.store,
+                    platform.loop,
+                    kSitePrefix,
+                    [this](const std::vector<StoreChange>&) {
+                      this->leadership.OnMirrorChange();
+                      this->limits.OnMirrorChange();
+                    }),
+        worker_mirror(platform.store,
+                      platform.loop,
+                      platform.codec->WorkerPrefix(),
+                      [this](const std::vector<StoreChange>& changes) {
+                        this->OnWorkerChanges(changes);
+                      }),
+        limits(platform.store, &this->site_mirror),
+        leadership(platform.store,
+                   platform.loop,
+                   &this->site_mirror,
+                   settings.node,
+                   settings.peers_address,
+                   Leadership::Listener{
+                       [this](const Term& term) { this->BeginTerm(term); },
+                       [this](const std::string& duty) {
+                         this->leads.erase(duty);
+                       }}),
+        jobs(platform.store,
+             platform.loop,
+             &this->rpc_client,
+             &this->leadership,
+             [this](const PoolName& pool) { return this->FindLead(pool); },
+             settings.key_withdrawal) {}
+
+  Status Run(HttpHandler callers) {
+    this->AddMethods();
+    const Status peers = this->peers_server.Start(
+        OptionsFor(this->settings.peers_address),
+        this->OnLoop([this](const HttpRequest& request,
+                            const HttpResponder& respond) {
+          respond(request.path == "/metrics"
+                      ? TextResponse(200, this->metrics.Render())
+                      : this->rpc_server.Handle(request));
+        }));
+    if (!peers.ok()) {
+      return peers;
+    }
+    const Status ready = this->readiness_server.Start(
+        OptionsFor(this->settings.readiness_address),
+        this->OnLoop([this](const HttpRequest&, const HttpResponder& respond) {
+          respond(TextResponse(this->IsReady() ? 200 : 503, ""));
+        }));
+    if (!ready.ok()) {
+      return ready;
+    }
+    const Status front =
+        this->callers_server.Start(OptionsFor(this->settings.callers_address),
+                                   this->OnLoop(std::move(callers)));
+    if (!front.ok()) {
+      return front;
+    }
+    this->platform.loop->OnSignals({SIGTERM, SIGINT, SIGHUP}, [this](int signal) {
+      this->OnSignal(signal);
+    });
+    CLOG(INFO, kDaemonLog) << "event=start node=" << this->settings.node
+                           << " zone=" << this->settings.zone;
+    this->site_mirror.Start();
+    this->worker_mirror.Start();
+    this->leadership.Start();
+    this->ReadOperators();
+    this->platform.loop->Run();
+    this->callers_server.Stop();
+    this->readiness_server.Stop();
+    this->peers_server.Stop();
+    CLOG(INFO, kDaemonLog) << "event=stopped node=" << this->settings.node;
+    return OkStatus();
+  }
+
+  PoolLead* FindLead(const PoolName& pool) {
+    const std::map<std::string, std::unique_ptr<PoolLead>>::iterator found =
+        this->leads.find(PoolDuty(pool));
+    return found == this->leads.end() ? nullptr : found->second.get();
+  }
+
+  SitePlatform platform;
+  SiteSettings settings;
+  MetricsRegistry metrics;
+  RpcClient rpc_client;
+  RpcServer rpc_server;
+  PrefixMirror site_mirror;
+  PrefixMirror worker_mirror;
+  LimitKeeper limits;
+  Leadership leadership;
+  JobService jobs;
+  std::function<void(const SiteConfig&)> config_listener;
+  std::function<Result<SiteSettings>()> reload;
+
+ private:
+  HttpHandler OnLoop(HttpHandler handler) {
+    EventLoop* const loop = this->platform.loop;
+    const std::shared_ptr<const HttpHandler> shared =
+        std::make_shared<const HttpHandler>(std::move(handler));
+    return [loop, shared](HttpRequest request, HttpResponder respond) {
+      loop->Post([shared, request = std::move(request),
+                  respond = std::move(respond)]() {
+        (*shared)(request, respond);
+      });
+    };
+  }
+
+  bool IsReady() const {
+    return !this->is_stopping && this->jobs.HasConfig() &&
+           this->jobs.IsFresh();
+  }
+
+  void OnSignal(int signal) {
+    if (signal == SIGHUP) {
+      const Result<SiteSettings> loaded = this->reload();
+      CLOG(INFO, kDaemonLog)
+          << "event=reload node=" << this->settings.node << " result=\""
+          << (loaded.ok() ? "unchanged addresses are kept"
+                          : loaded.error().detail)
+          << "\"";
+      return;
+    }
+    if (this->is_stopping) {
+      return;
+    }
+    this->is_stopping = true;
+    CLOG(INFO, kDaemonLog) << "event=stop node=" << this->settings.node
+                           << " duties=" << this->leads.size();
+    this->leadership.Stop();
+    this->platform.loop->After(
+        std::max(Milliseconds(0), this->settings.stop_grace - kStopReserve),
+        [this]() { this->platform.loop->Stop(); });
+  }
+
+  void ReadOperators() {
+    const BootClock::time_point asked_at = BootClock::now();
+    this->ReadOperatorPage("", asked_at, std::make_shared<OperatorPages>());
+    this->platform.loop->After(kOperatorInterval,
+                               [this]() { this->ReadOperators(); });
+  }
+
+  using OperatorPages = std::vector<StoreItem>;
+
+  void ReadOperatorPage(const std::string& after,
+                        BootClock::time_point asked_at,
+                        const std::shared_ptr<OperatorPages>& pages) {
+    this->platform.store->List(
+        this->platform.codec->OperatorPrefix(), after, kOperatorTimeout,
+        [this, asked_at, pages](const Result<StorePage>& page) {
+          this->NoteOperatorReading(page.ok() ? "" : page.error().ToString());
+          if (!page.ok()) {
+            return;
+          }
+          pages->insert(pages->end(), page.value().items.begin(),
+                        page.value().items.end());
+          if (page.value().has_more && !page.value().items.empty()) {
+            this->ReadOperatorPage(pages->back().key, asked_at, pages);
+          } else {
+            this->AdoptOperators(*pages, asked_at);
+          }
+        });
+  }
+
+  void NoteOperatorReading(const std::string& error) {
+    if (error.empty() == this->are_operators_known) {
+      return;
+    }
+    this->are_operators_known = error.empty();
+    CLOG(WARNING, kControlLog)
+        << "event=" << (error.empty() ? "store_regained" : "store_lost")
+        << " error=\"" << error << "\"";
+  }
+
+  void AdoptOperators(const OperatorPages& items,
+                      BootClock::time_point asked_at) {
+    const std::int64_t version =
+        this->operators.config ? this->operators.config->version : 0;
+    // Readings may overtake each other; a late one must not undo a newer one.
+    if (asked_at < this->operators_asked_at) {
+      return;
+    }
+    this->operators_asked_at = asked_at;
+    this->platform.codec->DecodeOperator(items, &this->operators);
+    this->jobs.SetOperatorState(this->operators, asked_at);
+    if (!this->operators.config) {
+      return;
+    }
+    const SiteConfig& config = *this->operators.config;
+    if (config.version != version) {
+      CLOG(INFO, kControlLog) << "event=config version=" << config.version
+                              << " queues=" << config.queues.size()
+                              << " teams=" << config.teams.size();
+      this->config_listener(config);
+      this->limits.SetTeams(config.teams);
+      this->leadership.SetDuties(DutiesOf(config));
+    }
+    for (const std::pair<const std::string, std::unique_ptr<PoolLead>>& lead :
+         this->leads) {
+      lead.second->SetOperatorState(this->operators);
+    }
+  }
+
+  static std::set<std::string> DutiesOf(const SiteConfig& config) {
+    std::set<std::string> duties;
+    for (const std::pair<const QueueName, QueueConfig>& queue :
+         config.queues) {
+      duties.insert(PoolDuty(queue.second.pool));
+    }
+    return duties;
+  }
+
+  void OnWorkerChanges(const std::vector<StoreChange>& changes) {
+    bool is_changed = false;
+    for (const StoreChange& change : changes) {
+      const WorkerName name(
+          change.key.substr(this->platform.codec->WorkerPrefix().size()));
+      if (!change.value) {
+        is_changed |= this->workers.erase(name) > 0;
+        continue;
+      }
+      const Result<WorkerListing> worker =
+          this->platform.codec->DecodeWorker(change.key, *change.value);
+      if (!worker.ok()) {
+        CLOG(WARNING, kRoutingLog)
+            << "event=worker_unreadable key=" << change.key << " error=\""
+            << worker.error().ToString() << "\"";
+        is_changed |= this->workers.erase(name) > 0;
+        continue;
+      }
+      WorkerListing& known = this->workers[name];
+      is_changed |= !(known == worker.value());
+      known = worker.value();
+    }
+    if (is_changed) {
+      for (const std::pair<const std::string, std::unique_ptr<PoolLead>>& lead :
+           this->leads) {
+        this->GiveListing(lead.first, lead.second.get());
+      }
+    }
+  }
+
+  void GiveListing(const std::string& duty, PoolLead* lead) {
+    std::map<WorkerName, WorkerListing> listing;
+    for (const std::pair<const WorkerName, WorkerListing>& entry :
+         this->workers) {
+      if (PoolDuty(entry.second.pool) == duty) {
+        listing.insert(entry);
+      }
+    }
+    lead->SetListing(listing);
+  }
+
+  void BeginTerm(const Term& term) {
+    const PoolName pool(term.duty.substr(PoolDuty(PoolName()).size()));
+    PoolLeadContext context;
+    context.store = this->platform.store;
+    context.workers = this->platform.workers;
+    context.loop = this->platform.loop;
+    context.limits = &this->limits;
+    context.metrics = &this->metrics;
+    context.settings = this->settings.scheduler;
+    context.retention = this->settings.job_retention;
+    std::unique_ptr<PoolLead> lead =
+        std::make_unique<PoolLead>(context, pool, term);
+    lead->SetOperatorState(this->operators);
+    this->GiveListing(term.duty, lead.get());
+    lead->Start();
+    this->leads[term.duty] = std::move(lead);
+  }
+
+  void AddMethods() {
+    this->rpc_server.AddMethod(
+        "job.status", [this](const Json::Value& params) {
+          Json::Value result(Json::objectValue);
+          const PoolLead* const lead =
+              this->FindLead(PoolName(params["pool"].asString()));
+          if (lead != nullptr) {
+            const std::optional<JobStatus> status =
+                lead->StatusOf(JobId(params["job"].asString()));
+            if (status) {
+              result["status"] = ToString(*status);
+            }
+          }
+          return result;
+        });
+    this->rpc_server.AddMethod(
+        "queue.pending", [this](const Json::Value& params) {
+          Json::Value result(Json::objectValue);
+          const PoolLead* const lead =
+              this->FindLead(PoolName(params["pool"].asString()));
+          if (lead != nullptr && lead->is_ready()) {
+            result["jobs"] =
+                lead->PendingJobs(QueueName(params["queue"].asString()));
+          }
+          return result;
+        });
+  }
+
+  HttpServer peers_server;
+  HttpServer readiness_server;
+  HttpServer callers_server;
+  OperatorState operators;
+  BootClock::time_point operators_asked_at;
+  std::map<WorkerName, WorkerListing> workers;
+  std::map<std::string, std::unique_ptr<PoolLead>> leads;
+  bool are_operators_known = false;
+  bool is_stopping = false;
+};
+
+SiteInstance::SiteInstance(const SitePlatform& platform,
+                           const SiteSettings& settings)
+    : impl(std::make_unique<Impl>(platform, settings)) {}
+
+SiteInstance::~SiteInstance() = default;
+
+JobService* SiteInstance::jobs() {
+  return &this->impl->jobs;
+}
+
+void SiteInstance::OnConfig(std::function<void(const SiteConfig&)> listener) {
+  this->impl->config_listener = std::move(listener);
+}
+
+void SiteInstance::OnReload(std::function<Result<SiteSettings>()> reload) {
+  this->impl->reload = std::move(reload);
+}
+
+Status SiteInstance::Run(HttpHandler callers) {
+  return this->impl->Run(std::move(callers));
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Site/store_keys.h
@@ -0,0 +1,47 @@
+#ifndef SOURCE_CORE_SITE_STORE_KEYS_H_
+#define SOURCE_CORE_SITE_STORE_KEYS_H_
+
+#include <string>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Jobs/job_spec.h"
+
+namespace daisyroad {
+
+// Layout of the keys that daisyroad keeps in the platform's store.
+//   daisyroad/site/node/NAME      a live entry instance (under its lease)
+//   daisyroad/site/lead/DUTY      who carries out a duty (under its lease)
+//   daisyroad/site/term/DUTY      the number of terms of the duty so far
+//   daisyroad/site/limits         allotments of the teams' upper limits
+//   daisyroad/in/POOL/job/ID      an accepted job
+//   daisyroad/in/POOL/cancel/ID   a job that its caller cancelled
+//   daisyroad/out/POOL/ID         progress of a job
+//   daisyroad/wave/N              machines that a wave has done
+inline const std::string kSitePrefix = "daisyroad/site/";
+inline const std::string kNodePrefix = kSitePrefix + "node/";
+inline const std::string kLeadPrefix = kSitePrefix + "lead/";
+inline const std::string kTermPrefix = kSitePrefix + "term/";
+inline const std::string kLimitsKey = kSitePrefix + "limits";
+
+inline std::string InboxPrefix(const PoolName& pool) {
+  return "daisyroad/in/" + pool.str() + "/";
+}
+inline std::string JobKey(const PoolName& pool, const JobId& job) {
+  return InboxPrefix(pool) + "job/" + job.str();
+}
+inline std::string CancelKey(const PoolName& pool, const JobId& job) {
+  return InboxPrefix(pool) + "cancel/" + job.str();
+}
+inline std::string ProgressPrefix(const PoolName& pool) {
+  return "daisyroad/out/" + pool.str() + "/";
+}
+inline std::string ProgressKey(const PoolName& pool, const JobId& job) {
+  return ProgressPrefix(pool) + job.str();
+}
+inline std::string WaveKey(std::int64_t wave) {
+  return "daisyroad/wave/" + std::to_string(wave);
+}
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_SITE_STORE_KEYS_H_
--- /dev/null
+++ b/Source/Core/Site/team_allotments.cc
@@ -0,0 +1,140 @@
+#include "Core/Site/team_allotments.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "Core/Common/json.h"
+
+namespace daisyroad {
+namespace {
+
+// A pool asks for this part of its wants in advance, so that a burst does not
+// write once for each task.
+constexpr double kAhead = 1.5;
+// Holdings above this multiple of what is used are given back.
+constexpr double kKept = 1.3;
+
+std::int64_t Scale(std::int64_t value, double factor) {
+  return static_cast<std::int64_t>(static_cast<double>(value) * factor);
+}
+
+// One component of a change; see AllotmentTable::Adjust.
+std::int64_t AdjustComponent(std::int64_t held,
+                             std::int64_t sum,
+                             std::int64_t limit,
+                             std::int64_t used,
+                             std::int64_t wanted,
+                             bool gives_back) {
+  const std::int64_t needed = used + wanted;
+  if (needed > held) {
+    const std::int64_t free = std::max<std::int64_t>(0, limit - sum);
+    return held + std::min(free, used + Scale(wanted, kAhead) - held);
+  }
+  if (sum > limit || (gives_back && Scale(needed, kKept) < held)) {
+    return std::max(used, std::min(held, Scale(needed, kKept)));
+  }
+  return held;
+}
+
+std::int64_t UsableComponent(std::int64_t held,
+                             std::int64_t sum,
+                             std::int64_t limit) {
+  return sum <= limit || sum == 0
+             ? held
+             : Scale(held, static_cast<double>(limit) /
+                               static_cast<double>(sum));
+}
+
+}  // namespace
+
+Result<AllotmentTable> AllotmentTable::Parse(const std::string& text) {
+  const Result<Json::Value> json = ParseJson(text);
+  const Error malformed{Errc::kProtocol, "limits.parse", "",
+                        "not a table of allotments"};
+  if (!json.ok() || !json.value().isObject()) {
+    return malformed;
+  }
+  AllotmentTable table;
+  for (const std::string& team : json.value().getMemberNames()) {
+    const Json::Value& row = json.value()[team];
+    if (!row.isObject()) {
+      return malformed;
+    }
+    for (const std::string& pool : row.getMemberNames()) {
+      const Json::Value& cell = row[pool];
+      if (!cell.isArray() || cell.size() != 3 || !cell[0].isInt64() ||
+          !cell[1].isInt64() || !cell[2].isInt64()) {
+        return malformed;
+      }
+      table.rows[TeamName(team)][PoolName(pool)] = Resources{
+          cell[0].asInt64(), cell[1].asInt64(), cell[2].asInt64()};
+    }
+  }
+  return table;
+}
+
+std::string AllotmentTable::Write() const {
+  Json::Value json(Json::objectValue);
+  for (const std::pair<const TeamName, Row>& row : this->rows) {
+    for (const std::pair<const PoolName, Resources>& cell : row.second) {
+      Json::Value& target = json[row.first.str()][cell.first.str()];
+      target.append(Json::Int64(cell.second.cpu_millicores));
+      target.append(Json::Int64(cell.second.memory_mb));
+      target.append(Json::Int64(cell.second.accelerators));
+    }
+  }
+  return WriteJson(json);
+}
+
+Resources AllotmentTable::Sum(const TeamName& team) const {
+  Resources sum;
+  const std::map<TeamName, Row>::const_iterator row = this->rows.find(team);
+  if (row != this->rows.end()) {
+    for (const std::pair<const PoolName, Resources>& cell : row->second) {
+      sum += cell.second;
+    }
+  }
+  return sum;
+}
+
+Resources AllotmentTable::Usable(const TeamName& team,
+                                 const PoolName& pool,
+                                 const Resources& limit) const {
+  const std::map<TeamName, Row>::const_iterator row = this->rows.find(team);
+  if (row == this->rows.end() || !row->second.contains(pool)) {
+    return Resources();
+  }
+  const Resources& held = row->second.at(pool);
+  const Resources sum = this->Sum(team);
+  return Resources{UsableComponent(held.cpu_millicores, sum.cpu_millicores,
+                                   limit.cpu_millicores),
+                   UsableComponent(held.memory_mb, sum.memory_mb,
+                                   limit.memory_mb),
+                   UsableComponent(held.accelerators, sum.accelerators,
+                                   limit.accelerators)};
+}
+
+bool AllotmentTable::Adjust(const TeamName& team,
+                            const PoolName& pool,
+                            const Resources& limit,
+                            const Resources& used,
+                            const Resources& wanted,
+                            bool gives_back) {
+  const Resources sum = this->Sum(team);
+  Resources& held = this->rows[team][pool];
+  const Resources adjusted{
+      AdjustComponent(held.cpu_millicores, sum.cpu_millicores,
+                      limit.cpu_millicores, used.cpu_millicores,
+                      wanted.cpu_millicores, gives_back),
+      AdjustComponent(held.memory_mb, sum.memory_mb, limit.memory_mb,
+                      used.memory_mb, wanted.memory_mb, gives_back),
+      AdjustComponent(held.accelerators, sum.accelerators, limit.accelerators,
+                      used.accelerators, wanted.accelerators, gives_back)};
+  if (adjusted == held) {
+    return false;
+  }
+  held = adjusted;
+  return true;
+}
+
+}  // namespace daisyroad
