Machines: roll maintenance waves and lend spare machines

Cause of the low first figure: no maintenance (0.275 of duties), one store call for each worker heartbeat on every instance, reports asked again while ends were unsaved.

--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -50,6 +50,7 @@
   WorkerState& worker = found->second;
   worker.is_report_pending = false;
   worker.next_report = now;
+  worker.last_report_at = now;
   worker.missed_reports = 0;
   if (report.incarnation != worker.listing.incarnation &&
       report.incarnation != 0) {
@@ -380,7 +381,12 @@
         now >= worker.last_end_at + this->settings.acknowledge_pause;
     const bool is_needed = !worker.is_known || !worker.runs.empty() ||
                            !worker.IsReachable() || owes_ends;
-    if (worker.is_report_pending || now < worker.next_report || !is_needed) {
+    // A worker answers at once while ends are not acknowledged.
+    const bool awaits_save =
+        worker.acknowledged_end < worker.seen_end &&
+        now < worker.last_report_at + this->settings.unsaved_pause;
+    if (worker.is_report_pending || now < worker.next_report || !is_needed ||
+        awaits_save) {
       continue;
     }
     AskReport ask;
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -25,12 +25,14 @@
   // Added to the end of a lease for the time a report is on its way.
   Milliseconds lease_margin{150};
   // Ends that complete no job are written together within this time.
-  Milliseconds save_interval{500};
+  Milliseconds save_interval{40};
   // An idle worker is asked once more after its last end, so that it can
   // forget its ends.
   Milliseconds acknowledge_pause{1000};
   // A run that used no processor for this long stands still.
   Milliseconds stall{1500};
+  // While ends wait to be stored, workers are asked this often.
+  Milliseconds unsaved_pause{300};
   // A worker that failed this many runs in a row gets no more for a while.
   int failures_before_suspension = 2;
   Milliseconds suspension{4000};
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -51,6 +51,7 @@
 
   bool is_report_pending = false;
   MonotonicTime next_report;
+  MonotonicTime last_report_at;
   int missed_reports = 0;
   std::int64_t seen_end = 0;
   // Latest end that may be forgotten; that the last report asked for told the
--- /dev/null
+++ b/Source/Core/Machines/machine_planner.cc
@@ -0,0 +1,272 @@
+#include "Core/Machines/machine_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace daisyroad {
+namespace {
+
+// Part of a pool that may be away for maintenance: while it is busy, and while
+// at most kCalmLoad of it is in use or the wave is late. What runs on the
+// machines that are emptied needs room on the others.
+constexpr double kBusyShare = 0.12;
+constexpr double kCalmShare = 0.34;
+constexpr double kCalmLoad = 0.4;
+// Emptying, maintaining and returning a machine take about this long.
+constexpr Milliseconds kTurnaround{4500};
+// A wave that is this close to its end is no longer held back by load.
+constexpr double kHurryFactor = 1.3;
+
+// Tasks that wait are worth a loan above this part of the pool's capacity.
+constexpr double kLoanLoad = 0.1;
+// A loan ends when the pool was this calm for a while.
+constexpr double kReturnLoad = 0.55;
+constexpr Milliseconds kReturnDelay{800};
+
+double LoadOf(const PoolLoad& load) {
+  return load.capacity <= 0 ? 1.0
+                            : static_cast<double>(load.used + load.waiting) /
+                                  static_cast<double>(load.capacity);
+}
+
+}  // namespace
+
+struct MachinePlanner::Fleet {
+  const std::vector<Machine>* machines = nullptr;
+  const std::map<PoolName, PoolReport>* pools = nullptr;
+  MonotonicTime now;
+  std::map<PoolName, std::vector<const Machine*>> up;  // by pool
+  std::map<PoolName, int> coming;  // moving or in maintenance, by pool
+  std::set<MachineName> taken;     // by a decision of this plan
+
+  const PoolReport& ReportOf(const PoolName& pool) const {
+    static const PoolReport kNone;
+    const std::map<PoolName, PoolReport>::const_iterator found =
+        this->pools->find(pool);
+    return found == this->pools->end() ? kNone : found->second;
+  }
+
+  const PoolLoad::Worker* WorkerOf(const Machine& machine) const {
+    const PoolLoad& load = this->ReportOf(machine.pool).load;
+    const std::map<WorkerName, PoolLoad::Worker>::const_iterator found =
+        load.workers.find(machine.worker);
+    return found == load.workers.end() ? nullptr : &found->second;
+  }
+
+  // Runs nothing and gets nothing new.
+  bool IsEmpty(const Machine& machine) const {
+    if (this->ReportOf(machine.pool).is_spare) {
+      return true;
+    }
+    const PoolLoad::Worker* const worker = this->WorkerOf(machine);
+    return worker != nullptr && worker->is_vacating && worker->runs == 0;
+  }
+
+  int RunsOn(const Machine& machine) const {
+    const PoolLoad::Worker* const worker = this->WorkerOf(machine);
+    return worker == nullptr ? 0 : worker->runs;
+  }
+
+  int ServicesOn(const Machine& machine) const {
+    const PoolLoad::Worker* const worker = this->WorkerOf(machine);
+    return worker == nullptr ? 0 : worker->service_runs;
+  }
+};
+
+void MachinePlanner::SetHomeSizes(std::map<PoolName, int> sizes) {
+  this->home_sizes = std::move(sizes);
+}
+
+MachinePlan MachinePlanner::Plan(
+    const std::vector<Machine>& machines,
+    const std::map<PoolName, PoolReport>& pools,
+    const std::map<std::int64_t, WaveProgress>& waves,
+    MonotonicTime now) {
+  Fleet fleet;
+  fleet.machines = &machines;
+  fleet.pools = &pools;
+  fleet.now = now;
+  for (const Machine& machine : machines) {
+    if (machine.state == MachineState::kUp) {
+      fleet.up[machine.pool].push_back(&machine);
+    } else if (machine.state != MachineState::kDown) {
+      ++fleet.coming[machine.pool];
+    }
+  }
+  MachinePlan plan;
+  for (const std::pair<const std::int64_t, WaveProgress>& wave : waves) {
+    this->PlanWave(wave.second, &fleet, &plan);
+  }
+  this->PlanLoans(&fleet, &plan);
+  this->PlanReturns(&fleet, &plan);
+  return plan;
+}
+
+void MachinePlanner::PlanWave(const WaveProgress& progress,
+                              Fleet* fleet,
+                              MachinePlan* plan) {
+  std::map<PoolName, std::vector<const Machine*>> due;
+  int away = 0;
+  for (const Machine& machine : *fleet->machines) {
+    const bool is_listed =
+        std::find(progress.wave.machines.begin(), progress.wave.machines.end(),
+                  machine.name) != progress.wave.machines.end();
+    away += is_listed && machine.state == MachineState::kUpkeep;
+    if (is_listed && machine.state == MachineState::kUp &&
+        !progress.done.contains(machine.name)) {
+      due[machine.pool].push_back(&machine);
+    }
+  }
+  const Milliseconds left = std::chrono::duration_cast<Milliseconds>(
+      progress.begun_at + progress.wave.duration - fleet->now);
+  for (std::pair<const PoolName, std::vector<const Machine*>>& entry : due) {
+    const PoolReport& report = fleet->ReportOf(entry.first);
+    if (!report.is_spare && !report.is_known) {
+      continue;
+    }
+    std::vector<const Machine*>& candidates = entry.second;
+    std::sort(candidates.begin(), candidates.end(),
+              [fleet](const Machine* left, const Machine* right) {
+                return std::make_tuple(fleet->ServicesOn(*left),
+                                       fleet->RunsOn(*left), left->name) <
+                       std::make_tuple(fleet->ServicesOn(*right),
+                                       fleet->RunsOn(*right), right->name);
+              });
+    const double size = static_cast<double>(fleet->up[entry.first].size());
+    const double share =
+        LoadOf(report.load) < kCalmLoad ? kCalmShare : kBusyShare;
+    // Rounds that are left decide how many must go at a time.
+    const double rounds =
+        std::max(1.0, static_cast<double>(left.count()) /
+                          static_cast<double>(kTurnaround.count()) /
+                          kHurryFactor);
+    const int needed = static_cast<int>(
+        std::ceil(static_cast<double>(candidates.size()) / rounds));
+    int allowed =
+        report.is_spare
+            ? static_cast<int>(candidates.size())
+            : std::clamp(needed, std::max(1, static_cast<int>(size * share)),
+                         std::max(1, static_cast<int>(size * kCalmShare)));
+    allowed -= fleet->coming[entry.first];
+    for (const Machine* const machine : candidates) {
+      if (allowed-- <= 0) {
+        break;
+      }
+      fleet->taken.insert(machine->name);
+      plan->vacate[machine->pool].insert(machine->worker);
+      if (fleet->IsEmpty(*machine) && away < progress.wave.most_at_once) {
+        ++away;
+        plan->orders.emplace_back(
+            MaintainMachine{machine->name, progress.wave.number});
+      }
+    }
+  }
+}
+
+int MachinePlanner::Wanted(const PoolName& pool, const Fleet& fleet) const {
+  const PoolReport& report = fleet.ReportOf(pool);
+  const std::map<PoolName, std::vector<const Machine*>>::const_iterator up =
+      fleet.up.find(pool);
+  if (!report.is_known || report.is_spare || up == fleet.up.end() ||
+      report.load.capacity <= 0 ||
+      static_cast<double>(report.load.waiting) <
+          kLoanLoad * static_cast<double>(report.load.capacity)) {
+    return 0;
+  }
+  const double each = static_cast<double>(report.load.capacity) /
+                      static_cast<double>(up->second.size());
+  const double missing = static_cast<double>(
+      report.load.used + report.load.waiting - report.load.capacity);
+  const std::map<PoolName, int>::const_iterator coming =
+      fleet.coming.find(pool);
+  return static_cast<int>(std::ceil(missing / each)) -
+         (coming == fleet.coming.end() ? 0 : coming->second);
+}
+
+void MachinePlanner::PlanLoans(Fleet* fleet, MachinePlan* plan) {
+  std::vector<const Machine*> free;
+  for (const std::pair<const PoolName, std::vector<const Machine*>>& entry :
+       fleet->up) {
+    if (!fleet->ReportOf(entry.first).is_spare) {
+      continue;
+    }
+    for (const Machine* const machine : entry.second) {
+      if (!fleet->taken.contains(machine->name)) {
+        free.push_back(machine);
+      }
+    }
+  }
+  // The neediest pool takes one machine at a time.
+  std::map<PoolName, int> wanted;
+  for (const std::pair<const PoolName, PoolReport>& pool : *fleet->pools) {
+    wanted[pool.first] = this->Wanted(pool.first, *fleet);
+  }
+  for (const Machine* const machine : free) {
+    const std::map<PoolName, int>::iterator neediest = std::max_element(
+        wanted.begin(), wanted.end(),
+        [](const std::pair<const PoolName, int>& left,
+           const std::pair<const PoolName, int>& right) {
+          return left.second < right.second;
+        });
+    if (neediest == wanted.end() || neediest->second <= 0) {
+      return;
+    }
+    --neediest->second;
+    fleet->taken.insert(machine->name);
+    plan->orders.emplace_back(MoveMachine{machine->name, neediest->first});
+  }
+}
+
+void MachinePlanner::PlanReturns(Fleet* fleet, MachinePlan* plan) {
+  PoolName spare;
+  for (const std::pair<const PoolName, PoolReport>& pool : *fleet->pools) {
+    if (pool.second.is_spare) {
+      spare = pool.first;
+    }
+  }
+  for (const std::pair<const PoolName, PoolReport>& pool : *fleet->pools) {
+    const PoolReport& report = pool.second;
+    const std::map<PoolName, int>::const_iterator home =
+        this->home_sizes.find(pool.first);
+    if (spare.empty() || report.is_spare || !report.is_known ||
+        home == this->home_sizes.end()) {
+      continue;
+    }
+    if (LoadOf(report.load) > kReturnLoad) {
+      this->calm_since.erase(pool.first);
+      continue;
+    }
+    const MonotonicTime since =
+        this->calm_since.emplace(pool.first, fleet->now).first->second;
+    if (fleet->now - since < kReturnDelay) {
+      continue;
+    }
+    std::vector<const Machine*> candidates = fleet->up[pool.first];
+    std::sort(candidates.begin(), candidates.end(),
+              [fleet](const Machine* left, const Machine* right) {
+                return std::make_tuple(fleet->ServicesOn(*left),
+                                       fleet->RunsOn(*left), left->name) <
+                       std::make_tuple(fleet->ServicesOn(*right),
+                                       fleet->RunsOn(*right), right->name);
+              });
+    int surplus = static_cast<int>(candidates.size()) - home->second;
+    for (const Machine* const machine : candidates) {
+      if (surplus <= 0) {
+        break;
+      }
+      if (fleet->taken.contains(machine->name) ||
+          fleet->ServicesOn(*machine) > 0) {
+        continue;
+      }
+      --surplus;
+      fleet->taken.insert(machine->name);
+      plan->vacate[pool.first].insert(machine->worker);
+      if (fleet->IsEmpty(*machine)) {
+        plan->orders.emplace_back(MoveMachine{machine->name, spare});
+      }
+    }
+  }
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Machines/machine_planner.h
@@ -0,0 +1,77 @@
+#ifndef SOURCE_CORE_MACHINES_MACHINE_PLANNER_H_
+#define SOURCE_CORE_MACHINES_MACHINE_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "Core/Common/identifiers.h"
+#include "Core/Common/time.h"
+#include "Core/Jobs/pool_load.h"
+#include "Core/Machines/maintenance_wave.h"
+#include "Core/Platform/machine_client.h"
+
+namespace daisyroad {
+
+struct MoveMachine {
+  MachineName machine;
+  PoolName pool;
+};
+struct MaintainMachine {
+  MachineName machine;
+  std::int64_t wave = 0;
+};
+using MachineOrder = std::variant<MoveMachine, MaintainMachine>;
+
+// What the planner is told of a pool. Pools without a scheduler in touch are
+// left alone.
+struct PoolReport {
+  PoolLoad load;
+  bool is_spare = false;
+  bool is_known = false;  // the load is recent
+};
+
+struct WaveProgress {
+  MaintenanceWave wave;
+  MonotonicTime begun_at;
+  std::set<MachineName> done;
+};
+
+struct MachinePlan {
+  // Workers that their schedulers should empty.
+  std::map<PoolName, std::set<WorkerName>> vacate;
+  std::vector<MachineOrder> orders;
+};
+
+// Decides which machines go into maintenance and which change their pool. It
+// does no I/O; an order is given only for a machine whose worker is reported
+// to be empty and kept so.
+class MachinePlanner {
+ public:
+  // Number of machines that each pool has when none is lent to it.
+  void SetHomeSizes(std::map<PoolName, int> sizes);
+
+  MachinePlan Plan(const std::vector<Machine>& machines,
+                   const std::map<PoolName, PoolReport>& pools,
+                   const std::map<std::int64_t, WaveProgress>& waves,
+                   MonotonicTime now);
+
+ private:
+  struct Fleet;
+
+  void PlanWave(const WaveProgress& progress, Fleet* fleet, MachinePlan* plan);
+  void PlanLoans(Fleet* fleet, MachinePlan* plan);
+  void PlanReturns(Fleet* fleet, MachinePlan* plan);
+  // Machines wanted by the pool beyond those that it has or that are coming.
+  int Wanted(const PoolName& pool, const Fleet& fleet) const;
+
+  std::map<PoolName, int> home_sizes;
+  // Since when the pool has had room to spare.
+  std::map<PoolName, MonotonicTime> calm_since;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_MACHINES_MACHINE_PLANNER_H_
--- /dev/null
+++ b/Source/Core/Site/fleet_lead.cc
@@ -0,0 +1,443 @@
+#include "Core/Site/fleet_lead.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "Core/Common/json.h"
+#include "Core/Common/logging.h"
+#include "Core/Common/metrics_registry.h"
+#include "Core/Common/overloaded.h"
+#include "Core/Machines/machine_planner.h"
+#include "Core/Site/job_service.h"
+#include "Core/Site/pool_lead.h"
+#include "Core/Site/site_codec.h"
+#include "Core/Site/store_keys.h"
+#include "Core/Transport/event_loop.h"
+#include "Core/Transport/rpc_client.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr Milliseconds kPlanInterval{200};
+constexpr Milliseconds kListInterval{400};
+constexpr Milliseconds kLoadTimeout{300};
+constexpr Milliseconds kStoreTimeout{700};
+// A load older than this says nothing of what runs now.
+constexpr Milliseconds kLoadAge{600};
+// An order whose answer is missing is not repeated sooner.
+constexpr Milliseconds kOrderPause{700};
+// The first orders of a term wait until those of the term before have been
+// carried out or refused.
+constexpr Milliseconds kTakeoverPause{3000};
+
+MonotonicTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+struct FleetLead::State : std::enable_shared_from_this<State> {
+  FleetLeadContext context;
+  Term term;
+  OperatorState operators;
+  MachinePlanner planner;
+  std::vector<Machine> machines;
+  MonotonicTime listed_at;
+  MonotonicTime next_list;
+  MonotonicTime first_order_at;
+  std::map<PoolName, PoolReport> pools;
+  std::map<PoolName, MonotonicTime> load_at;
+  std::map<PoolName, std::set<WorkerName>> vacate;
+  std::map<std::int64_t, WaveProgress> waves;
+  std::set<std::int64_t> waves_asked;  // whose record is being read
+  std::set<std::int64_t> waves_complete;
+  std::map<MachineName, MonotonicTime> next_order;
+  // Machines whose order was carried out after the current list was asked for.
+  std::map<MachineName, MonotonicTime> ordered_at;
+  bool is_listing = false;
+  bool has_home_sizes = false;
+  bool is_stopped = false;
+
+  void Tick() {
+    if (this->is_stopped) {
+      return;
+    }
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.loop->After(kPlanInterval, [self]() { self->Tick(); });
+    if (!this->operators.config) {
+      return;
+    }
+    const MonotonicTime now = Now();
+    if (!this->is_listing && now >= this->next_list) {
+      this->ListMachines(now);
+    }
+    this->ReadWaves();
+    this->AskLoads(now);
+    if (this->has_home_sizes && now >= this->first_order_at) {
+      this->Plan(now);
+    }
+  }
+
+  void ListMachines(MonotonicTime now) {
+    this->is_listing = true;
+    this->next_list = now + kListInterval;
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.machines->List(
+        [self, now](const Result<std::vector<Machine>>& machines) {
+          self->is_listing = false;
+          if (self->is_stopped) {
+            return;
+          }
+          if (!machines.ok()) {
+            CLOG(WARNING, kFleetLog) << "event=machines_not_listed error=\""
+                                     << machines.error().ToString() << "\"";
+            return;
+          }
+          self->machines = machines.value();
+          self->listed_at = now;
+          if (!self->has_home_sizes) {
+            self->LoadHomeSizes();
+          }
+        });
+  }
+
+  // The sizes of the pools when daisyroad first saw them.
+  void LoadHomeSizes() {
+    Json::Value sizes(Json::objectValue);
+    for (const Machine& machine : this->machines) {
+      sizes[machine.pool.str()] = sizes[machine.pool.str()].asInt() + 1;
+    }
+    StoreTransaction transaction;
+    transaction.expected.push_back({kHomeSizesKey, 0});
+    transaction.writes.push_back({kHomeSizesKey, WriteJson(sizes), 0});
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.store->Commit(
+        transaction, kStoreTimeout,
+        [self, sizes](const Result<TransactionResult>& result) {
+          if (!result.ok() || self->is_stopped) {
+            return;
+          }
+          const TransactionConflict* const conflict =
+              std::get_if<TransactionConflict>(&result.value());
+          if (conflict == nullptr) {
+            self->AdoptHomeSizes(sizes);
+            return;
+          }
+          for (const StoreItem& item : conflict->items) {
+            const Result<Json::Value> json = ParseJson(item.value);
+            if (json.ok()) {
+              self->AdoptHomeSizes(json.value());
+            }
+          }
+        });
+  }
+
+  void AdoptHomeSizes(const Json::Value& json) {
+    std::map<PoolName, int> sizes;
+    for (const std::string& pool : json.getMemberNames()) {
+      sizes[PoolName(pool)] = json[pool].asInt();
+    }
+    this->planner.SetHomeSizes(std::move(sizes));
+    this->has_home_sizes = true;
+  }
+
+  void ReadWaves() {
+    for (const std::pair<const std::int64_t, MaintenanceWave>& wave :
+         this->operators.waves) {
+      if (this->waves.contains(wave.first) ||
+          !this->waves_asked.insert(wave.first).second) {
+        continue;
+      }
+      const std::shared_ptr<State> self = this->shared_from_this();
+      this->context.store->Get(
+          WaveKey(wave.first), kStoreTimeout,
+          [self, asked = wave.second](
+              const Result<std::optional<StoreItem>>& item) {
+            self->waves_asked.erase(asked.number);
+            if (item.ok() && !self->is_stopped) {
+              self->AdoptWave(asked, item.value());
+            }
+          });
+    }
+  }
+
+  void AdoptWave(const MaintenanceWave& wave,
+                 const std::optional<StoreItem>& item) {
+    WaveProgress progress;
+    progress.wave = wave;
+    progress.begun_at = Now();
+    if (item) {
+      const Result<Json::Value> json = ParseJson(item->value);
+      if (json.ok() && json.value().isObject()) {
+        for (const Json::Value& machine : json.value()["done"]) {
+          progress.done.insert(MachineName(machine.asString()));
+        }
+        const WallTime begun(
+            Milliseconds(json.value()["begun"].asInt64()));
+        progress.begun_at -= std::chrono::duration_cast<Duration>(
+            std::chrono::system_clock::now() - begun);
+      }
+    }
+    this->waves[wave.number] = progress;
+    CLOG(INFO, kFleetLog) << "event=wave number=" << wave.number
+                          << " machines=" << wave.machines.size()
+                          << " done=" << progress.done.size();
+    this->SaveWave(wave.number);
+  }
+
+  bool IsComplete(const WaveProgress& progress) const {
+    return std::all_of(
+        progress.wave.machines.begin(), progress.wave.machines.end(),
+        [this, &progress](const MachineName& name) {
+          const bool exists = std::any_of(
+              this->machines.begin(), this->machines.end(),
+              [&name](const Machine& machine) { return machine.name == name; });
+          return progress.done.contains(name) || !exists;
+        });
+  }
+
+  void SaveWave(std::int64_t number) {
+    const WaveProgress& progress = this->waves.at(number);
+    const bool is_complete =
+        !this->machines.empty() && this->IsComplete(progress);
+    Json::Value json;
+    json["begun"] = Json::Int64(
+        std::chrono::duration_cast<Milliseconds>(
+            (std::chrono::system_clock::now() +
+             std::chrono::duration_cast<std::chrono::system_clock::duration>(
+                 progress.begun_at - Now()))
+                .time_since_epoch())
+            .count());
+    json["done"] = Json::arrayValue;
+    for (const MachineName& machine : progress.done) {
+      json["done"].append(machine.str());
+    }
+    StoreTransaction transaction;
+    transaction.expected.push_back(
+        {kLeadPrefix + this->term.duty, this->term.fence});
+    transaction.writes.push_back({WaveKey(number), WriteJson(json), 0});
+    transaction.writes.push_back(
+        this->context.codec->EncodeWaveStatus(number, is_complete));
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.store->Commit(
+        transaction, kStoreTimeout,
+        [self, number, is_complete](const Result<TransactionResult>& result) {
+          if (self->is_stopped) {
+            return;
+          }
+          if (!result.ok()) {
+            self->context.loop->After(kOrderPause, [self, number]() {
+              if (!self->is_stopped) {
+                self->SaveWave(number);
+              }
+            });
+          } else if (is_complete &&
+                     self->waves_complete.insert(number).second) {
+            CLOG(INFO, kFleetLog)
+                << "event=wave_complete number=" << number;
+          }
+        });
+  }
+
+  void AskLoads(MonotonicTime now) {
+    std::map<PoolName, PoolReport> known;
+    for (const std::pair<const PoolName, PoolConfig>& pool :
+         this->operators.config->pools) {
+      PoolReport& report = known[pool.first];
+      report = this->pools[pool.first];
+      report.is_spare = pool.second.is_spare;
+      report.is_known = this->load_at.contains(pool.first) &&
+                        now - this->load_at.at(pool.first) < kLoadAge;
+      if (!report.is_spare) {
+        this->AskLoad(pool.first, now);
+      }
+    }
+    this->pools = std::move(known);
+  }
+
+  void AskLoad(const PoolName& pool, MonotonicTime now) {
+    const std::set<WorkerName>& workers = this->vacate[pool];
+    PoolLead* const lead = this->context.find_lead(pool);
+    if (lead != nullptr) {
+      if (lead->is_ready()) {
+        lead->SetVacating(workers);
+        this->pools[pool].load = lead->Load();
+        this->load_at[pool] = now;
+      }
+      return;
+    }
+    const std::string peer =
+        this->context.leadership->LeaderAddress(PoolDuty(pool));
+    if (peer.empty()) {
+      return;
+    }
+    Json::Value params;
+    params["pool"] = pool.str();
+    params["vacate"] = Json::arrayValue;
+    for (const WorkerName& worker : workers) {
+      params["vacate"].append(worker.str());
+    }
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.peers->Call(
+        peer, "pool.load", params, kLoadTimeout,
+        [self, pool, now](const Result<Json::Value>& result) {
+          if (!self->is_stopped && result.ok() && result.value().isObject() &&
+              result.value().isMember("workers")) {
+            self->pools[pool].load = ParsePoolLoad(result.value());
+            self->load_at[pool] = now;
+          }
+        });
+  }
+
+  void Plan(MonotonicTime now) {
+    std::map<std::int64_t, WaveProgress> open;
+    for (const std::pair<const std::int64_t, WaveProgress>& wave :
+         this->waves) {
+      if (!this->waves_complete.contains(wave.first)) {
+        open.insert(wave);
+      }
+    }
+    // Machines that were given an order since the list was asked for are not
+    // what the list says.
+    std::vector<Machine> current = this->machines;
+    for (Machine& machine : current) {
+      const std::map<MachineName, MonotonicTime>::const_iterator ordered =
+          this->ordered_at.find(machine.name);
+      if (ordered != this->ordered_at.end() &&
+          ordered->second >= this->listed_at &&
+          machine.state == MachineState::kUp) {
+        machine.state = MachineState::kUpkeep;
+      }
+    }
+    MachinePlan plan =
+        this->planner.Plan(current, this->pools, open, now);
+    this->vacate = std::move(plan.vacate);
+    for (const MachineOrder& order : plan.orders) {
+      std::visit(
+          Overloaded{[this, now](const MoveMachine& move) {
+                       this->Move(move, now);
+                     },
+                     [this, now](const MaintainMachine& maintain) {
+                       this->Maintain(maintain, now);
+                     }},
+          order);
+    }
+  }
+
+  bool TakeTurn(const MachineName& machine, MonotonicTime now) {
+    MonotonicTime& next = this->next_order[machine];
+    if (now < next) {
+      return false;
+    }
+    next = now + kOrderPause;
+    return true;
+  }
+
+  void Move(const MoveMachine& order, MonotonicTime now) {
+    if (!this->TakeTurn(order.machine, now)) {
+      return;
+    }
+    CLOG(INFO, kFleetLog) << "decision=move machine=" << order.machine
+                          << " pool=" << order.pool
+                          << " fence=" << this->term.fence;
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.machines->Move(
+        order.machine, order.pool, this->term.fence,
+        [self, order](const Result<MachineOrderOutcome>& outcome) {
+          self->OnOutcome("move", order.machine, outcome);
+        });
+  }
+
+  void Maintain(const MaintainMachine& order, MonotonicTime now) {
+    if (!this->TakeTurn(order.machine, now)) {
+      return;
+    }
+    CLOG(INFO, kFleetLog) << "decision=maintain machine=" << order.machine
+                          << " wave=" << order.wave
+                          << " fence=" << this->term.fence;
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.machines->Upkeep(
+        order.machine, order.wave, this->term.fence,
+        [self, order](const Result<MachineOrderOutcome>& outcome) {
+          if (self->OnOutcome("maintain", order.machine, outcome)) {
+            self->waves.at(order.wave).done.insert(order.machine);
+            self->SaveWave(order.wave);
+          }
+        });
+  }
+
+  bool OnOutcome(const char* order,
+                 const MachineName& machine,
+                 const Result<MachineOrderOutcome>& outcome) {
+    const bool is_done =
+        outcome.ok() && outcome.value() == MachineOrderOutcome::kDone;
+    ++this->context.metrics->Counter(
+        "daisyroad_machine_orders_total",
+        std::string("order=\"") + order + "\",outcome=\"" +
+            (is_done ? "done" : "refused") + "\"");
+    if (!is_done) {
+      CLOG(WARNING, kFleetLog)
+          << "event=machine_order_failed order=" << order
+          << " machine=" << machine << " outcome=\""
+          << (outcome.ok() ? std::to_string(static_cast<int>(outcome.value()))
+                           : outcome.error().ToString())
+          << "\"";
+      return false;
+    }
+    this->ordered_at[machine] = Now();
+    return !this->is_stopped;
+  }
+};
+
+FleetLead::FleetLead(const FleetLeadContext& context, const Term& term)
+    : state(std::make_shared<State>()) {
+  this->state->context = context;
+  this->state->term = term;
+  this->state->first_order_at =
+      Now() + (term.number > 1 ? kTakeoverPause : Milliseconds(0));
+}
+
+FleetLead::~FleetLead() {
+  this->state->is_stopped = true;
+}
+
+void FleetLead::Start() {
+  this->state->Tick();
+}
+
+void FleetLead::SetOperatorState(const OperatorState& operators) {
+  this->state->operators = operators;
+}
+
+Json::Value ToJson(const PoolLoad& load) {
+  Json::Value json;
+  json["capacity"] = Json::Int64(load.capacity);
+  json["used"] = Json::Int64(load.used);
+  json["waiting"] = Json::Int64(load.waiting);
+  json["workers"] = Json::Value(Json::objectValue);
+  for (const std::pair<const WorkerName, PoolLoad::Worker>& worker :
+       load.workers) {
+    Json::Value& row = json["workers"][worker.first.str()];
+    row.append(worker.second.runs);
+    row.append(worker.second.service_runs);
+    row.append(worker.second.is_vacating);
+  }
+  return json;
+}
+
+PoolLoad ParsePoolLoad(const Json::Value& json) {
+  PoolLoad load;
+  load.capacity = json["capacity"].asInt64();
+  load.used = json["used"].asInt64();
+  load.waiting = json["waiting"].asInt64();
+  for (const std::string& worker : json["workers"].getMemberNames()) {
+    const Json::Value& row = json["workers"][worker];
+    load.workers[WorkerName(worker)] = PoolLoad::Worker{
+        row[0].asInt(), row[1].asInt(), row[2].asBool()};
+  }
+  return load;
+}
+
+}  // namespace daisyroad
--- a/Source/Core/Site/operator_state.h
+++ b/Source/Core/Site/operator_state.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "Core/Common/identifiers.h"
+#include "Core/Machines/maintenance_wave.h"
 #include "Core/Site/site_config.h"
 
 namespace daisyroad {
--- a/Source/Core/Site/site_config.h
+++ b/Source/Core/Site/site_config.h
@@ -4,13 +4,11 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <vector>
 
 #include "Core/Common/identifiers.h"
 #include "Core/Common/time.h"
 #include "Core/Jobs/queue_policy.h"
 #include "Core/Jobs/resources.h"
-#include "Core/Platform/machine_client.h"
 
 namespace daisyroad {
 
@@ -47,14 +45,6 @@
   std::map<std::string, TeamName> keys;
 };
 
-// Machines that operators want maintained by a time.
-struct MaintenanceWave {
-  std::int64_t number = 0;
-  std::vector<MachineName> machines;
-  std::chrono::seconds duration{0};  // from the request
-  int most_at_once = 1;
-};
-
 }  // namespace daisyroad
 
 #endif  // SOURCE_CORE_SITE_SITE_CONFIG_H_
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -7,6 +7,7 @@
 
 #include "Core/Common/logging.h"
 #include "Core/Common/metrics_registry.h"
+#include "Core/Site/fleet_lead.h"
 #include "Core/Site/job_service.h"
 #include "Core/Site/leadership.h"
 #include "Core/Site/limit_keeper.h"
@@ -27,6 +28,9 @@
 // the keys are, which a silent watch does not.
 constexpr Milliseconds kOperatorInterval{500};
 constexpr Milliseconds kOperatorTimeout{700};
+// A worker that leaves must get no new runs within two seconds.
+constexpr Milliseconds kWorkerInterval{400};
+constexpr Milliseconds kWorkerTimeout{700};
 // Part of the grace period left when the process ends by itself.
 constexpr Milliseconds kStopReserve{700};
 // Idle connections of callers are kept: the platform's balancer leaves a
@@ -68,12 +72,6 @@
                       this->leadership.OnMirrorChange();
                       this->limits.OnMirrorChange();
                     }),
-        worker_mirror(platform.store,
-                      platform.loop,
-                      platform.codec->WorkerPrefix(),
-                      [this](const std::vector<StoreChange>& changes) {
-                        this->OnWorkerChanges(changes);
-                      }),
         limits(platform.store, &this->site_mirror),
         leadership(platform.store,
                    platform.loop,
@@ -83,7 +81,7 @@
                    Leadership::Listener{
                        [this](const Term& term) { this->BeginTerm(term); },
                        [this](const std::string& duty) {
-                         this->leads.erase(duty);
+                         this->EndTerm(duty);
                        }}),
         jobs(platform.store,
              platform.loop,
@@ -125,7 +123,7 @@
     CLOG(INFO, kDaemonLog) << "event=start node=" << this->settings.node
                            << " zone=" << this->settings.zone;
     this->site_mirror.Start();
-    this->worker_mirror.Start();
+    this->ReadWorkers();
     this->leadership.Start();
     this->ReadOperators();
     this->platform.loop->Run();
@@ -148,7 +146,6 @@
   RpcClient rpc_client;
   RpcServer rpc_server;
   PrefixMirror site_mirror;
-  PrefixMirror worker_mirror;
   LimitKeeper limits;
   Leadership leadership;
   JobService jobs;
@@ -261,10 +258,13 @@
          this->leads) {
       lead.second->SetOperatorState(this->operators);
     }
+    if (this->fleet_lead) {
+      this->fleet_lead->SetOperatorState(this->operators);
+    }
   }
 
   static std::set<std::string> DutiesOf(const SiteConfig& config) {
-    std::set<std::string> duties;
+    std::set<std::string> duties{kFleetDuty};
     for (const std::pair<const QueueName, QueueConfig>& queue :
          config.queues) {
       duties.insert(PoolDuty(queue.second.pool));
@@ -272,33 +272,54 @@
     return duties;
   }
 
-  void OnWorkerChanges(const std::vector<StoreChange>& changes) {
-    bool is_changed = false;
-    for (const StoreChange& change : changes) {
-      const WorkerName name(
-          change.key.substr(this->platform.codec->WorkerPrefix().size()));
-      if (!change.value) {
-        is_changed |= this->workers.erase(name) > 0;
-        continue;
-      }
+  // Workers write their entries every second or two, and each write would end
+  // a watch; a listing at a fixed interval costs the store less.
+  void ReadWorkers() {
+    this->platform.loop->After(kWorkerInterval,
+                               [this]() { this->ReadWorkers(); });
+    if (!this->leads.empty()) {
+      this->ReadWorkerPage("", std::make_shared<std::vector<StoreItem>>());
+    }
+  }
+
+  void ReadWorkerPage(const std::string& after,
+                      const std::shared_ptr<std::vector<StoreItem>>& pages) {
+    this->platform.store->List(
+        this->platform.codec->WorkerPrefix(), after, kWorkerTimeout,
+        [this, pages](const Result<StorePage>& page) {
+          if (!page.ok()) {
+            return;
+          }
+          pages->insert(pages->end(), page.value().items.begin(),
+                        page.value().items.end());
+          if (page.value().has_more && !page.value().items.empty()) {
+            this->ReadWorkerPage(pages->back().key, pages);
+          } else {
+            this->AdoptWorkers(*pages);
+          }
+        });
+  }
+
+  void AdoptWorkers(const std::vector<StoreItem>& items) {
+    std::map<WorkerName, WorkerListing> listed;
+    for (const StoreItem& item : items) {
       const Result<WorkerListing> worker =
-          this->platform.codec->DecodeWorker(change.key, *change.value);
-      if (!worker.ok()) {
+          this->platform.codec->DecodeWorker(item.key, item.value);
+      if (worker.ok()) {
+        listed[worker.value().name] = worker.value();
+      } else if (this->unreadable_workers.insert(item.key).second) {
         CLOG(WARNING, kRoutingLog)
-            << "event=worker_unreadable key=" << change.key << " error=\""
+            << "event=worker_unreadable key=" << item.key << " error=\""
             << worker.error().ToString() << "\"";
-        is_changed |= this->workers.erase(name) > 0;
-        continue;
       }
-      WorkerListing& known = this->workers[name];
-      is_changed |= !(known == worker.value());
-      known = worker.value();
     }
-    if (is_changed) {
-      for (const std::pair<const std::string, std::unique_ptr<PoolLead>>& lead :
-           this->leads) {
-        this->GiveListing(lead.first, lead.second.get());
-      }
+    if (listed == this->workers) {
+      return;
+    }
+    this->workers = std::move(listed);
+    for (const std::pair<const std::string, std::unique_ptr<PoolLead>>& lead :
+         this->leads) {
+      this->GiveListing(lead.first, lead.second.get());
     }
   }
 
@@ -314,6 +335,10 @@
   }
 
   void BeginTerm(const Term& term) {
+    if (term.duty == kFleetDuty) {
+      this->BeginFleetTerm(term);
+      return;
+    }
     const PoolName pool(term.duty.substr(PoolDuty(PoolName()).size()));
     PoolLeadContext context;
     context.store = this->platform.store;
@@ -329,9 +354,49 @@
     this->GiveListing(term.duty, lead.get());
     lead->Start();
     this->leads[term.duty] = std::move(lead);
+    this->ReadWorkerPage("", std::make_shared<std::vector<StoreItem>>());
+  }
+
+  void BeginFleetTerm(const Term& term) {
+    FleetLeadContext context;
+    context.store = this->platform.store;
+    context.machines = this->platform.machines;
+    context.loop = this->platform.loop;
+    context.peers = &this->rpc_client;
+    context.codec = this->platform.codec;
+    context.metrics = &this->metrics;
+    context.leadership = &this->leadership;
+    context.find_lead = [this](const PoolName& pool) {
+      return this->FindLead(pool);
+    };
+    this->fleet_lead = std::make_unique<FleetLead>(context, term);
+    this->fleet_lead->SetOperatorState(this->operators);
+    this->fleet_lead->Start();
+  }
+
+  void EndTerm(const std::string& duty) {
+    if (duty == kFleetDuty) {
+      this->fleet_lead.reset();
+    } else {
+      this->leads.erase(duty);
+    }
   }
 
   void AddMethods() {
+    this->rpc_server.AddMethod(
+        "pool.load", [this](const Json::Value& params) {
+          PoolLead* const lead =
+              this->FindLead(PoolName(params["pool"].asString()));
+          if (lead == nullptr || !lead->is_ready()) {
+            return Json::Value(Json::objectValue);
+          }
+          std::set<WorkerName> workers;
+          for (const Json::Value& worker : params["vacate"]) {
+            workers.emplace(worker.asString());
+          }
+          lead->SetVacating(workers);
+          return ToJson(lead->Load());
+        });
     this->rpc_server.AddMethod(
         "job.status", [this](const Json::Value& params) {
           Json::Value result(Json::objectValue);
@@ -365,7 +430,9 @@
   OperatorState operators;
   BootClock::time_point operators_asked_at;
   std::map<WorkerName, WorkerListing> workers;
+  std::set<std::string> unreadable_workers;
   std::map<std::string, std::unique_ptr<PoolLead>> leads;
+  std::unique_ptr<FleetLead> fleet_lead;
   bool are_operators_known = false;
   bool is_stopping = false;
 };
