Site: keep the loads of pools that this instance schedules

Cause: the table of loads was replaced after the local loads were written into it, so the fleet lead saw no capacity in those pools; their waves stood still and they got no loans.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -33,9 +33,11 @@
   this->allotments = std::move(allotments);
 }
 
-void PoolScheduler::SetVacating(const std::set<WorkerName>& workers) {
+void PoolScheduler::SetVacating(const std::set<WorkerName>& workers,
+                                const std::set<WorkerName>& due) {
   for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
     entry.second.is_vacating = workers.contains(entry.first);
+    entry.second.is_due = due.contains(entry.first);
   }
 }
 
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -45,8 +45,10 @@
   void SetZonesOut(std::set<ZoneName> zones);
   // What the pool may use for each team that has an upper limit.
   void SetAllotments(std::map<TeamName, Resources> allotments);
-  // Workers whose machines wait for planned work.
-  void SetVacating(const std::set<WorkerName>& workers);
+  // Workers whose machines wait for planned work, and those whose turn comes
+  // later.
+  void SetVacating(const std::set<WorkerName>& workers,
+                   const std::set<WorkerName>& due);
 
   // Jobs. `progress` is what the store holds of an earlier scheduler.
   // `may_have_runs` is false for jobs accepted under this scheduler.
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -21,6 +21,7 @@
 // Weights of a placement's cost, in units of a whole worker left unused.
 constexpr double kOtherRackCost = 4.0;
 constexpr double kDisturbanceCost = 2.0;
+constexpr double kMovedAgainCost = 1.0;
 constexpr double kFailedThereCost = 8.0;
 
 double FreePart(std::int64_t capacity, std::int64_t used) {
@@ -197,6 +198,9 @@
   if (!step.data_rack.empty() && step.data_rack != worker.listing.rack.str()) {
     cost += kOtherRackCost;
   }
+  if (step.is_service && worker.is_due) {
+    cost += kMovedAgainCost;
+  }
   if (step.latency_target.count() > 0) {
     cost += kDisturbanceCost * worker.idle_capacity_runs;
   }
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -32,6 +32,8 @@
   bool is_known = false;
   // Planned work on the worker's machine waits for it to be empty.
   bool is_vacating = false;
+  // It will, but not yet.
+  bool is_due = false;
 
   // Reserved by the runs on it; runs that use idle capacity reserve no
   // processor.
--- a/Source/Core/Machines/machine_planner.cc
+++ b/Source/Core/Machines/machine_planner.cc
@@ -108,11 +108,15 @@
                               MachinePlan* plan) {
   std::map<PoolName, std::vector<const Machine*>> due;
   int away = 0;
+  std::map<PoolName, int> away_from;
   for (const Machine& machine : *fleet->machines) {
     const bool is_listed =
         std::find(progress.wave.machines.begin(), progress.wave.machines.end(),
                   machine.name) != progress.wave.machines.end();
-    away += is_listed && machine.state == MachineState::kUpkeep;
+    if (is_listed && machine.state == MachineState::kUpkeep) {
+      ++away;
+      ++away_from[machine.pool];
+    }
     if (is_listed && machine.state == MachineState::kUp &&
         !progress.done.contains(machine.name)) {
       due[machine.pool].push_back(&machine);
@@ -148,10 +152,11 @@
             ? static_cast<int>(candidates.size())
             : std::clamp(needed, std::max(1, static_cast<int>(size * share)),
                          std::max(1, static_cast<int>(size * kCalmShare)));
-    allowed -= fleet->coming[entry.first];
+    allowed -= away_from[entry.first];
     for (const Machine* const machine : candidates) {
+      plan->due[machine->pool].insert(machine->worker);
       if (allowed-- <= 0) {
-        break;
+        continue;
       }
       fleet->taken.insert(machine->name);
       plan->vacate[machine->pool].insert(machine->worker);
--- a/Source/Core/Machines/machine_planner.h
+++ b/Source/Core/Machines/machine_planner.h
@@ -42,6 +42,8 @@
 struct MachinePlan {
   // Workers that their schedulers should empty.
   std::map<PoolName, std::set<WorkerName>> vacate;
+  // Workers that will be emptied later: no place for tasks that last.
+  std::map<PoolName, std::set<WorkerName>> due;
   std::vector<MachineOrder> orders;
 };
 
--- a/Source/Core/Site/fleet_lead.cc
+++ b/Source/Core/Site/fleet_lead.cc
@@ -26,12 +26,21 @@
 constexpr Milliseconds kStoreTimeout{700};
 // A load older than this says nothing of what runs now.
 constexpr Milliseconds kLoadAge{600};
+constexpr Milliseconds kNoteInterval{1000};
 // An order whose answer is missing is not repeated sooner.
 constexpr Milliseconds kOrderPause{700};
 // The first orders of a term wait until those of the term before have been
 // carried out or refused.
 constexpr Milliseconds kTakeoverPause{3000};
 
+Json::Value WriteNames(const std::set<WorkerName>& names) {
+  Json::Value json(Json::arrayValue);
+  for (const WorkerName& name : names) {
+    json.append(name.str());
+  }
+  return json;
+}
+
 MonotonicTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -50,12 +59,14 @@
   std::map<PoolName, PoolReport> pools;
   std::map<PoolName, MonotonicTime> load_at;
   std::map<PoolName, std::set<WorkerName>> vacate;
+  std::map<PoolName, std::set<WorkerName>> due;
   std::map<std::int64_t, WaveProgress> waves;
   std::set<std::int64_t> waves_asked;  // whose record is being read
   std::set<std::int64_t> waves_complete;
   std::map<MachineName, MonotonicTime> next_order;
   // Machines whose order was carried out after the current list was asked for.
   std::map<MachineName, MonotonicTime> ordered_at;
+  MonotonicTime next_note;
   bool is_listing = false;
   bool has_home_sizes = false;
   bool is_stopped = false;
@@ -250,19 +261,21 @@
       report.is_spare = pool.second.is_spare;
       report.is_known = this->load_at.contains(pool.first) &&
                         now - this->load_at.at(pool.first) < kLoadAge;
-      if (!report.is_spare) {
+    }
+    this->pools = std::move(known);
+    for (const std::pair<const PoolName, PoolConfig>& pool :
+         this->operators.config->pools) {
+      if (!pool.second.is_spare) {
         this->AskLoad(pool.first, now);
       }
     }
-    this->pools = std::move(known);
   }
 
   void AskLoad(const PoolName& pool, MonotonicTime now) {
-    const std::set<WorkerName>& workers = this->vacate[pool];
     PoolLead* const lead = this->context.find_lead(pool);
     if (lead != nullptr) {
       if (lead->is_ready()) {
-        lead->SetVacating(workers);
+        lead->SetVacating(this->vacate[pool], this->due[pool]);
         this->pools[pool].load = lead->Load();
         this->load_at[pool] = now;
       }
@@ -275,10 +288,8 @@
     }
     Json::Value params;
     params["pool"] = pool.str();
-    params["vacate"] = Json::arrayValue;
-    for (const WorkerName& worker : workers) {
-      params["vacate"].append(worker.str());
-    }
+    params["vacate"] = WriteNames(this->vacate[pool]);
+    params["due"] = WriteNames(this->due[pool]);
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.peers->Call(
         peer, "pool.load", params, kLoadTimeout,
@@ -291,7 +302,28 @@
         });
   }
 
+  // What the next decisions rest on, once in a while.
+  void NoteLoads(MonotonicTime now) {
+    if (now < this->next_note) {
+      return;
+    }
+    this->next_note = now + kNoteInterval;
+    for (const std::pair<const PoolName, PoolReport>& pool : this->pools) {
+      const PoolLoad& load = pool.second.load;
+      if (!pool.second.is_spare) {
+        CLOG(INFO, kFleetLog)
+            << "event=pool_load pool=" << pool.first
+            << " known=" << pool.second.is_known
+            << " capacity=" << load.capacity << " used=" << load.used
+            << " waiting=" << load.waiting << " workers=" << load.workers.size()
+            << " vacating=" << this->vacate[pool.first].size()
+            << " due=" << this->due[pool.first].size();
+      }
+    }
+  }
+
   void Plan(MonotonicTime now) {
+    this->NoteLoads(now);
     std::map<std::int64_t, WaveProgress> open;
     for (const std::pair<const std::int64_t, WaveProgress>& wave :
          this->waves) {
@@ -314,6 +346,7 @@
     MachinePlan plan =
         this->planner.Plan(current, this->pools, open, now);
     this->vacate = std::move(plan.vacate);
+    this->due = std::move(plan.due);
     for (const MachineOrder& order : plan.orders) {
       std::visit(
           Overloaded{[this, now](const MoveMachine& move) {
--- a/Source/Core/Site/limit_keeper.cc
+++ b/Source/Core/Site/limit_keeper.cc
@@ -1,7 +1,6 @@
 #include "Core/Site/limit_keeper.h"
 
 #include "Core/Common/logging.h"
-#include "Core/Site/prefix_mirror.h"
 #include "Core/Site/store_keys.h"
 
 namespace daisyroad {
@@ -9,6 +8,8 @@
 
 // Unused allotments are given back this often; other pools wait for them.
 constexpr Milliseconds kReturnInterval{400};
+// How often the record is read for what other pools hold.
+constexpr Milliseconds kReadInterval{1000};
 // Bounds the writes of an instance to the record.
 constexpr Milliseconds kWritePause{40};
 constexpr Milliseconds kCommitTimeout{500};
@@ -26,8 +27,7 @@
 
 }  // namespace
 
-LimitKeeper::LimitKeeper(RevisionStore* store, PrefixMirror* mirror)
-    : store(store), mirror(mirror) {}
+LimitKeeper::LimitKeeper(RevisionStore* store) : store(store) {}
 
 void LimitKeeper::SetTeams(const std::map<TeamName, TeamConfig>& teams) {
   this->limits.clear();
@@ -38,12 +38,20 @@
   }
 }
 
-void LimitKeeper::OnMirrorChange() {
-  const PrefixMirror::Items::const_iterator found =
-      this->mirror->items().find(kLimitsKey);
-  if (found != this->mirror->items().end()) {
-    this->Adopt(found->second.value, found->second.revision);
-  }
+void LimitKeeper::Read(MonotonicTime now) {
+  this->next_read = now + kReadInterval;
+  const std::weak_ptr<bool> alive = this->is_alive;
+  this->store->Get(
+      kLimitsKey, kCommitTimeout,
+      [this, alive](const Result<std::optional<StoreItem>>& item) {
+        if (alive.expired() || !item.ok()) {
+          return;
+        }
+        this->is_loaded = true;
+        if (item.value()) {
+          this->Adopt(item.value()->value, item.value()->revision);
+        }
+      });
 }
 
 void LimitKeeper::Adopt(const std::string& value, std::int64_t revision) {
@@ -74,8 +82,10 @@
                          const std::map<TeamName, Resources>& used,
                          const std::map<TeamName, Resources>& wanted,
                          MonotonicTime now) {
-  if (this->is_writing || now < this->next_write ||
-      !this->mirror->is_loaded()) {
+  if (now >= this->next_read && !this->limits.empty()) {
+    this->Read(now);
+  }
+  if (this->is_writing || now < this->next_write || !this->is_loaded) {
     return;
   }
   MonotonicTime& next_return = this->next_return[pool];
@@ -108,7 +118,8 @@
         }
         this->is_writing = false;
         if (!result.ok()) {
-          // The mirror shows whether the change was made.
+          // The next reading shows whether the change was made.
+          this->next_read = MonotonicTime();
           CLOG(WARNING, kLimitsLog)
               << "event=limits_not_written pool=" << pool << " error=\""
               << result.error().ToString() << "\"";
--- a/Source/Core/Site/limit_keeper.h
+++ b/Source/Core/Site/limit_keeper.h
@@ -15,16 +15,13 @@
 
 namespace daisyroad {
 
-class PrefixMirror;
-
 // Holds and moves the allotments of the pools that this instance schedules.
 class LimitKeeper {
  public:
-  // `mirror` holds kSitePrefix. Both must outlive this object.
-  LimitKeeper(RevisionStore* store, PrefixMirror* mirror);
+  // `store` must outlive this object.
+  explicit LimitKeeper(RevisionStore* store);
 
   void SetTeams(const std::map<TeamName, TeamConfig>& teams);
-  void OnMirrorChange();
 
   // Allotments of the teams that have an upper limit.
   std::map<TeamName, Resources> AllotmentsOf(const PoolName& pool) const;
@@ -35,14 +32,16 @@
               MonotonicTime now);
 
  private:
+  void Read(MonotonicTime now);
   void Adopt(const std::string& value, std::int64_t revision);
 
   RevisionStore* store;
-  PrefixMirror* mirror;
   std::map<TeamName, Resources> limits;
   AllotmentTable table;
   std::int64_t revision = 0;
+  bool is_loaded = false;
   bool is_writing = false;
+  MonotonicTime next_read;
   // When idle allotments of a pool were last given back.
   std::map<PoolName, MonotonicTime> next_return;
   MonotonicTime next_write;
--- a/Source/Core/Site/pool_lead.cc
+++ b/Source/Core/Site/pool_lead.cc
@@ -216,7 +216,7 @@
     }
     const MonotonicTime now = Now();
     if (now >= this->vacate_until) {
-      this->scheduler.SetVacating({});
+      this->scheduler.SetVacating({}, {});
     }
     this->scheduler.SetAllotments(
         this->context.limits->AllotmentsOf(this->pool));
@@ -490,9 +490,10 @@
   this->state->SchedulePump();
 }
 
-void PoolLead::SetVacating(const std::set<WorkerName>& workers) {
+void PoolLead::SetVacating(const std::set<WorkerName>& workers,
+                   const std::set<WorkerName>& due) {
   this->state->vacate_until = Now() + kVacateHold;
-  this->state->scheduler.SetVacating(workers);
+  this->state->scheduler.SetVacating(workers, due);
   this->state->SchedulePump();
 }
 
--- a/Source/Core/Site/pool_lead.h
+++ b/Source/Core/Site/pool_lead.h
@@ -50,9 +50,10 @@
   void Start();
   void SetOperatorState(const OperatorState& state);
   void SetListing(const std::map<WorkerName, WorkerListing>& listing);
-  // Keeps the workers free of new runs until the next call, which must come
-  // within two seconds.
-  void SetVacating(const std::set<WorkerName>& workers);
+  // Keeps the workers free of new runs, and those that are due free of tasks
+  // that last, until the next call, which must come within two seconds.
+  void SetVacating(const std::set<WorkerName>& workers,
+                   const std::set<WorkerName>& due);
 
   bool is_ready() const;
   // Nothing if the scheduler does not know the job (yet).
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -49,6 +49,14 @@
   return options;
 }
 
+std::set<WorkerName> ReadNames(const Json::Value& json) {
+  std::set<WorkerName> names;
+  for (const Json::Value& name : json) {
+    names.emplace(name.asString());
+  }
+  return names;
+}
+
 HttpResponse TextResponse(int status, const std::string& text) {
   HttpResponse response;
   response.status = status;
@@ -70,9 +78,8 @@
                     kSitePrefix,
                     [this](const std::vector<StoreChange>&) {
                       this->leadership.OnMirrorChange();
-                      this->limits.OnMirrorChange();
                     }),
-        limits(platform.store, &this->site_mirror),
+        limits(platform.store),
         leadership(platform.store,
                    platform.loop,
                    &this->site_mirror,
@@ -390,11 +397,8 @@
           if (lead == nullptr || !lead->is_ready()) {
             return Json::Value(Json::objectValue);
           }
-          std::set<WorkerName> workers;
-          for (const Json::Value& worker : params["vacate"]) {
-            workers.emplace(worker.asString());
-          }
-          lead->SetVacating(workers);
+          lead->SetVacating(ReadNames(params["vacate"]),
+                            ReadNames(params["due"]));
           return ToJson(lead->Load());
         });
     this->rpc_server.AddMethod(
--- a/Source/Core/Site/store_keys.h
+++ b/Source/Core/Site/store_keys.h
@@ -12,7 +12,7 @@
 //   daisyroad/site/node/NAME      a live entry instance (under its lease)
 //   daisyroad/site/lead/DUTY      who carries out a duty (under its lease)
 //   daisyroad/site/term/DUTY      the number of terms of the duty so far
-//   daisyroad/site/limits         allotments of the teams' upper limits
+//   daisyroad/limits              allotments of the teams' upper limits
 //   daisyroad/home                sizes of the pools when first seen
 //   daisyroad/in/POOL/job/ID      an accepted job
 //   daisyroad/in/POOL/cancel/ID   a job that its caller cancelled
@@ -23,7 +23,7 @@
 inline const std::string kLeadPrefix = kSitePrefix + "lead/";
 inline const std::string kTermPrefix = kSitePrefix + "term/";
 inline const std::string kHomeSizesKey = "daisyroad/home";
-inline const std::string kLimitsKey = kSitePrefix + "limits";
+inline const std::string kLimitsKey = "daisyroad/limits";
 
 inline std::string InboxPrefix(const PoolName& pool) {
   return "daisyroad/in/" + pool.str() + "/";
--- a/Source/Core/Site/team_allotments.cc
+++ b/Source/Core/Site/team_allotments.cc
@@ -8,11 +8,14 @@
 namespace daisyroad {
 namespace {
 
-// A pool asks for this part of its wants in advance, so that a burst does not
-// write once for each task.
+// A pool asks for more than it wants now, so that a burst does not write once
+// for each task: this multiple, and at least this part of the limit.
 constexpr double kAhead = 1.5;
-// Holdings above this multiple of what is used are given back.
+constexpr double kLeastPart = 0.05;
+// Holdings above this multiple of what is used are given back while less than
+// this part of the limit is free for others.
 constexpr double kKept = 1.3;
+constexpr double kFreePart = 0.25;
 
 std::int64_t Scale(std::int64_t value, double factor) {
   return static_cast<std::int64_t>(static_cast<double>(value) * factor);
@@ -28,9 +31,13 @@
   const std::int64_t needed = used + wanted;
   if (needed > held) {
     const std::int64_t free = std::max<std::int64_t>(0, limit - sum);
-    return held + std::min(free, used + Scale(wanted, kAhead) - held);
+    const std::int64_t missing = needed - held;
+    return held + std::min(free, std::max(Scale(missing, kAhead),
+                                          Scale(limit, kLeastPart)));
   }
-  if (sum > limit || (gives_back && Scale(needed, kKept) < held)) {
+  const bool is_scarce = limit - sum < Scale(limit, kFreePart);
+  if (sum > limit ||
+      (gives_back && is_scarce && Scale(needed, kKept) < held)) {
     return std::max(used, std::min(held, Scale(needed, kKept)));
   }
   return held;
