Site: remember the workers of a pool for the scheduler of the next term

Ruled out: too short a wait for workers that do not answer; there was none for workers that were not known.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -196,7 +196,7 @@
   this->PlaceTasks(now, wall);
   this->RepeatStops(now);
   this->AskReports(now);
-  this->ForgetEmptyWorkers();
+  this->ForgetEmptyWorkers(now);
   return std::exchange(this->orders, {});
 }
 
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -50,6 +50,17 @@
   void SetVacating(const std::set<WorkerName>& workers,
                    const std::set<WorkerName>& due);
 
+  // Workers that may run what an earlier scheduler started, whether they are
+  // listed now or not.
+  void ExpectRunsOn(const std::vector<WorkerListing>& workers,
+                    MonotonicTime now);
+  // Workers that a later scheduler must ask, and those of them that are
+  // stored for it; only the latter are used.
+  std::vector<WorkerListing> WorkersToRemember() const;
+  void SetRemembered(const std::set<WorkerName>& workers);
+  // Workers that do not answer run nothing of an earlier scheduler from then.
+  void SetUnknownRunsOver(MonotonicTime time);
+
   // Jobs. `progress` is what the store holds of an earlier scheduler.
   // `may_have_runs` is false for jobs accepted under this scheduler.
   void AddJob(AcceptedJob job,
@@ -149,7 +160,7 @@
   // An unanswered start whose stop was answered: the next report tells.
   bool HasRunThatMayNeverCome(const WorkerState& worker);
   void RepeatStops(MonotonicTime now);
-  void ForgetEmptyWorkers();
+  void ForgetEmptyWorkers(MonotonicTime now);
   void CountOutcome(WorkerState* worker, bool is_failure, MonotonicTime now);
 
   // pool_scheduler_placement.cc
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -149,7 +149,8 @@
 
 bool PoolScheduler::IsUsable(const WorkerState& worker,
                              MonotonicTime now) const {
-  return worker.is_known && worker.is_listed && worker.missed_reports == 0 &&
+  return worker.is_known && worker.is_listed && worker.is_remembered &&
+         worker.missed_reports == 0 &&
          !worker.listing.is_draining && !worker.is_vacating &&
          worker.no_starts_before <= now &&
          !this->zones_out.contains(worker.listing.zone);
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -38,6 +38,36 @@
   }
 }
 
+void PoolScheduler::ExpectRunsOn(const std::vector<WorkerListing>& workers,
+                                 MonotonicTime now) {
+  for (const WorkerListing& listing : workers) {
+    if (this->workers.contains(listing.name)) {
+      continue;
+    }
+    WorkerState& worker = this->workers[listing.name];
+    worker.listing = listing;
+    worker.next_report = now;
+  }
+}
+
+std::vector<WorkerListing> PoolScheduler::WorkersToRemember() const {
+  std::vector<WorkerListing> listings;
+  for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    listings.push_back(entry.second.listing);
+  }
+  return listings;
+}
+
+void PoolScheduler::SetRemembered(const std::set<WorkerName>& workers) {
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    entry.second.is_remembered = workers.contains(entry.first);
+  }
+}
+
+void PoolScheduler::SetUnknownRunsOver(MonotonicTime time) {
+  this->unknown_runs_over_at = std::min(this->unknown_runs_over_at, time);
+}
+
 void PoolScheduler::OnReport(const WorkerName& name,
                              const RunReport& report,
                              MonotonicTime asked_at,
@@ -428,10 +458,14 @@
   }
 }
 
-void PoolScheduler::ForgetEmptyWorkers() {
+void PoolScheduler::ForgetEmptyWorkers(MonotonicTime now) {
+  const bool may_run_unknown = now < this->unknown_runs_over_at;
   std::erase_if(this->workers,
-                [](const std::pair<const WorkerName, WorkerState>& entry) {
-                  return !entry.second.is_listed && entry.second.runs.empty();
+                [may_run_unknown](
+                    const std::pair<const WorkerName, WorkerState>& entry) {
+                  const WorkerState& worker = entry.second;
+                  return !worker.is_listed && worker.runs.empty() &&
+                         (worker.is_known || !may_run_unknown);
                 });
 }
 
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -27,6 +27,8 @@
 struct WorkerState {
   WorkerListing listing;
   bool is_listed = false;
+  // A later scheduler would ask this worker what it runs.
+  bool is_remembered = false;
   // The worker has answered this scheduler, so it refuses orders of earlier
   // ones, and all that it runs is known.
   bool is_known = false;
--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -30,6 +30,7 @@
   std::string node;
   std::string address;
   std::int64_t term = 0;
+  std::int64_t incarnation = 0;
 };
 
 std::string WriteLead(const LeadRecord& record) {
@@ -37,6 +38,7 @@
   json["node"] = record.node;
   json["address"] = record.address;
   json["term"] = Json::Int64(record.term);
+  json["incarnation"] = Json::Int64(record.incarnation);
   return WriteJson(json);
 }
 
@@ -49,7 +51,8 @@
   }
   return LeadRecord{json.value()["node"].asString(),
                     json.value()["address"].asString(),
-                    json.value()["term"].asInt64()};
+                    json.value()["term"].asInt64(),
+                    json.value()["incarnation"].asInt64()};
 }
 
 }  // namespace
@@ -60,6 +63,7 @@
   PrefixMirror* mirror = nullptr;
   std::string node;
   std::string address;
+  std::int64_t incarnation = 0;  // start of this process
   Listener listener;
   std::set<std::string> duties;
   std::map<std::string, Term> terms;
@@ -129,6 +133,7 @@
   void Register() {
     Json::Value json;
     json["address"] = this->address;
+    json["incarnation"] = Json::Int64(this->incarnation);
     StoreTransaction transaction;
     transaction.writes.push_back(
         StoreWrite{kNodePrefix + this->node, WriteJson(json), this->lease});
@@ -287,12 +292,15 @@
     if (past != items.end()) {
       const std::optional<LeadRecord> record = ReadLead(past->second.value);
       term.number = record ? record->term + 1 : 1;
-      // A record that was given up names no node.
-      term.is_predecessor_gone =
-          record && (record->node.empty() || record->node == this->node);
+      if (record) {
+        term.predecessor = record->node;
+        term.predecessor_incarnation = record->incarnation;
+      }
+      term.is_predecessor_gone = this->IsPredecessorGone(term);
     }
     const std::string value =
-        WriteLead(LeadRecord{this->node, this->address, term.number});
+        WriteLead(LeadRecord{this->node, this->address, term.number,
+                             this->incarnation});
     StoreTransaction transaction;
     transaction.expected = {
         {kLeadPrefix + duty, lead == items.end() ? 0 : lead->second.revision},
@@ -331,6 +339,22 @@
         });
   }
 
+  bool IsPredecessorGone(const Term& term) const {
+    // A duty that was given up names no node.
+    if (term.predecessor.empty() || term.predecessor == this->node) {
+      return true;
+    }
+    const PrefixMirror::Items::const_iterator found =
+        this->mirror->items().find(kNodePrefix + term.predecessor);
+    if (found == this->mirror->items().end()) {
+      return false;
+    }
+    const Result<Json::Value> json = ParseJson(found->second.value);
+    return json.ok() && json.value()["incarnation"].isInt64() &&
+           json.value()["incarnation"].asInt64() !=
+               term.predecessor_incarnation;
+  }
+
   // Another instance has the duty, or the record vanished with the lease.
   void CompareTerms() {
     for (const std::pair<const std::string, Term>& entry :
@@ -378,6 +402,10 @@
   this->state->mirror = mirror;
   this->state->node = node;
   this->state->address = address;
+  this->state->incarnation =
+      std::chrono::duration_cast<Milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
   this->state->listener = std::move(listener);
 }
 
@@ -424,6 +452,10 @@
   return this->state->terms.contains(duty);
 }
 
+bool Leadership::IsPredecessorGone(const Term& term) const {
+  return this->state->IsPredecessorGone(term);
+}
+
 const std::map<std::string, Term>& Leadership::terms() const {
   return this->state->terms;
 }
--- a/Source/Core/Site/leadership.h
+++ b/Source/Core/Site/leadership.h
@@ -27,9 +27,10 @@
   // Rises with each term of any duty; the revision that created the record.
   std::int64_t fence = 0;
   std::int64_t number = 0;  // counts the terms of the duty from 1
-  // The instance of the term before has given the duty up, or it was an
-  // earlier life of this one.
+  // The process of the term before has given the duty up or has ended.
   bool is_predecessor_gone = false;
+  std::string predecessor;  // its node
+  std::int64_t predecessor_incarnation = 0;
 };
 
 // Divides the duties of the site among its entry instances, by records in the
@@ -74,6 +75,8 @@
   std::vector<std::string> PeerAddresses() const;
   bool HasDuty(const std::string& duty) const;
   const std::map<std::string, Term>& terms() const;
+  // Whether the process that had the duty before has ended by now.
+  bool IsPredecessorGone(const Term& term) const;
 
  private:
   struct State;
--- a/Source/Core/Site/pool_lead.cc
+++ b/Source/Core/Site/pool_lead.cc
@@ -11,6 +11,7 @@
 #include "Core/Platform/run_client.h"
 #include "Core/Site/limit_keeper.h"
 #include "Core/Site/prefix_mirror.h"
+#include "Core/Site/remembered_workers.h"
 #include "Core/Site/store_keys.h"
 #include "Core/Transport/event_loop.h"
 
@@ -77,6 +78,11 @@
   std::unique_ptr<PrefixMirror> inbox;
   std::map<WorkerName, WorkerListing> listing;
   std::map<WorkerName, WorkerListing> known_workers;
+  // As stored, and its revision.
+  std::set<WorkerName> remembered;
+  std::int64_t remembered_revision = 0;
+  bool is_remembering = false;
+  MonotonicTime begun_at = Now();
   std::map<JobId, JobProgress> progress;
   std::map<JobId, std::int64_t> progress_revisions;
   std::set<JobId> cancels;
@@ -90,10 +96,90 @@
   bool is_stopped = false;
 
   void Start() {
-    this->LoadProgress("");
+    this->LoadWorkers();
     this->Tick();
   }
 
+  void LoadWorkers() {
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.store->Get(
+        WorkersKey(this->pool), kListTimeout,
+        [self](const Result<std::optional<StoreItem>>& item) {
+          if (self->is_stopped) {
+            return;
+          }
+          if (!item.ok()) {
+            self->context.loop->After(kRetryPause,
+                                      [self]() { self->LoadWorkers(); });
+            return;
+          }
+          if (item.value()) {
+            self->AdoptWorkers(*item.value());
+          }
+          self->LoadProgress("");
+        });
+  }
+
+  void AdoptWorkers(const StoreItem& item) {
+    this->remembered_revision = item.revision;
+    const Result<std::vector<WorkerListing>> workers =
+        ParseRememberedWorkers(item.value);
+    if (!workers.ok()) {
+      CLOG(ERROR, kTasksLog) << "event=workers_unreadable pool=" << this->pool
+                             << " error=\"" << workers.error().ToString()
+                             << "\"";
+      return;
+    }
+    for (const WorkerListing& worker : workers.value()) {
+      this->remembered.insert(worker.name);
+      this->known_workers.emplace(worker.name, worker);
+    }
+    this->scheduler.ExpectRunsOn(workers.value(), Now());
+    this->scheduler.SetRemembered(this->remembered);
+  }
+
+  // Stores the workers before they are used, for the scheduler of a later term.
+  void RememberWorkers() {
+    const std::vector<WorkerListing> workers =
+        this->scheduler.WorkersToRemember();
+    std::set<WorkerName> names;
+    for (const WorkerListing& worker : workers) {
+      names.insert(worker.name);
+    }
+    if (this->is_remembering || names == this->remembered) {
+      return;
+    }
+    const std::string key = WorkersKey(this->pool);
+    StoreTransaction transaction;
+    transaction.expected = {{kLeadPrefix + this->term.duty, this->term.fence},
+                            {key, this->remembered_revision}};
+    transaction.writes.push_back({key, WriteRememberedWorkers(workers), 0});
+    this->is_remembering = true;
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.store->Commit(
+        transaction, kSaveTimeout,
+        [self, key, names](const Result<TransactionResult>& result) {
+          self->is_remembering = false;
+          if (self->is_stopped || !result.ok()) {
+            return;
+          }
+          if (const TransactionCommitted* const committed =
+                  std::get_if<TransactionCommitted>(&result.value())) {
+            self->remembered_revision = committed->revision;
+            self->remembered = names;
+            self->scheduler.SetRemembered(names);
+            self->SchedulePump();
+            return;
+          }
+          for (const StoreItem& item :
+               std::get<TransactionConflict>(result.value()).items) {
+            if (item.key == key) {
+              self->remembered_revision = item.revision;
+            }
+          }
+        });
+  }
+
   void LoadProgress(const std::string& after) {
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.store->List(
@@ -227,6 +313,7 @@
     }
     this->context.limits->Report(this->pool, this->scheduler.usage(),
                                  this->scheduler.wanted(), now);
+    this->RememberWorkers();
     this->Save(now);
     this->Forget(now);
     for (const std::string& line : this->scheduler.TakeDecisions()) {
@@ -497,6 +584,18 @@
   this->state->SchedulePump();
 }
 
+void PoolLead::OnPredecessorGone() {
+  State& own = *this->state;
+  if (own.term.is_predecessor_gone) {
+    return;
+  }
+  own.term.is_predecessor_gone = true;
+  own.scheduler.SetUnknownRunsOver(
+      own.begun_at + UnknownRunsLast(own.context.settings, own.term));
+  CLOG(INFO, kTasksLog) << "event=predecessor_gone pool=" << own.pool;
+  own.SchedulePump();
+}
+
 bool PoolLead::is_ready() const {
   return this->state->IsReady();
 }
--- a/Source/Core/Site/pool_lead.h
+++ b/Source/Core/Site/pool_lead.h
@@ -55,6 +55,9 @@
   void SetVacating(const std::set<WorkerName>& workers,
                    const std::set<WorkerName>& due);
 
+  // The instance of the term before has ended.
+  void OnPredecessorGone();
+
   bool is_ready() const;
   // Nothing if the scheduler does not know the job (yet).
   std::optional<JobStatus> StatusOf(const JobId& job) const;
--- /dev/null
+++ b/Source/Core/Site/remembered_workers.h
@@ -0,0 +1,20 @@
+#ifndef SOURCE_CORE_SITE_REMEMBERED_WORKERS_H_
+#define SOURCE_CORE_SITE_REMEMBERED_WORKERS_H_
+
+#include <string>
+#include <vector>
+
+#include "Core/Common/result.h"
+#include "Core/Jobs/worker_listing.h"
+
+namespace daisyroad {
+
+// Record of the workers that may run tasks of a pool: enough to reach a worker
+// that is no longer listed.
+std::string WriteRememberedWorkers(const std::vector<WorkerListing>& workers);
+Result<std::vector<WorkerListing>> ParseRememberedWorkers(
+    const std::string& text);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_SITE_REMEMBERED_WORKERS_H_
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -77,7 +77,7 @@
                     platform.loop,
                     kSitePrefix,
                     [this](const std::vector<StoreChange>&) {
-                      this->leadership.OnMirrorChange();
+                      this->OnSiteChange();
                     }),
         limits(platform.store),
         leadership(platform.store,
@@ -172,6 +172,19 @@
     };
   }
 
+  void OnSiteChange() {
+    this->leadership.OnMirrorChange();
+    for (const std::pair<const std::string, Term>& term :
+         this->leadership.terms()) {
+      const std::map<std::string, std::unique_ptr<PoolLead>>::iterator lead =
+          this->leads.find(term.first);
+      if (lead != this->leads.end() &&
+          this->leadership.IsPredecessorGone(term.second)) {
+        lead->second->OnPredecessorGone();
+      }
+    }
+  }
+
   bool IsReady() const {
     return !this->is_stopping && this->jobs.HasConfig() &&
            this->jobs.IsFresh();
--- a/Source/Core/Site/store_keys.h
+++ b/Source/Core/Site/store_keys.h
@@ -17,6 +17,7 @@
 //   daisyroad/in/POOL/job/ID      an accepted job
 //   daisyroad/in/POOL/cancel/ID   a job that its caller cancelled
 //   daisyroad/out/POOL/ID         progress of a job
+//   daisyroad/workers/POOL        workers that may run tasks of the pool
 //   daisyroad/wave/N              machines that a wave has done
 inline const std::string kSitePrefix = "daisyroad/site/";
 inline const std::string kNodePrefix = kSitePrefix + "node/";
@@ -40,6 +41,9 @@
 inline std::string ProgressKey(const PoolName& pool, const JobId& job) {
   return ProgressPrefix(pool) + job.str();
 }
+inline std::string WorkersKey(const PoolName& pool) {
+  return "daisyroad/workers/" + pool.str();
+}
 inline std::string WaveKey(std::int64_t wave) {
   return "daisyroad/wave/" + std::to_string(wave);
 }
