--- a/Source/Core/Site/fleet_lead.cc
+++ b/Source/Core/Site/fleet_lead.cc
@@ -86,7 +86,10 @@
     }
     this->ReadWaves();
     this->AskLoads(now);
-    if (this->has_home_sizes && now >= this->first_order_at) {
+    // Nothing guards the order of calls for machines against an instance that
+    // was replaced, so none is made without a valid lease.
+    if (this->has_home_sizes && now >= this->first_order_at &&
+        this->context.leadership->IsLeaseValid()) {
       this->Plan(now);
     }
   }
--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -456,6 +456,11 @@
   return this->state->IsPredecessorGone(term);
 }
 
+bool Leadership::IsLeaseValid() const {
+  return this->state->lease != 0 &&
+         BootClock::now() < this->state->lease_valid_until;
+}
+
 const std::map<std::string, Term>& Leadership::terms() const {
   return this->state->terms;
 }
--- a/Source/Core/Site/leadership.h
+++ b/Source/Core/Site/leadership.h
@@ -74,6 +74,9 @@
   std::string LeaderAddress(const std::string& duty) const;
   std::vector<std::string> PeerAddresses() const;
   bool HasDuty(const std::string& duty) const;
+  // Whether no other instance can have the duties of this one. False during
+  // an outage of the store, while duties that workers guard go on.
+  bool IsLeaseValid() const;
   const std::map<std::string, Term>& terms() const;
   // Whether the process that had the duty before has ended by now.
   bool IsPredecessorGone(const Term& term) const;
