--- a/Source/Core/Jobs/job_codec.cc
+++ b/Source/Core/Jobs/job_codec.cc
@@ -8,6 +8,9 @@
 namespace daisyroad {
 namespace {
 
+// Occurrence, step and index at the begin of a row.
+constexpr Json::ArrayIndex kTaskNumbers = 3;
+
 std::int64_t UnixMilliseconds(WallTime time) {
   return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch())
       .count();
@@ -26,7 +29,7 @@
 }
 
 bool ReadTask(const JobId& job, const Json::Value& json, TaskRef* task) {
-  if (!json.isArray() || json.size() < 3 || !json[0].isInt() ||
+  if (!json.isArray() || json.size() < kTaskNumbers || !json[0].isInt() ||
       !json[1].isInt() || !json[2].isInt()) {
     return false;
   }
@@ -96,9 +99,12 @@
   for (const TaskRef& task : progress.done) {
     json["done"].append(TaskToJson(task));
   }
-  for (const std::pair<const TaskRef, int>& entry : progress.failures) {
+  for (const std::pair<const TaskRef, std::set<std::int64_t>>& entry :
+       progress.failures) {
     Json::Value row = TaskToJson(entry.first);
-    row.append(entry.second);
+    for (const std::int64_t run : entry.second) {
+      row.append(Json::Int64(run));
+    }
     json["failures"].append(row);
   }
   return json;
@@ -132,10 +138,15 @@
   }
   for (const Json::Value& row : json["failures"]) {
     TaskRef task;
-    if (!ReadTask(job, row, &task) || row.size() != 4 || !row[3].isInt()) {
+    if (!ReadTask(job, row, &task)) {
       return BadRecord(job, "malformed list of failures");
     }
-    progress.failures[task] = row[3].asInt();
+    for (Json::ArrayIndex i = kTaskNumbers; i < row.size(); ++i) {
+      if (!row[i].isInt64()) {
+        return BadRecord(job, "malformed list of failures");
+      }
+      progress.failures[task].insert(row[i].asInt64());
+    }
   }
   return progress;
 }
--- a/Source/Core/Jobs/job_progress.h
+++ b/Source/Core/Jobs/job_progress.h
@@ -3,6 +3,7 @@
 
 #include <json/value.h>
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -23,7 +24,9 @@
 struct JobProgress {
   JobStatus status = JobStatus::kQueued;
   std::set<TaskRef> done;
-  std::map<TaskRef, int> failures;
+  // Numbers of the runs that failed: the worker reports an end again to a
+  // scheduler that did not acknowledge it.
+  std::map<TaskRef, std::set<std::int64_t>> failures;
 };
 
 Json::Value ToJson(const JobProgress& progress);
--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,7 +46,7 @@
 
 struct TaskState {
   bool is_done = false;
-  int failures = 0;
+  std::set<std::int64_t> failed_runs;
   std::int64_t last_run = 0;
   std::string checkpoint;
   WorkerName failed_on;  // where the last run failed
--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -102,8 +102,8 @@
         if (tasks[i].is_done) {
           progress.done.insert(ref);
         }
-        if (tasks[i].failures > 0) {
-          progress.failures[ref] = tasks[i].failures;
+        if (!tasks[i].failed_runs.empty()) {
+          progress.failures[ref] = tasks[i].failed_runs;
         }
       }
     }
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -69,9 +69,10 @@
       entry.second = NewOccurrence(state.job.spec);
     }
   }
-  for (const std::pair<const TaskRef, int>& entry : progress.failures) {
+  for (const std::pair<const TaskRef, std::set<std::int64_t>>& entry :
+       progress.failures) {
     if (TaskState* const task = this->FindTask(entry.first)) {
-      task->failures = entry.second;
+      task->failed_runs = entry.second;
     }
   }
   for (const TaskRef& task : progress.done) {
@@ -365,23 +366,24 @@
 
 void PoolScheduler::FailTask(JobState* job,
                              const TaskRef& task,
+                             std::int64_t run,
                              MonotonicTime now) {
   TaskState* const state = this->FindTask(task);
   const StepSpec& step = this->SpecOf(*job, task);
-  if (step.is_service) {
+  if (step.is_service || !state->failed_runs.insert(run).second) {
     return;
   }
-  ++state->failures;
-  int failures = state->failures;
+  std::set<std::int64_t> failures = state->failed_runs;
   if (step.is_gang) {
-    failures = 0;
+    // The members of a gang share their run numbers.
     for (const TaskState& member :
          job->occurrences.at(task.occurrence).steps[task.step].tasks) {
-      failures += member.failures;
+      failures.insert(member.failed_runs.begin(), member.failed_runs.end());
     }
   }
   this->Touch(job);
-  if (failures >= this->PolicyOf(*job).max_attempts) {
+  if (static_cast<int>(failures.size()) >=
+      this->PolicyOf(*job).max_attempts) {
     this->Close(job, JobStatus::kFailed, now);
   }
 }
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -78,7 +78,7 @@
                 MonotonicTime asked_at,
                 MonotonicTime now);
   void OnReportFailed(const WorkerName& worker, MonotonicTime now);
-  // The life of the worker that this scheduler knew is over.
+  // No life of the worker that this scheduler gave orders to is left.
   void OnWorkerGone(const WorkerName& worker, MonotonicTime now);
   void OnStart(const StartRun& order,
                StartOutcome outcome,
@@ -110,6 +110,8 @@
   std::vector<std::string> TakeDecisions();
 
  private:
+  enum class Placement { kPlaced, kNoRoom, kOverLimit };
+
   // One placeable part of a job: a task, or a gang as a whole.
   struct Candidate {
     JobState* job = nullptr;
@@ -117,7 +119,7 @@
     int tier = 0;
     int priority = 0;
     double order = 0.0;
-    bool is_placed = false;
+    Placement placement = Placement::kNoRoom;
   };
 
   // pool_scheduler.cc
@@ -136,7 +138,10 @@
   void Touch(JobState* job);
   void OpenDueOccurrences(JobState* job, WallTime wall);
   void FinishTask(JobState* job, const TaskRef& task, MonotonicTime now);
-  void FailTask(JobState* job, const TaskRef& task, MonotonicTime now);
+  void FailTask(JobState* job,
+                const TaskRef& task,
+                std::int64_t run,
+                MonotonicTime now);
   void Close(JobState* job, JobStatus status, MonotonicTime now);
   void Note(std::string_view decision,
             const TaskRef& task,
@@ -147,6 +152,8 @@
   // pool_scheduler_reports.cc
   void LearnClock(WorkerState* worker, Milliseconds clock, MonotonicTime now);
   Milliseconds LeaseFor(WorkerState* worker, MonotonicTime now);
+  // A new life of the worker counts its ends and its clock anew.
+  void BeginLife(WorkerState* worker, MonotonicTime now);
   void ApplyEnd(WorkerState* worker, const RunEnd& end, MonotonicTime now);
   void ApplyActive(WorkerState* worker,
                    const ActiveRun& active,
@@ -193,8 +200,8 @@
                             const RackName& rack,
                             MonotonicTime now);
   bool HasAllotment(const TeamName& team, const Resources& request);
-  bool PlaceOne(const Candidate& candidate, MonotonicTime now);
-  bool PlaceGang(const Candidate& candidate, MonotonicTime now);
+  Placement PlaceOne(const Candidate& candidate, MonotonicTime now);
+  Placement PlaceGang(const Candidate& candidate, MonotonicTime now);
   void Start(JobState* job,
              const TaskRef& task,
              WorkerState* worker,
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -46,13 +46,17 @@
   int misfits = 0;
   for (Candidate& candidate : candidates) {
     const StepSpec& step = this->SpecOf(*candidate.job, candidate.task);
-    candidate.is_placed = step.is_gang ? this->PlaceGang(candidate, now)
+    candidate.placement = step.is_gang ? this->PlaceGang(candidate, now)
                                        : this->PlaceOne(candidate, now);
-    misfits = candidate.is_placed ? 0 : misfits + 1;
-    if (misfits >= kMisfitsPerPass) {
+    if (candidate.placement == Placement::kPlaced) {
+      misfits = 0;
+      continue;
+    }
+    if (++misfits >= kMisfitsPerPass) {
       break;
     }
-    if (!candidate.is_placed && this->reserved_worker.empty()) {
+    if (candidate.placement == Placement::kNoRoom &&
+        this->reserved_worker.empty()) {
       this->ReserveWorker(candidate, now);
     }
   }
@@ -253,21 +257,26 @@
   return false;
 }
 
-bool PoolScheduler::PlaceOne(const Candidate& candidate, MonotonicTime now) {
+PoolScheduler::Placement PoolScheduler::PlaceOne(const Candidate& candidate,
+                                                 MonotonicTime now) {
   JobState& job = *candidate.job;
   const StepSpec& step = this->SpecOf(job, candidate.task);
+  if (!this->HasAllotment(job.job.team, step.request)) {
+    return Placement::kOverLimit;
+  }
   WorkerState* const worker =
       this->ChooseWorker(job, candidate.task, RackName(), now);
-  if (worker == nullptr || !this->HasAllotment(job.job.team, step.request)) {
-    return false;
+  if (worker == nullptr) {
+    return Placement::kNoRoom;
   }
   const TaskState& task = *this->FindTask(candidate.task);
   this->Start(&job, candidate.task, worker,
               std::max(task.last_run + 1, this->first_run), now);
-  return true;
+  return Placement::kPlaced;
 }
 
-bool PoolScheduler::PlaceGang(const Candidate& candidate, MonotonicTime now) {
+PoolScheduler::Placement PoolScheduler::PlaceGang(const Candidate& candidate,
+                                                  MonotonicTime now) {
   JobState& job = *candidate.job;
   const StepSpec& step = this->SpecOf(job, candidate.task);
   Resources request;
@@ -279,7 +288,7 @@
     number = std::max(number, task.last_run + 1);
   }
   if (!this->HasAllotment(job.job.team, request)) {
-    return false;
+    return Placement::kOverLimit;
   }
   std::set<RackName> racks{RackName()};
   if (step.same_rack) {
@@ -314,9 +323,9 @@
       this->Start(&job, member.first, &this->workers.at(member.second), number,
                   now);
     }
-    return true;
+    return Placement::kPlaced;
   }
-  return false;
+  return Placement::kNoRoom;
 }
 
 void PoolScheduler::Start(JobState* job,
@@ -380,7 +389,7 @@
   }
   for (const Candidate& candidate : candidates) {
     const StepSpec& step = this->SpecOf(*candidate.job, candidate.task);
-    if (!candidate.is_placed) {
+    if (candidate.placement != Placement::kPlaced) {
       load.waiting += step.request.cpu_millicores *
                       (step.is_gang ? step.task_count : 1);
     }
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -11,6 +11,8 @@
 // Pages of ends that a worker's answer holds at most; a full page may leave
 // out later ends.
 constexpr std::size_t kEndsPerReport = 500;
+// Answers that overtake each other show clocks that differ by less.
+constexpr Milliseconds kClockRegress{1000};
 
 }  // namespace
 
@@ -25,7 +27,7 @@
     WorkerState& worker = this->workers[entry.first];
     if (!is_new && entry.second.incarnation > worker.listing.incarnation &&
         worker.listing.incarnation != 0) {
-      this->OnWorkerGone(entry.first, now);
+      this->BeginLife(&worker, now);
     }
     const std::int64_t incarnation =
         std::max(worker.listing.incarnation, entry.second.incarnation);
@@ -85,7 +87,7 @@
   if (report.incarnation != worker.listing.incarnation &&
       report.incarnation != 0) {
     if (worker.listing.incarnation != 0) {
-      this->OnWorkerGone(name, now);
+      this->BeginLife(&worker, now);
     }
     worker.listing.incarnation = report.incarnation;
   }
@@ -139,16 +141,24 @@
   for (const std::pair<TaskRef, std::int64_t>& run : runs) {
     this->RemoveRun(run.first, run.second);
   }
-  worker.seen_end = 0;
-  worker.acknowledged_end = 0;
-  worker.delivered_end = 0;
-  worker.asked_end = 0;
-  worker.unsaved_ends.clear();
-  worker.clock = Milliseconds(0);
-  worker.lease_until = Milliseconds(0);
-  worker.is_known = false;
-  worker.missed_reports = 0;
-  worker.next_report = now;
+  this->BeginLife(&worker, now);
+}
+
+void PoolScheduler::BeginLife(WorkerState* worker, MonotonicTime now) {
+  // Runs stay: some may have been started in the new life already. Its next
+  // report shows which of those that it confirmed are there.
+  this->Note("worker_restarted", TaskRef(), 0, worker->listing.name,
+             std::to_string(worker->runs.size()) + " runs in doubt");
+  worker->seen_end = 0;
+  worker->acknowledged_end = 0;
+  worker->delivered_end = 0;
+  worker->asked_end = 0;
+  worker->unsaved_ends.clear();
+  worker->clock = Milliseconds(0);
+  worker->lease_until = Milliseconds(0);
+  worker->is_known = false;
+  worker->missed_reports = 0;
+  worker->next_report = now;
 }
 
 void PoolScheduler::OnStart(const StartRun& order,
@@ -162,6 +172,11 @@
   }
   WorkerState& worker = found->second;
   if (worker_clock) {
+    // The clock of a worker begins anew with each life. Its ends do too, and
+    // those of the new life must not be acknowledged with the old numbers.
+    if (*worker_clock + kClockRegress < worker.clock) {
+      this->BeginLife(&worker, now);
+    }
     this->LearnClock(&worker, *worker_clock, now);
   }
   RunRecord* const run = this->FindRun(order.task, order.run);
@@ -279,7 +294,7 @@
   } else if (is_open && end.kind == EndKind::kFailed) {
     this->CountOutcome(worker, true, now);
     task->failed_on = worker->listing.name;
-    this->FailTask(&job, end.task, now);
+    this->FailTask(&job, end.task, end.run, now);
   }
   // Also ends of jobs that are complete: until that is stored, a later
   // scheduler would run their tasks again.
@@ -421,13 +436,18 @@
     }
     AskReport ask;
     ask.worker = entry.first;
-    ask.acknowledged = worker.acknowledged_end;
-    worker.asked_end = worker.acknowledged_end;
+    // After a missed answer the worker may be in a new life, with ends of its
+    // own under the same numbers.
+    ask.acknowledged =
+        worker.missed_reports == 0 ? worker.acknowledged_end : 0;
+    worker.asked_end = ask.acknowledged;
     if (worker.is_known && worker.missed_reports == 0 &&
         !worker.runs.empty() && !this->HasRunThatMayNeverCome(worker)) {
       ask.wait = this->settings.report_wait;
     }
-    if (worker.is_known && !worker.runs.empty()) {
+    // A worker that does not answer may still hear: its leases must end.
+    if (worker.is_known && !worker.runs.empty() &&
+        worker.missed_reports == 0) {
       ask.lease_until = this->LeaseFor(&worker, now);
     }
     worker.is_report_pending = true;
--- /dev/null
+++ b/Source/UnitTests/Jobs/fake_worker.cc
@@ -0,0 +1,128 @@
+#include "UnitTests/Jobs/fake_worker.h"
+
+#include <algorithm>
+
+namespace daisyroad {
+namespace {
+
+constexpr Milliseconds kLongestLease{6000};
+
+}  // namespace
+
+Milliseconds FakeWorker::Clock(MonotonicTime now) const {
+  return Milliseconds(1) +
+         std::chrono::duration_cast<Milliseconds>(now - this->born);
+}
+
+bool FakeWorker::Accept(std::int64_t fence) {
+  if (fence < this->highest_fence) {
+    return false;
+  }
+  this->highest_fence = fence;
+  return true;
+}
+
+void FakeWorker::End(const TaskRef& task, const Run& run, EndKind kind) {
+  this->ended.push_back(RunEnd{++this->sequence, task, run.number, kind, ""});
+  this->last_run[task] = std::max(this->last_run[task], run.number);
+}
+
+void FakeWorker::Advance(MonotonicTime now) {
+  const bool is_lapsed = this->Clock(now) > this->lease_until;
+  for (std::map<TaskRef, Run>::iterator run = this->active.begin();
+       run != this->active.end();) {
+    if (run->second.ends_at <= now) {
+      this->End(run->first, run->second, run->second.end);
+    } else if (is_lapsed) {
+      this->End(run->first, run->second, EndKind::kLapsed);
+    } else {
+      ++run;
+      continue;
+    }
+    run = this->active.erase(run);
+  }
+}
+
+StartOutcome FakeWorker::Start(const StartRun& order,
+                               std::int64_t fence,
+                               const Fate& fate,
+                               MonotonicTime now) {
+  this->Advance(now);
+  if (!this->Accept(fence)) {
+    return StartOutcome::kFenced;
+  }
+  const std::map<TaskRef, Run>::const_iterator found =
+      this->active.find(order.task);
+  if (found != this->active.end() && found->second.number == order.run) {
+    return StartOutcome::kStarted;
+  }
+  const std::map<TaskRef, std::int64_t>::const_iterator last =
+      this->last_run.find(order.task);
+  if (found != this->active.end() ||
+      (last != this->last_run.end() && order.run <= last->second)) {
+    return StartOutcome::kStaleRun;
+  }
+  if (order.lease_until <= this->Clock(now)) {
+    return StartOutcome::kLeaseEnded;
+  }
+  this->lease_until =
+      std::max(this->lease_until,
+               std::min(order.lease_until, this->Clock(now) + kLongestLease));
+  Run run;
+  run.number = order.run;
+  run.end = fate.end;
+  if (fate.duration) {
+    run.ends_at = now + *fate.duration;
+  }
+  this->active[order.task] = run;
+  return StartOutcome::kStarted;
+}
+
+bool FakeWorker::Stop(const StopRun& order,
+                      std::int64_t fence,
+                      MonotonicTime now) {
+  this->Advance(now);
+  if (!this->Accept(fence)) {
+    return false;
+  }
+  this->last_run[order.task] =
+      std::max(this->last_run[order.task], order.run);
+  const std::map<TaskRef, Run>::iterator found = this->active.find(order.task);
+  if (found != this->active.end() && found->second.number <= order.run) {
+    this->End(found->first, found->second, EndKind::kStopped);
+    this->active.erase(found);
+  }
+  return true;
+}
+
+std::optional<RunReport> FakeWorker::Report(const AskReport& order,
+                                            std::int64_t fence,
+                                            MonotonicTime now) {
+  this->Advance(now);
+  if (!this->Accept(fence)) {
+    return std::nullopt;
+  }
+  std::erase_if(this->ended, [&order](const RunEnd& end) {
+    return end.sequence <= order.acknowledged;
+  });
+  if (order.lease_until.count() > 0) {
+    this->lease_until = std::max(
+        this->lease_until,
+        std::min(order.lease_until, this->Clock(now) + kLongestLease));
+  }
+  RunReport report;
+  report.worker_clock = this->Clock(now);
+  report.incarnation = 1 + this->born.time_since_epoch().count();
+  for (const std::pair<const TaskRef, Run>& run : this->active) {
+    ActiveRun active;
+    active.task = run.first;
+    active.run = run.second.number;
+    active.percent = 100;
+    active.load = 100;
+    report.active.push_back(active);
+  }
+  report.ended = this->ended;
+  return report;
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/UnitTests/Jobs/pool_simulation.cc
@@ -0,0 +1,346 @@
+#include "UnitTests/Jobs/pool_simulation.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "Core/Common/overloaded.h"
+#include "UnitTests/Jobs/job_builder.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr MonotonicTime kStart(std::chrono::hours(1));
+constexpr WallTime kWallStart(std::chrono::hours(1000));
+constexpr Milliseconds kTick{20};
+constexpr Milliseconds kTrouble{40000};
+constexpr Milliseconds kLength{70000};
+constexpr int kWorkers = 4;
+constexpr int kJobs = 25;
+constexpr Milliseconds kOutageGrace{3000};
+
+}  // namespace
+
+PoolSimulation::PoolSimulation(std::uint64_t seed) : random(seed) {}
+
+Milliseconds PoolSimulation::Delay() {
+  return Milliseconds(1 + this->random.Below(4));
+}
+
+bool PoolSimulation::IsReachable(const Host& host) const {
+  return host.worker != nullptr &&
+         host.silent_until <= kStart + this->queue.now();
+}
+
+std::map<WorkerName, WorkerListing> PoolSimulation::Listing() const {
+  std::map<WorkerName, WorkerListing> listing;
+  for (const std::pair<const WorkerName, Host>& host : this->hosts) {
+    // A worker that is cut off from the schedulers is cut off from the list.
+    if (this->IsReachable(host.second)) {
+      listing[host.first] = host.second.listing;
+    }
+  }
+  return listing;
+}
+
+std::string PoolSimulation::Run(Totals* sums) {
+  this->totals = sums;
+  for (int i = 0; i < kWorkers; ++i) {
+    Host host;
+    host.listing.name = WorkerName("w" + std::to_string(i));
+    host.listing.pool = PoolName("pool");
+    host.listing.capacity = Resources{4000, 100000, 0};
+    host.worker = std::make_unique<FakeWorker>(kStart);
+    this->hosts[host.listing.name] = std::move(host);
+  }
+  for (int i = 0; i < kJobs; ++i) {
+    JobBuilder builder("job" + std::to_string(i));
+    builder.Step(1 + static_cast<int>(this->random.Below(4)));
+    if (this->random.Chance(0.5)) {
+      builder.Step(1 + static_cast<int>(this->random.Below(3))).After(0);
+    }
+    const AcceptedJob job = builder.Build();
+    this->queue.After(Milliseconds(this->random.Below(20000)), [this, job]() {
+      this->jobs.push_back(job);
+      this->scheduler->AddJob(job, JobProgress(), false,
+                              kStart + this->queue.now());
+    });
+  }
+  this->BeginTerm(true);
+  this->Step();
+  for (Milliseconds at{0}; at < kTrouble; at += Milliseconds(1500)) {
+    this->queue.After(at, [this]() { this->Disturb(); });
+  }
+  this->queue.RunUntil(kLength);
+  for (const AcceptedJob& job : this->jobs) {
+    const std::optional<JobStatus> status = this->scheduler->StatusOf(job.id);
+    if (status == JobStatus::kCompleted || status == JobStatus::kFailed) {
+      ++sums->jobs_complete;
+    } else if (this->failure.empty()) {
+      this->failure = job.id.str() + " was not complete at the end";
+    }
+  }
+  return this->failure;
+}
+
+void PoolSimulation::BeginTerm(bool is_predecessor_gone) {
+  const MonotonicTime now = kStart + this->queue.now();
+  ++this->term;
+  ++this->totals->terms;
+  const SchedulerSettings settings;
+  const Milliseconds unknown =
+      this->term == 1
+          ? Milliseconds(0)
+          : Milliseconds(6300) +
+                (is_predecessor_gone ? Milliseconds(0) : kOutageGrace);
+  const std::shared_ptr<PoolScheduler> old = this->scheduler;
+  const std::int64_t old_term = this->term - 1;
+  this->scheduler = std::make_shared<PoolScheduler>(
+      PoolName("pool"), settings, (this->term - 1) * 100 + 1, now + unknown);
+  this->scheduler->ExpectRunsOn(this->remembered, now);
+  std::set<WorkerName> names;
+  for (const WorkerListing& listing : this->remembered) {
+    names.insert(listing.name);
+  }
+  this->scheduler->SetListing(this->Listing(), now);
+  this->scheduler->SetRemembered(names);
+  for (const AcceptedJob& job : this->jobs) {
+    this->scheduler->AddJob(job, this->stored[job.id], true, now);
+  }
+  // A predecessor that was not heard of goes on for its grace, unless fenced.
+  if (old != nullptr && !is_predecessor_gone) {
+    for (Milliseconds at{10}; at < kOutageGrace; at += kTick) {
+      this->queue.After(at, [this, old, old_term]() {
+        if (old->IsFenced()) {
+          return;
+        }
+        for (const Order& order : old->TakeOrders(
+                 kStart + this->queue.now(), kWallStart + std::chrono::duration_cast<Milliseconds>(this->queue.now()))) {
+          const StartRun* const start = std::get_if<StartRun>(&order);
+          if (start == nullptr || !this->hosts.contains(start->worker)) {
+            continue;
+          }
+          Host& host = this->hosts.at(start->worker);
+          if (this->IsReachable(host)) {
+            const StartOutcome outcome = host.worker->Start(
+                *start, old_term, {Milliseconds(500), EndKind::kDone},
+                kStart + this->queue.now());
+            old->OnStart(*start, outcome, std::nullopt,
+                         kStart + this->queue.now());
+          }
+        }
+      });
+    }
+  }
+}
+
+void PoolSimulation::Step() {
+  const MonotonicTime now = kStart + this->queue.now();
+  this->scheduler->SetListing(this->Listing(), now);
+  // Workers are stored for later terms before they are used.
+  this->remembered = this->scheduler->WorkersToRemember();
+  std::set<WorkerName> names;
+  for (const WorkerListing& listing : this->remembered) {
+    names.insert(listing.name);
+  }
+  this->scheduler->SetRemembered(names);
+  this->Deliver(this->scheduler->TakeOrders(
+      now, kWallStart + std::chrono::duration_cast<Milliseconds>(
+                            this->queue.now())));
+  this->Save();
+  this->Check();
+  this->queue.After(kTick, [this]() { this->Step(); });
+}
+
+void PoolSimulation::Save() {
+  const MonotonicTime now = kStart + this->queue.now();
+  std::vector<JobId> saved;
+  for (const std::pair<JobId, JobProgress>& entry :
+       this->scheduler->TakeUnsaved(15, now)) {
+    if (this->random.Chance(0.1)) {
+      this->scheduler->OnSaveFailed({entry.first});
+      continue;
+    }
+    this->stored[entry.first] = entry.second;
+    saved.push_back(entry.first);
+  }
+  this->scheduler->OnSaved(saved);
+}
+
+void PoolSimulation::Deliver(const std::vector<Order>& orders) {
+  for (const Order& order : orders) {
+    std::visit(Overloaded{[this](const StartRun& start) {
+                            this->DeliverStart(start);
+                          },
+                          [this](const StopRun& stop) {
+                            this->DeliverStop(stop);
+                          },
+                          [this](const AskReport& ask) {
+                            this->DeliverReport(ask);
+                          },
+                          [](const PaceRun&) {}, [](const AskAdvice&) {}},
+               order);
+  }
+}
+
+void PoolSimulation::CarryOutStart(const StartRun& order, std::int64_t fence) {
+  Host& host = this->hosts.at(order.worker);
+  if (host.worker == nullptr) {
+    return;
+  }
+  FakeWorker::Fate fate{Milliseconds(100 + this->random.Below(1500)),
+                        this->random.Chance(0.03) ? EndKind::kFailed
+                                                  : EndKind::kDone};
+  const MonotonicTime now = kStart + this->queue.now();
+  if (host.worker->Start(order, fence, fate, now) == StartOutcome::kStarted) {
+    ++this->totals->starts;
+    if (this->noted_done.contains(order.task)) {
+      this->failure = "start of " + order.task.ToString() +
+                      " after its end was acknowledged";
+    }
+  }
+  this->Check();
+}
+
+void PoolSimulation::DeliverStart(const StartRun& order) {
+  const std::int64_t fence = this->term;
+  const std::shared_ptr<PoolScheduler> sender = this->scheduler;
+  const Duration fault = Milliseconds(2000 + this->random.Below(9000));
+  if (this->queue.now() < kTrouble && this->random.Chance(0.08)) {
+    // Not answered, and carried out later or never.
+    ++this->totals->late_orders;
+    if (this->random.Chance(0.7)) {
+      // An order that a worker has put off ends with its life.
+      const int life = this->hosts.at(order.worker).lives;
+      this->queue.After(fault, [this, order, fence, life]() {
+        if (this->hosts.at(order.worker).lives == life) {
+          this->CarryOutStart(order, fence);
+        }
+      });
+    }
+    this->queue.After(Milliseconds(500), [this, order, sender]() {
+      sender->OnStart(order, StartOutcome::kUnknown, std::nullopt,
+                      kStart + this->queue.now());
+    });
+    return;
+  }
+  this->queue.After(this->Delay(), [this, order, fence, sender]() {
+    Host& host = this->hosts.at(order.worker);
+    StartOutcome outcome = StartOutcome::kUnknown;
+    std::optional<Milliseconds> clock;
+    if (this->IsReachable(host)) {
+      const MonotonicTime now = kStart + this->queue.now();
+      const int before = this->totals->starts;
+      this->CarryOutStart(order, fence);
+      clock = host.worker->Clock(now);
+      outcome = this->totals->starts > before
+                    ? StartOutcome::kStarted
+                    : host.worker->Start(order, fence, {}, now);
+    }
+    const Milliseconds back = outcome == StartOutcome::kUnknown
+                                  ? Milliseconds(500)
+                                  : this->Delay();
+    this->queue.After(back, [this, order, outcome, clock, sender]() {
+      sender->OnStart(order, outcome, clock, kStart + this->queue.now());
+    });
+  });
+}
+
+void PoolSimulation::DeliverStop(const StopRun& order) {
+  const std::int64_t fence = this->term;
+  const std::shared_ptr<PoolScheduler> sender = this->scheduler;
+  this->queue.After(this->Delay(), [this, order, fence, sender]() {
+    Host& host = this->hosts.at(order.worker);
+    const bool is_answered =
+        this->IsReachable(host) && !this->random.Chance(0.05) &&
+        host.worker->Stop(order, fence, kStart + this->queue.now());
+    this->queue.After(is_answered ? this->Delay() : Milliseconds(500),
+                      [this, order, is_answered, sender]() {
+                        sender->OnStop(order, is_answered,
+                                       kStart + this->queue.now());
+                      });
+  });
+}
+
+void PoolSimulation::DeliverReport(const AskReport& order) {
+  const std::int64_t fence = this->term;
+  const std::shared_ptr<PoolScheduler> sender = this->scheduler;
+  const MonotonicTime asked_at = kStart + this->queue.now();
+  this->queue.After(this->Delay(), [this, order, fence, sender, asked_at]() {
+    Host& host = this->hosts.at(order.worker);
+    std::optional<RunReport> report;
+    if (this->IsReachable(host) && !this->random.Chance(0.03)) {
+      const MonotonicTime now = kStart + this->queue.now();
+      for (const RunEnd& end : host.worker->ends()) {
+        if (end.sequence <= order.acknowledged && end.kind == EndKind::kDone) {
+          this->noted_done.insert(end.task);
+        }
+      }
+      report = host.worker->Report(order, fence, now);
+    }
+    this->queue.After(report ? this->Delay() : Milliseconds(500),
+                      [this, order, report, asked_at, sender]() {
+                        const MonotonicTime now = kStart + this->queue.now();
+                        if (report) {
+                          sender->OnReport(order.worker, *report, asked_at,
+                                           now);
+                        } else {
+                          sender->OnReportFailed(order.worker, now);
+                        }
+                      });
+  });
+}
+
+void PoolSimulation::Disturb() {
+  const MonotonicTime now = kStart + this->queue.now();
+  Host& host =
+      this->hosts.at(WorkerName("w" + std::to_string(this->random.Below(4))));
+  switch (this->random.Below(4)) {
+    case 0:
+      ++this->totals->crashes;
+      host.worker.reset();
+      ++host.lives;
+      this->queue.After(Milliseconds(this->random.Below(3000)),
+                        [this, &host]() {
+                          if (host.worker == nullptr) {
+                            host.worker = std::make_unique<FakeWorker>(
+                                kStart + this->queue.now());
+                          }
+                        });
+      return;
+    case 1:
+      ++this->totals->cuts;
+      host.silent_until = now + Milliseconds(this->random.Below(9000));
+      return;
+    case 2:
+      this->BeginTerm(true);
+      return;
+    default:
+      this->BeginTerm(false);
+  }
+}
+
+void PoolSimulation::Check() {
+  std::map<TaskRef, WorkerName> running;
+  for (std::pair<const WorkerName, Host>& host : this->hosts) {
+    if (host.second.worker == nullptr) {
+      continue;
+    }
+    host.second.worker->Advance(kStart + this->queue.now());
+    for (const std::pair<const TaskRef, FakeWorker::Run>& run :
+         host.second.worker->runs()) {
+      const bool is_first =
+          running.emplace(run.first, host.first).second;
+      if (!is_first && this->failure.empty()) {
+        this->failure = "two runs of " + run.first.ToString() + " on " +
+                        running.at(run.first).str() + " and " +
+                        host.first.str() + " at " +
+                        std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                           this->queue.now())
+                                           .count()) +
+                        " ms";
+      }
+    }
+  }
+}
+
+}  // namespace daisyroad
