--- a/Source/UnitTests/Jobs/fake_worker.cc
+++ b/Source/UnitTests/Jobs/fake_worker.cc
@@ -41,6 +41,9 @@
     }
     run = this->active.erase(run);
   }
+  if (is_lapsed) {
+    this->lapsed_through = this->sequence;
+  }
 }
 
 StartOutcome FakeWorker::Start(const StartRun& order,
--- a/Source/UnitTests/Jobs/fake_worker.h
+++ b/Source/UnitTests/Jobs/fake_worker.h
@@ -46,6 +46,9 @@
   Milliseconds Clock(MonotonicTime now) const;
   const std::map<TaskRef, Run>& runs() const { return this->active; }
   const std::vector<RunEnd>& ends() const { return this->ended; }
+  // Ends up to this sequence were listed when the leases lapsed: another run
+  // may have been started since, so acknowledging them binds nobody.
+  std::int64_t lapsed_ends() const { return this->lapsed_through; }
 
  private:
   void End(const TaskRef& task, const Run& run, EndKind kind);
@@ -58,6 +61,7 @@
   std::map<TaskRef, std::int64_t> last_run;
   std::vector<RunEnd> ended;
   std::int64_t sequence = 0;
+  std::int64_t lapsed_through = 0;
 };
 
 }  // namespace daisyroad
--- a/Source/UnitTests/Jobs/pool_simulation.cc
+++ b/Source/UnitTests/Jobs/pool_simulation.cc
@@ -271,7 +271,9 @@
     if (this->IsReachable(host) && !this->random.Chance(0.03)) {
       const MonotonicTime now = kStart + this->queue.now();
       for (const RunEnd& end : host.worker->ends()) {
-        if (end.sequence <= order.acknowledged && end.kind == EndKind::kDone) {
+        if (end.sequence <= order.acknowledged &&
+            end.sequence > host.worker->lapsed_ends() &&
+            end.kind == EndKind::kDone) {
           this->noted_done.insert(end.task);
         }
       }
