Site: take the end of a worker's life from the list of machines

The list of machines shows a crash at once. Now the machine must be down or have another worker; which machine a worker lives on is remembered for the next term.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -181,7 +181,7 @@
   return std::any_of(
       this->workers.begin(), this->workers.end(),
       [](const std::pair<const WorkerName, WorkerState>& entry) {
-        return !entry.second.is_known;
+        return !entry.second.is_known && !entry.second.is_gone;
       });
 }
 
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -80,6 +80,8 @@
   void OnReportFailed(const WorkerName& worker, MonotonicTime now);
   // No life of the worker that this scheduler gave orders to is left.
   void OnWorkerGone(const WorkerName& worker, MonotonicTime now);
+  // Workers whose silence holds up tasks: they may run what is to be placed.
+  std::vector<WorkerName> SilentWorkers(MonotonicTime now) const;
   void OnStart(const StartRun& order,
                StartOutcome outcome,
                std::optional<Milliseconds> worker_clock,
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -92,6 +92,7 @@
     worker.listing.incarnation = report.incarnation;
   }
   worker.is_known = true;
+  worker.is_gone = false;
   worker.delivered_end = worker.asked_end;
   this->LearnClock(&worker, report.worker_clock, now);
   for (const RunEnd& end : report.ended) {
@@ -120,9 +121,10 @@
   WorkerState& worker = found->second;
   worker.is_report_pending = false;
   ++worker.missed_reports;
-  worker.next_report =
-      now + (worker.missed_reports < 2 ? Milliseconds(0)
-                                       : this->settings.retry_pause);
+  const Milliseconds pause = worker.missed_reports < 2 ? Milliseconds(0)
+                             : worker.is_gone ? this->settings.gone_pause
+                                              : this->settings.retry_pause;
+  worker.next_report = now + pause;
   if (worker.missed_reports == 2) {
     this->Note("worker_unreachable", TaskRef(), 0, name, "two reports missed");
   }
@@ -142,6 +144,7 @@
     this->RemoveRun(run.first, run.second);
   }
   this->BeginLife(&worker, now);
+  worker.is_gone = true;
 }
 
 void PoolScheduler::BeginLife(WorkerState* worker, MonotonicTime now) {
@@ -161,6 +164,21 @@
   worker->next_report = now;
 }
 
+std::vector<WorkerName> PoolScheduler::SilentWorkers(MonotonicTime now) const {
+  std::vector<WorkerName> silent;
+  for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    const WorkerState& worker = entry.second;
+    const bool may_run_unknown =
+        !worker.is_known && !worker.is_gone &&
+        now < this->unknown_runs_over_at;
+    if (worker.missed_reports > 0 &&
+        (may_run_unknown || !worker.runs.empty())) {
+      silent.push_back(entry.first);
+    }
+  }
+  return silent;
+}
+
 void PoolScheduler::OnStart(const StartRun& order,
                             StartOutcome outcome,
                             std::optional<Milliseconds> worker_clock,
@@ -485,7 +503,8 @@
                     const std::pair<const WorkerName, WorkerState>& entry) {
                   const WorkerState& worker = entry.second;
                   return !worker.is_listed && worker.runs.empty() &&
-                         (worker.is_known || !may_run_unknown);
+                         (worker.is_known || worker.is_gone ||
+                          !may_run_unknown);
                 });
 }
 
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -20,6 +20,8 @@
   Milliseconds report_wait{1000};
   // Pause before a worker that did not answer is asked again.
   Milliseconds retry_pause{250};
+  // The same for a worker whose life is over; it may come back under its name.
+  Milliseconds gone_pause{1000};
   // Pause before an unanswered order to stop is repeated.
   Milliseconds stop_retry{500};
   // Added to the end of a lease for the time a report is on its way.
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -32,6 +32,8 @@
   // The worker has answered this scheduler, so it refuses orders of earlier
   // ones, and all that it runs is known.
   bool is_known = false;
+  // Its life is over for certain and it has not answered since.
+  bool is_gone = false;
   // Planned work on the worker's machine waits for it to be empty.
   bool is_vacating = false;
   // It will, but not yet.
--- a/Source/Core/Machines/machine_planner.cc
+++ b/Source/Core/Machines/machine_planner.cc
@@ -90,7 +90,8 @@
   for (const Machine& machine : machines) {
     if (machine.state == MachineState::kUp) {
       fleet.up[machine.pool].push_back(&machine);
-    } else if (machine.state != MachineState::kDown) {
+    } else if (machine.state == MachineState::kMoving ||
+               machine.state == MachineState::kUpkeep) {
       ++fleet.coming[machine.pool];
     }
   }
--- a/Source/Core/Platform/machine_client.h
+++ b/Source/Core/Platform/machine_client.h
@@ -15,7 +15,7 @@
 
 using MachineName = StrongString<struct MachineNameTag>;
 
-enum class MachineState { kUp, kMoving, kUpkeep, kDown };
+enum class MachineState { kUp, kMoving, kUpkeep, kDown, kUnknown };
 
 // An instance of the fleet and the worker that lives on it.
 struct Machine {
--- a/Source/Core/Site/pool_lead.cc
+++ b/Source/Core/Site/pool_lead.cc
@@ -1,5 +1,6 @@
 #include "Core/Site/pool_lead.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Core/Common/json.h"
@@ -7,6 +8,7 @@
 #include "Core/Common/metrics_registry.h"
 #include "Core/Common/overloaded.h"
 #include "Core/Jobs/pool_scheduler.h"
+#include "Core/Platform/machine_client.h"
 #include "Core/Platform/revision_store.h"
 #include "Core/Platform/run_client.h"
 #include "Core/Site/limit_keeper.h"
@@ -33,6 +35,7 @@
 // Run numbers of a term begin here for each term before; a term rarely starts
 // a task this often.
 constexpr std::int64_t kRunsPerTerm = 100;
+constexpr Milliseconds kLookInterval{400};
 constexpr Milliseconds kForgetInterval{5000};
 constexpr std::size_t kForgottenAtOnce = 10;
 
@@ -79,9 +82,12 @@
   std::map<WorkerName, WorkerListing> listing;
   std::map<WorkerName, WorkerListing> known_workers;
   // As stored, and its revision.
-  std::set<WorkerName> remembered;
+  std::string remembered_value;
   std::int64_t remembered_revision = 0;
   bool is_remembering = false;
+  std::map<WorkerName, MachineName> machine_of;
+  bool is_looking = false;
+  MonotonicTime next_look;
   MonotonicTime begun_at = Now();
   std::map<JobId, JobProgress> progress;
   std::map<JobId, std::int64_t> progress_revisions;
@@ -122,7 +128,7 @@
 
   void AdoptWorkers(const StoreItem& item) {
     this->remembered_revision = item.revision;
-    const Result<std::vector<WorkerListing>> workers =
+    const Result<std::vector<RememberedWorker>> workers =
         ParseRememberedWorkers(item.value);
     if (!workers.ok()) {
       CLOG(ERROR, kTasksLog) << "event=workers_unreadable pool=" << this->pool
@@ -130,35 +136,48 @@
                              << "\"";
       return;
     }
-    for (const WorkerListing& worker : workers.value()) {
-      this->remembered.insert(worker.name);
-      this->known_workers.emplace(worker.name, worker);
+    this->remembered_value = item.value;
+    std::vector<WorkerListing> listings;
+    std::set<WorkerName> names;
+    for (const RememberedWorker& worker : workers.value()) {
+      const WorkerName& name = worker.listing.name;
+      names.insert(name);
+      this->known_workers.emplace(name, worker.listing);
+      if (!worker.machine.empty()) {
+        this->machine_of[name] = worker.machine;
+      }
+      listings.push_back(worker.listing);
     }
-    this->scheduler.ExpectRunsOn(workers.value(), Now());
-    this->scheduler.SetRemembered(this->remembered);
+    this->scheduler.ExpectRunsOn(listings, Now());
+    this->scheduler.SetRemembered(names);
   }
 
   // Stores the workers before they are used, for the scheduler of a later term.
   void RememberWorkers() {
-    const std::vector<WorkerListing> workers =
-        this->scheduler.WorkersToRemember();
+    std::vector<RememberedWorker> workers;
     std::set<WorkerName> names;
-    for (const WorkerListing& worker : workers) {
+    for (const WorkerListing& worker : this->scheduler.WorkersToRemember()) {
+      const std::map<WorkerName, MachineName>::const_iterator machine =
+          this->machine_of.find(worker.name);
+      workers.push_back(RememberedWorker{
+          worker, machine == this->machine_of.end() ? MachineName()
+                                                    : machine->second});
       names.insert(worker.name);
     }
-    if (this->is_remembering || names == this->remembered) {
+    const std::string value = WriteRememberedWorkers(workers);
+    if (this->is_remembering || value == this->remembered_value) {
       return;
     }
     const std::string key = WorkersKey(this->pool);
     StoreTransaction transaction;
     transaction.expected = {{kLeadPrefix + this->term.duty, this->term.fence},
                             {key, this->remembered_revision}};
-    transaction.writes.push_back({key, WriteRememberedWorkers(workers), 0});
+    transaction.writes.push_back({key, value, 0});
     this->is_remembering = true;
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.store->Commit(
         transaction, kSaveTimeout,
-        [self, key, names](const Result<TransactionResult>& result) {
+        [self, key, names, value](const Result<TransactionResult>& result) {
           self->is_remembering = false;
           if (self->is_stopped || !result.ok()) {
             return;
@@ -166,7 +185,7 @@
           if (const TransactionCommitted* const committed =
                   std::get_if<TransactionCommitted>(&result.value())) {
             self->remembered_revision = committed->revision;
-            self->remembered = names;
+            self->remembered_value = value;
             self->scheduler.SetRemembered(names);
             self->SchedulePump();
             return;
@@ -180,6 +199,67 @@
         });
   }
 
+  // The list of machines tells when the life of a silent worker is over, long
+  // before its leases are.
+  void LookAtMachines(MonotonicTime now) {
+    const std::vector<WorkerName> silent = this->scheduler.SilentWorkers(now);
+    const bool is_placed = std::all_of(
+        this->listing.begin(), this->listing.end(),
+        [this](const std::pair<const WorkerName, WorkerListing>& entry) {
+          return this->machine_of.contains(entry.first);
+        });
+    if ((silent.empty() && is_placed) || this->is_looking ||
+        now < this->next_look) {
+      return;
+    }
+    this->is_looking = true;
+    this->next_look = now + kLookInterval;
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.machines->List(
+        [self, silent](const Result<std::vector<Machine>>& machines) {
+          self->is_looking = false;
+          if (self->is_stopped || !machines.ok()) {
+            return;
+          }
+          for (const Machine& machine : machines.value()) {
+            if (!machine.worker.empty()) {
+              self->machine_of[machine.worker] = machine.name;
+            }
+          }
+          for (const WorkerName& worker : silent) {
+            self->CompareWithMachines(worker, machines.value());
+          }
+          self->SchedulePump();
+        });
+  }
+
+  // A worker's life is over when its machine is down or has another worker. A
+  // machine that merely names no worker may be cut off with it.
+  void CompareWithMachines(const WorkerName& worker,
+                           const std::vector<Machine>& machines) {
+    const std::map<WorkerName, MachineName>::const_iterator host =
+        this->machine_of.find(worker);
+    if (host == this->machine_of.end()) {
+      return;
+    }
+    for (const Machine& machine : machines) {
+      if (machine.name != host->second) {
+        continue;
+      }
+      const bool is_over =
+          machine.state == MachineState::kDown ||
+          (!machine.worker.empty() && machine.worker != worker);
+      CLOG(INFO, kTasksLog)
+          << "decision=silent_worker pool=" << this->pool
+          << " worker=" << worker << " machine=" << machine.name
+          << " state=" << static_cast<int>(machine.state)
+          << " now=" << machine.worker << " over=" << is_over;
+      if (is_over) {
+        this->scheduler.OnWorkerGone(worker, Now());
+      }
+    }
+  }
+
   void LoadProgress(const std::string& after) {
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.store->List(
@@ -314,6 +394,7 @@
     this->context.limits->Report(this->pool, this->scheduler.usage(),
                                  this->scheduler.wanted(), now);
     this->RememberWorkers();
+    this->LookAtMachines(now);
     this->Save(now);
     this->Forget(now);
     for (const std::string& line : this->scheduler.TakeDecisions()) {
@@ -573,6 +654,7 @@
   for (const std::pair<const WorkerName, WorkerListing>& entry : listing) {
     this->state->known_workers[entry.first] = entry.second;
   }
+  this->state->listing = listing;
   this->state->scheduler.SetListing(listing, Now());
   this->state->SchedulePump();
 }
--- a/Source/Core/Site/pool_lead.h
+++ b/Source/Core/Site/pool_lead.h
@@ -21,6 +21,7 @@
 
 class EventLoop;
 class LimitKeeper;
+class MachineClient;
 class MetricsRegistry;
 class RevisionStore;
 class RunClient;
@@ -28,6 +29,7 @@
 struct PoolLeadContext {
   RevisionStore* store = nullptr;
   RunClient* workers = nullptr;
+  MachineClient* machines = nullptr;
   EventLoop* loop = nullptr;
   LimitKeeper* limits = nullptr;
   MetricsRegistry* metrics = nullptr;
--- a/Source/Core/Site/remembered_workers.cc
+++ b/Source/Core/Site/remembered_workers.cc
@@ -4,16 +4,18 @@
 
 namespace daisyroad {
 
-std::string WriteRememberedWorkers(const std::vector<WorkerListing>& workers) {
+std::string WriteRememberedWorkers(const std::vector<RememberedWorker>& workers) {
   Json::Value json(Json::objectValue);
-  for (const WorkerListing& worker : workers) {
-    json[worker.name.str()]["address"] = worker.address;
-    json[worker.name.str()]["pool"] = worker.pool.str();
+  for (const RememberedWorker& worker : workers) {
+    Json::Value& row = json[worker.listing.name.str()];
+    row["address"] = worker.listing.address;
+    row["pool"] = worker.listing.pool.str();
+    row["machine"] = worker.machine.str();
   }
   return WriteJson(json);
 }
 
-Result<std::vector<WorkerListing>> ParseRememberedWorkers(
+Result<std::vector<RememberedWorker>> ParseRememberedWorkers(
     const std::string& text) {
   const Result<Json::Value> json = ParseJson(text);
   const Error malformed{Errc::kProtocol, "workers.parse", "",
@@ -21,17 +23,18 @@
   if (!json.ok() || !json.value().isObject()) {
     return malformed;
   }
-  std::vector<WorkerListing> workers;
+  std::vector<RememberedWorker> workers;
   for (const std::string& name : json.value().getMemberNames()) {
     const Json::Value& row = json.value()[name];
     if (!row.isObject() || !row["address"].isString() ||
-        !row["pool"].isString()) {
+        !row["pool"].isString() || !row["machine"].isString()) {
       return malformed;
     }
-    WorkerListing worker;
-    worker.name = WorkerName(name);
-    worker.address = row["address"].asString();
-    worker.pool = PoolName(row["pool"].asString());
+    RememberedWorker worker;
+    worker.listing.name = WorkerName(name);
+    worker.listing.address = row["address"].asString();
+    worker.listing.pool = PoolName(row["pool"].asString());
+    worker.machine = MachineName(row["machine"].asString());
     workers.push_back(worker);
   }
   return workers;
--- a/Source/Core/Site/remembered_workers.h
+++ b/Source/Core/Site/remembered_workers.h
@@ -6,13 +6,19 @@
 
 #include "Core/Common/result.h"
 #include "Core/Jobs/worker_listing.h"
+#include "Core/Platform/machine_client.h"
 
 namespace daisyroad {
 
+struct RememberedWorker {
+  WorkerListing listing;  // name, address and pool only
+  MachineName machine;    // empty if it was not known
+};
+
 // Record of the workers that may run tasks of a pool: enough to reach a worker
 // that is no longer listed.
-std::string WriteRememberedWorkers(const std::vector<WorkerListing>& workers);
-Result<std::vector<WorkerListing>> ParseRememberedWorkers(
+std::string WriteRememberedWorkers(const std::vector<RememberedWorker>& workers);
+Result<std::vector<RememberedWorker>> ParseRememberedWorkers(
     const std::string& text);
 
 }  // namespace daisyroad
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -363,6 +363,7 @@
     PoolLeadContext context;
     context.store = this->platform.store;
     context.workers = this->platform.workers;
+    context.machines = this->platform.machines;
     context.loop = this->platform.loop;
     context.limits = &this->limits;
     context.metrics = &this->metrics;
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -215,6 +215,10 @@
     fixture.Answer("w2");
     starts = fixture.Starts();
   }
+  SECTION("or its life is known to be over") {
+    fixture.scheduler.OnWorkerGone(WorkerName("w2"), fixture.Now());
+    starts = fixture.Starts();
+  }
   SECTION("or its leases are over") {
     fixture.Pass(Milliseconds(6400));
     starts = fixture.Starts();
