--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -33,6 +33,10 @@
   this->allotments = std::move(allotments);
 }
 
+void PoolScheduler::SetSole(bool is_sole) {
+  this->is_sole = is_sole;
+}
+
 void PoolScheduler::SetVacating(const std::set<WorkerName>& workers,
                                 const std::set<WorkerName>& due) {
   for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -45,6 +45,9 @@
   void SetZonesOut(std::set<ZoneName> zones);
   // What the pool may use for each team that has an upper limit.
   void SetAllotments(std::map<TeamName, Resources> allotments);
+  // False while another scheduler may have taken over. Runs on workers that do
+  // not answer are not given up then: they may belong to the other one.
+  void SetSole(bool is_sole);
   // Workers whose machines wait for planned work, and those whose turn comes
   // later.
   void SetVacating(const std::set<WorkerName>& workers,
@@ -239,6 +242,7 @@
   bool has_unsaved_final = false;
   MonotonicTime next_save;
   bool is_fenced = false;
+  bool is_sole = true;
   PoolLoad current_load;
   std::vector<Order> orders;
   std::vector<std::string> decisions;
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -421,6 +421,9 @@
 }
 
 void PoolScheduler::ExpireLeases(MonotonicTime now) {
+  if (!this->is_sole) {
+    return;
+  }
   for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
     WorkerState& worker = entry.second;
     if (worker.runs.empty() || worker.IsReachable() ||
--- a/Source/Core/Platform/run_client.h
+++ b/Source/Core/Platform/run_client.h
@@ -22,7 +22,7 @@
 // workers do nothing for a term lower than the highest they have seen.
 //
 // Errors of reports and stops: kNotFound if another life of the worker
-// answered; kUnavailable if no connection was made.
+// answered; kConflict if the fence is too low; kUnavailable if no connection was made.
 class RunClient {
  public:
   virtual ~RunClient() = default;
--- a/Source/Core/Site/pool_lead.cc
+++ b/Source/Core/Site/pool_lead.cc
@@ -99,6 +99,7 @@
   bool is_inbox_loaded = false;
   bool is_pump_scheduled = false;
   bool is_saving = false;
+  bool is_fenced = false;
   bool is_stopped = false;
 
   void Start() {
@@ -353,7 +354,7 @@
     }
   }
 
-  bool IsReady() const { return this->is_inbox_loaded; }
+  bool IsReady() const { return this->is_inbox_loaded && !this->is_fenced; }
 
   void Tick() {
     if (this->is_stopped) {
@@ -381,6 +382,7 @@
       return;
     }
     const MonotonicTime now = Now();
+    this->scheduler.SetSole(this->context.is_sole());
     if (now >= this->vacate_until) {
       this->scheduler.SetVacating({}, {});
     }
@@ -437,6 +439,9 @@
           self->Count("daisyroad_run_starts_total",
                       std::string("outcome=\"") + ToString(answer.outcome) +
                           "\"");
+          if (answer.outcome == StartOutcome::kFenced) {
+            self->EndByFence(order.worker);
+          }
           self->scheduler.OnStart(order, answer.outcome, answer.worker_clock,
                                   Now());
           self->SchedulePump();
@@ -495,8 +500,23 @@
   }
 
   void OnAnswer(const WorkerName& worker, const Status& status) {
-    if (!status.ok() && status.error().code == Errc::kNotFound) {
+    if (status.ok()) {
+      return;
+    }
+    if (status.error().code == Errc::kNotFound) {
       this->scheduler.OnWorkerGone(worker, Now());
+    } else if (status.error().code == Errc::kConflict) {
+      this->EndByFence(worker);
+    }
+  }
+
+  // A worker has taken orders of a later term: this one is over.
+  void EndByFence(const WorkerName& worker) {
+    if (!this->is_fenced) {
+      this->is_fenced = true;
+      CLOG(WARNING, kTasksLog)
+          << "decision=term_fenced pool=" << this->pool
+          << " fence=" << this->term.fence << " worker=" << worker;
     }
   }
 
@@ -683,6 +703,9 @@
 }
 
 std::optional<JobStatus> PoolLead::StatusOf(const JobId& job) const {
+  if (!this->state->IsReady()) {
+    return std::nullopt;
+  }
   return this->state->scheduler.StatusOf(job);
 }
 
--- a/Source/Core/Site/pool_lead.h
+++ b/Source/Core/Site/pool_lead.h
@@ -2,6 +2,7 @@
 #define SOURCE_CORE_SITE_POOL_LEAD_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,6 +35,8 @@
   LimitKeeper* limits = nullptr;
   MetricsRegistry* metrics = nullptr;
   SchedulerSettings settings;
+  // False while another instance may have begun the next term.
+  std::function<bool()> is_sole;
   // Final jobs are kept this long for callers that ask.
   std::chrono::seconds retention{120};
 };
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -367,6 +367,7 @@
     context.loop = this->platform.loop;
     context.limits = &this->limits;
     context.metrics = &this->metrics;
+    context.is_sole = [this]() { return this->leadership.IsLeaseValid(); };
     context.settings = this->settings.scheduler;
     context.retention = this->settings.job_retention;
     std::unique_ptr<PoolLead> lead =
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -199,6 +199,24 @@
   CHECK(again[0].worker != start.worker);
 }
 
+// Guards against TWICE in a zone that is cut off: the scheduler there gave up
+// runs on the other side, which the next scheduler had taken over.
+TEST_CASE("Leases do not end runs while another scheduler may have begun") {
+  Fixture fixture({Worker("w1"), Worker("w2")});
+  fixture.AnswerAll();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const StartRun start = fixture.Starts().at(0);
+  fixture.Confirm(start);
+  fixture.scheduler.SetSole(false);
+  for (int i = 0; i < 2; ++i) {
+    fixture.scheduler.OnReportFailed(start.worker, fixture.Now());
+  }
+  fixture.Pass(Milliseconds(7000));
+  CHECK(fixture.Starts().empty());
+  fixture.scheduler.SetSole(true);
+  CHECK(fixture.Starts().size() == 1);
+}
+
 // Guards against TWICE at a change of the scheduler: a worker that the list
 // had dropped still ran a task under its lease.
 TEST_CASE("A new scheduler waits for remembered workers that are not listed") {
