--- a/Source/Core/Jobs/job_progress.h
+++ b/Source/Core/Jobs/job_progress.h
@@ -30,8 +30,7 @@
 };
 
 Json::Value ToJson(const JobProgress& progress);
-Result<JobProgress> ParseJobProgress(const JobId& job,
-                                     const Json::Value& json);
+Result<JobProgress> ParseJobProgress(const JobId& job, const Json::Value& json);
 
 Json::Value ToJson(const AcceptedJob& job);
 Result<AcceptedJob> ParseAcceptedJob(const Json::Value& json);
--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -24,8 +24,7 @@
 
 const OccurrenceState* FirstOpen(const JobState& job) {
   for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
-    if (entry.second.steps_done <
-        static_cast<int>(entry.second.steps.size())) {
+    if (entry.second.steps_done < static_cast<int>(entry.second.steps.size())) {
       return &entry.second;
     }
   }
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -119,11 +119,9 @@
     this->unsaved.erase(id);
   }
   this->next_save = now + this->settings.save_interval;
-  this->has_unsaved_final =
-      std::any_of(this->unsaved.begin(), this->unsaved.end(),
-                  [this](const JobId& id) {
-                    return IsFinal(this->jobs.at(id).status);
-                  });
+  this->has_unsaved_final = std::any_of(
+      this->unsaved.begin(), this->unsaved.end(),
+      [this](const JobId& id) { return IsFinal(this->jobs.at(id).status); });
   return batch;
 }
 
@@ -182,19 +180,17 @@
   if (now >= this->unknown_runs_over_at) {
     return false;
   }
-  return std::any_of(
-      this->workers.begin(), this->workers.end(),
-      [](const std::pair<const WorkerName, WorkerState>& entry) {
-        return !entry.second.is_known && !entry.second.is_gone;
-      });
+  return std::any_of(this->workers.begin(), this->workers.end(),
+                     [](const std::pair<const WorkerName, WorkerState>& entry) {
+                       return !entry.second.is_known && !entry.second.is_gone;
+                     });
 }
 
 std::vector<std::string> PoolScheduler::TakeDecisions() {
   return std::exchange(this->decisions, {});
 }
 
-std::vector<Order> PoolScheduler::TakeOrders(MonotonicTime now,
-                                             WallTime wall) {
+std::vector<Order> PoolScheduler::TakeOrders(MonotonicTime now, WallTime wall) {
   this->ExpireLeases(now);
   this->StopStalledRuns(now);
   this->MoveServicesAway(now);
@@ -309,8 +305,8 @@
       std::vector<TaskState>& tasks = entry.second.steps[s].tasks;
       for (std::size_t i = 0; i < tasks.size(); ++i) {
         for (RunRecord& run : tasks[i].runs) {
-          this->StopRunOf(TaskRef{job->job.id, entry.first,
-                                  static_cast<int>(s), static_cast<int>(i)},
+          this->StopRunOf(TaskRef{job->job.id, entry.first, static_cast<int>(s),
+                                  static_cast<int>(i)},
                           &run, now);
         }
       }
@@ -386,15 +382,12 @@
     }
   }
   this->Touch(job);
-  if (static_cast<int>(failures.size()) >=
-      this->PolicyOf(*job).max_attempts) {
+  if (static_cast<int>(failures.size()) >= this->PolicyOf(*job).max_attempts) {
     this->Close(job, JobStatus::kFailed, now);
   }
 }
 
-void PoolScheduler::Close(JobState* job,
-                          JobStatus status,
-                          MonotonicTime now) {
+void PoolScheduler::Close(JobState* job, JobStatus status, MonotonicTime now) {
   job->status = status;
   this->open_jobs.erase(job->job.id);
   this->Touch(job);
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -178,17 +178,17 @@
   // pool_scheduler_placement.cc
   void PlaceTasks(MonotonicTime now, WallTime wall);
   void CollectCandidates(MonotonicTime now,
-                          WallTime wall,
+                         WallTime wall,
                          std::vector<Candidate>* candidates);
-  void MeasureLoad(const std::vector<Candidate>& candidates,
-                   MonotonicTime now);
+  void MeasureLoad(const std::vector<Candidate>& candidates, MonotonicTime now);
   void CollectStep(JobState* job,
                    int occurrence,
                    int step,
                    const Candidate& base,
                    std::vector<Candidate>* candidates);
-  bool IsReady(const JobState& job, const OccurrenceState& state, int step)
-      const;
+  bool IsReady(const JobState& job,
+               const OccurrenceState& state,
+               int step) const;
   bool MayPlaceTask(const TaskState& task, const StepSpec& step) const;
   bool IsUsable(const WorkerState& worker, MonotonicTime now) const;
   bool FitsOn(const WorkerState& worker,
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -79,8 +79,8 @@
     base.job = &job;
     base.priority = this->PolicyOf(job).priority;
     base.order = RemainingWork(job);
-    base.tier = wall + RemainingChain(job) <= job.objective ? kInTimeTier
-                                                            : kLateTier;
+    base.tier =
+        wall + RemainingChain(job) <= job.objective ? kInTimeTier : kLateTier;
     for (std::pair<const int, OccurrenceState>& entry : job.occurrences) {
       const int steps = static_cast<int>(entry.second.steps.size());
       for (int s = 0; entry.second.steps_done < steps && s < steps; ++s) {
@@ -154,9 +154,8 @@
 bool PoolScheduler::IsUsable(const WorkerState& worker,
                              MonotonicTime now) const {
   return worker.is_known && worker.is_listed && worker.is_remembered &&
-         worker.missed_reports == 0 &&
-         !worker.listing.is_draining && !worker.is_vacating &&
-         worker.no_starts_before <= now &&
+         worker.missed_reports == 0 && !worker.listing.is_draining &&
+         !worker.is_vacating && worker.no_starts_before <= now &&
          !this->zones_out.contains(worker.listing.zone);
 }
 
@@ -390,8 +389,8 @@
   for (const Candidate& candidate : candidates) {
     const StepSpec& step = this->SpecOf(*candidate.job, candidate.task);
     if (candidate.placement != Placement::kPlaced) {
-      load.waiting += step.request.cpu_millicores *
-                      (step.is_gang ? step.task_count : 1);
+      load.waiting +=
+          step.request.cpu_millicores * (step.is_gang ? step.task_count : 1);
     }
   }
 }
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -169,8 +169,7 @@
   for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
     const WorkerState& worker = entry.second;
     const bool may_run_unknown =
-        !worker.is_known && !worker.is_gone &&
-        now < this->unknown_runs_over_at;
+        !worker.is_known && !worker.is_gone && now < this->unknown_runs_over_at;
     if (worker.missed_reports > 0 &&
         (may_run_unknown || !worker.runs.empty())) {
       silent.push_back(entry.first);
@@ -274,8 +273,8 @@
   const Milliseconds until =
       worker->clock + elapsed + this->settings.longest_lease;
   worker->lease_until = std::max(worker->lease_until, until);
-  const double remaining = static_cast<double>(
-      (worker->lease_until - worker->clock).count());
+  const double remaining =
+      static_cast<double>((worker->lease_until - worker->clock).count());
   worker->lease_over_at =
       worker->clock_at + this->settings.lease_margin +
       Milliseconds(static_cast<std::int64_t>(
@@ -347,8 +346,8 @@
   if (run == nullptr) {
     this->Note("run_adopted", active.task, active.run, worker->listing.name,
                "reported by its worker");
-    run = this->AddRun(&job, active.task, active.run, worker->listing.name,
-                       now);
+    run =
+        this->AddRun(&job, active.task, active.run, worker->listing.name, now);
     run->state = RunState::kActive;
     const bool is_surplus =
         task->runs.size() > 1 && !this->SpecOf(job, active.task).allows_copies;
@@ -366,8 +365,9 @@
   }
   run->percent = active.percent;
   run->load = active.load;
-  const bool is_idle = active.load == 0 && active.percent == 100 &&
-                       this->SpecOf(job, active.task).latency_target.count() == 0;
+  const bool is_idle =
+      active.load == 0 && active.percent == 100 &&
+      this->SpecOf(job, active.task).latency_target.count() == 0;
   if (!is_idle) {
     run->idle_since.reset();
   } else if (!run->idle_since) {
@@ -394,7 +394,8 @@
       continue;
     }
     const RunRecord* const run = this->FindRun(key.first, key.second);
-    const bool was_confirmed = run->confirmed_at && *run->confirmed_at <= asked_at;
+    const bool was_confirmed =
+        run->confirmed_at && *run->confirmed_at <= asked_at;
     const bool cannot_come =
         run->stop_answered_at && *run->stop_answered_at <= asked_at;
     if (was_confirmed || cannot_come) {
@@ -459,16 +460,14 @@
     ask.worker = entry.first;
     // After a missed answer the worker may be in a new life, with ends of its
     // own under the same numbers.
-    ask.acknowledged =
-        worker.missed_reports == 0 ? worker.acknowledged_end : 0;
+    ask.acknowledged = worker.missed_reports == 0 ? worker.acknowledged_end : 0;
     worker.asked_end = ask.acknowledged;
-    if (worker.is_known && worker.missed_reports == 0 &&
-        !worker.runs.empty() && !this->HasRunThatMayNeverCome(worker)) {
+    if (worker.is_known && worker.missed_reports == 0 && !worker.runs.empty() &&
+        !this->HasRunThatMayNeverCome(worker)) {
       ask.wait = this->settings.report_wait;
     }
     // A worker that does not answer may still hear: its leases must end.
-    if (worker.is_known && !worker.runs.empty() &&
-        worker.missed_reports == 0) {
+    if (worker.is_known && !worker.runs.empty() && worker.missed_reports == 0) {
       ask.lease_until = this->LeaseFor(&worker, now);
     }
     worker.is_report_pending = true;
@@ -501,14 +500,13 @@
 
 void PoolScheduler::ForgetEmptyWorkers(MonotonicTime now) {
   const bool may_run_unknown = now < this->unknown_runs_over_at;
-  std::erase_if(this->workers,
-                [may_run_unknown](
-                    const std::pair<const WorkerName, WorkerState>& entry) {
-                  const WorkerState& worker = entry.second;
-                  return !worker.is_listed && worker.runs.empty() &&
-                         (worker.is_known || worker.is_gone ||
-                          !may_run_unknown);
-                });
+  std::erase_if(
+      this->workers,
+      [may_run_unknown](const std::pair<const WorkerName, WorkerState>& entry) {
+        const WorkerState& worker = entry.second;
+        return !worker.is_listed && worker.runs.empty() &&
+               (worker.is_known || worker.is_gone || !may_run_unknown);
+      });
 }
 
 void PoolScheduler::CountOutcome(WorkerState* worker,
--- a/Source/Core/Jobs/pool_scheduler_services.cc
+++ b/Source/Core/Jobs/pool_scheduler_services.cc
@@ -39,8 +39,7 @@
                                     RunRecord* run,
                                     MonotonicTime now) {
   const JobState& job = this->jobs.at(task.job);
-  const StepState& step =
-      job.occurrences.at(task.occurrence).steps[task.step];
+  const StepState& step = job.occurrences.at(task.occurrence).steps[task.step];
   const int budget = std::max(1, this->SpecOf(job, task).disruption_budget);
   if (this->TasksAway(step, task.index) >= budget ||
       this->ChooseWorker(job, task, RackName(), now) == nullptr) {
@@ -77,9 +76,9 @@
         this->SpecOf(this->jobs.at(key.first.job), key.first);
     if (step.latency_target.count() > 0) {
       const RunRecord* const run = this->FindRun(key.first, key.second);
-      worst = std::max(worst, static_cast<double>(run->load) /
-                                  static_cast<double>(
-                                      step.latency_target.count()));
+      worst =
+          std::max(worst, static_cast<double>(run->load) /
+                              static_cast<double>(step.latency_target.count()));
     }
   }
   for (const std::pair<TaskRef, std::int64_t>& key : worker->runs) {
--- a/Source/Core/Machines/machine_planner.cc
+++ b/Source/Core/Machines/machine_planner.cc
@@ -142,10 +142,9 @@
     const double share =
         LoadOf(report.load) < kCalmLoad ? kCalmShare : kBusyShare;
     // Rounds that are left decide how many must go at a time.
-    const double rounds =
-        std::max(1.0, static_cast<double>(left.count()) /
-                          static_cast<double>(kTurnaround.count()) /
-                          kHurryFactor);
+    const double rounds = std::max(
+        1.0, static_cast<double>(left.count()) /
+                 static_cast<double>(kTurnaround.count()) / kHurryFactor);
     const int needed = static_cast<int>(
         std::ceil(static_cast<double>(candidates.size()) / rounds));
     int allowed =
@@ -209,12 +208,12 @@
     wanted[pool.first] = this->Wanted(pool.first, *fleet);
   }
   for (const Machine* const machine : free) {
-    const std::map<PoolName, int>::iterator neediest = std::max_element(
-        wanted.begin(), wanted.end(),
-        [](const std::pair<const PoolName, int>& left,
-           const std::pair<const PoolName, int>& right) {
-          return left.second < right.second;
-        });
+    const std::map<PoolName, int>::iterator neediest =
+        std::max_element(wanted.begin(), wanted.end(),
+                         [](const std::pair<const PoolName, int>& left,
+                            const std::pair<const PoolName, int>& right) {
+                           return left.second < right.second;
+                         });
     if (neediest == wanted.end() || neediest->second <= 0) {
       return;
     }
--- a/Source/Core/Platform/run_client.h
+++ b/Source/Core/Platform/run_client.h
@@ -22,7 +22,8 @@
 // workers do nothing for a term lower than the highest they have seen.
 //
 // Errors of reports and stops: kNotFound if another life of the worker
-// answered; kConflict if the fence is too low; kUnavailable if no connection was made.
+// answered; kConflict if the fence is too low; kUnavailable if no connection
+// was made.
 class RunClient {
  public:
   virtual ~RunClient() = default;
--- a/Source/Core/Site/fleet_lead.cc
+++ b/Source/Core/Site/fleet_lead.cc
@@ -167,8 +167,8 @@
       const std::shared_ptr<State> self = this->shared_from_this();
       this->context.store->Get(
           WaveKey(wave.first), kStoreTimeout,
-          [self, asked = wave.second](
-              const Result<std::optional<StoreItem>>& item) {
+          [self,
+           asked = wave.second](const Result<std::optional<StoreItem>>& item) {
             self->waves_asked.erase(asked.number);
             if (item.ok() && !self->is_stopped) {
               self->AdoptWave(asked, item.value());
@@ -188,8 +188,7 @@
         for (const Json::Value& machine : json.value()["done"]) {
           progress.done.insert(MachineName(machine.asString()));
         }
-        const WallTime begun(
-            Milliseconds(json.value()["begun"].asInt64()));
+        const WallTime begun(Milliseconds(json.value()["begun"].asInt64()));
         progress.begun_at -= std::chrono::duration_cast<Duration>(
             std::chrono::system_clock::now() - begun);
       }
@@ -249,8 +248,7 @@
             });
           } else if (is_complete &&
                      self->waves_complete.insert(number).second) {
-            CLOG(INFO, kFleetLog)
-                << "event=wave_complete number=" << number;
+            CLOG(INFO, kFleetLog) << "event=wave_complete number=" << number;
           }
         });
   }
@@ -346,19 +344,17 @@
         machine.state = MachineState::kUpkeep;
       }
     }
-    MachinePlan plan =
-        this->planner.Plan(current, this->pools, open, now);
+    MachinePlan plan = this->planner.Plan(current, this->pools, open, now);
     this->vacate = std::move(plan.vacate);
     this->due = std::move(plan.due);
     for (const MachineOrder& order : plan.orders) {
-      std::visit(
-          Overloaded{[this, now](const MoveMachine& move) {
-                       this->Move(move, now);
-                     },
-                     [this, now](const MaintainMachine& maintain) {
-                       this->Maintain(maintain, now);
-                     }},
-          order);
+      std::visit(Overloaded{[this, now](const MoveMachine& move) {
+                              this->Move(move, now);
+                            },
+                            [this, now](const MaintainMachine& maintain) {
+                              this->Maintain(maintain, now);
+                            }},
+                 order);
     }
   }
 
@@ -409,10 +405,10 @@
                  const Result<MachineOrderOutcome>& outcome) {
     const bool is_done =
         outcome.ok() && outcome.value() == MachineOrderOutcome::kDone;
-    ++this->context.metrics->Counter(
-        "daisyroad_machine_orders_total",
-        std::string("order=\"") + order + "\",outcome=\"" +
-            (is_done ? "done" : "refused") + "\"");
+    ++this->context.metrics->Counter("daisyroad_machine_orders_total",
+                                     std::string("order=\"") + order +
+                                         "\",outcome=\"" +
+                                         (is_done ? "done" : "refused") + "\"");
     if (!is_done) {
       CLOG(WARNING, kFleetLog)
           << "event=machine_order_failed order=" << order
@@ -470,8 +466,8 @@
   load.waiting = json["waiting"].asInt64();
   for (const std::string& worker : json["workers"].getMemberNames()) {
     const Json::Value& row = json["workers"][worker];
-    load.workers[WorkerName(worker)] = PoolLoad::Worker{
-        row[0].asInt(), row[1].asInt(), row[2].asBool()};
+    load.workers[WorkerName(worker)] =
+        PoolLoad::Worker{row[0].asInt(), row[1].asInt(), row[2].asBool()};
   }
   return load;
 }
--- a/Source/Core/Site/job_service.cc
+++ b/Source/Core/Site/job_service.cc
@@ -182,8 +182,8 @@
             << result.error().ToString() << "\"";
         // An earlier try of this request may still take effect.
         if (is_first && HasDoneNothing(result.error())) {
-          callback(RequestRefused{"the store does not take the job",
-                                  kRetryAfter});
+          callback(
+              RequestRefused{"the store does not take the job", kRetryAfter});
         } else if (Now() + kRetryPause >= deadline) {
           callback(OutcomeUnknown{"the store did not answer in time"});
         } else {
@@ -239,10 +239,10 @@
         if (result.ok()) {
           callback(JobCancelled());
         } else if (Now() + kRetryPause < deadline) {
-          this->loop->After(kRetryPause, [this, pool, job, deadline,
-                                          callback]() {
-            this->WriteCancel(pool, job, deadline, callback);
-          });
+          this->loop->After(kRetryPause,
+                            [this, pool, job, deadline, callback]() {
+                              this->WriteCancel(pool, job, deadline, callback);
+                            });
         } else {
           callback(OutcomeUnknown{"the store did not answer in time"});
         }
@@ -356,16 +356,16 @@
   Json::Value params;
   params["pool"] = pool.str();
   params["queue"] = request.queue.str();
-  this->peers->Call(peer, "queue.pending", params, kPeerTimeout,
-                    [callback](const Result<Json::Value>& result) {
-                      if (result.ok() && result.value().isObject() &&
-                          result.value()["jobs"].isInt()) {
-                        callback(PendingAnswer{result.value()["jobs"].asInt()});
-                      } else {
-                        callback(RequestRefused{"the scheduler did not answer",
-                                                kRetryAfter});
-                      }
-                    });
+  this->peers->Call(
+      peer, "queue.pending", params, kPeerTimeout,
+      [callback](const Result<Json::Value>& result) {
+        if (result.ok() && result.value().isObject() &&
+            result.value()["jobs"].isInt()) {
+          callback(PendingAnswer{result.value()["jobs"].asInt()});
+        } else {
+          callback(RequestRefused{"the scheduler did not answer", kRetryAfter});
+        }
+      });
 }
 
 }  // namespace daisyroad
--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -49,10 +49,9 @@
       !json.value()["term"].isInt64()) {
     return std::nullopt;
   }
-  return LeadRecord{json.value()["node"].asString(),
-                    json.value()["address"].asString(),
-                    json.value()["term"].asInt64(),
-                    json.value()["incarnation"].asInt64()};
+  return LeadRecord{
+      json.value()["node"].asString(), json.value()["address"].asString(),
+      json.value()["term"].asInt64(), json.value()["incarnation"].asInt64()};
 }
 
 }  // namespace
@@ -82,9 +81,8 @@
   std::optional<LeadRecord> LeadOf(const std::string& duty) const {
     const PrefixMirror::Items::const_iterator found =
         this->mirror->items().find(kLeadPrefix + duty);
-    return found == this->mirror->items().end()
-               ? std::nullopt
-               : ReadLead(found->second.value);
+    return found == this->mirror->items().end() ? std::nullopt
+                                                : ReadLead(found->second.value);
   }
 
   void Tick() {
@@ -124,7 +122,8 @@
           }
           self->lease = lease.value();
           self->lease_valid_until = asked + kLeaseDuration;
-          self->next_renewal = std::chrono::steady_clock::now() + kRenewInterval;
+          self->next_renewal =
+              std::chrono::steady_clock::now() + kRenewInterval;
           self->SetUncertain(false);
           self->Register();
         });
@@ -255,8 +254,8 @@
                   this->node};
     int rank = 0;
     for (const std::pair<const std::string, int>& entry : duties_of) {
-      rank += Key{entry.second, StableHash(entry.first, seed), entry.first} <
-              own;
+      rank +=
+          Key{entry.second, StableHash(entry.first, seed), entry.first} < own;
     }
     return rank;
   }
@@ -298,9 +297,8 @@
       }
       term.is_predecessor_gone = this->IsPredecessorGone(term);
     }
-    const std::string value =
-        WriteLead(LeadRecord{this->node, this->address, term.number,
-                             this->incarnation});
+    const std::string value = WriteLead(
+        LeadRecord{this->node, this->address, term.number, this->incarnation});
     StoreTransaction transaction;
     transaction.expected = {
         {kLeadPrefix + duty, lead == items.end() ? 0 : lead->second.revision},
--- a/Source/Core/Site/limit_keeper.cc
+++ b/Source/Core/Site/limit_keeper.cc
@@ -41,17 +41,16 @@
 void LimitKeeper::Read(MonotonicTime now) {
   this->next_read = now + kReadInterval;
   const std::weak_ptr<bool> alive = this->is_alive;
-  this->store->Get(
-      kLimitsKey, kCommitTimeout,
-      [this, alive](const Result<std::optional<StoreItem>>& item) {
-        if (alive.expired() || !item.ok()) {
-          return;
-        }
-        this->is_loaded = true;
-        if (item.value()) {
-          this->Adopt(item.value()->value, item.value()->revision);
-        }
-      });
+  this->store->Get(kLimitsKey, kCommitTimeout,
+                   [this, alive](const Result<std::optional<StoreItem>>& item) {
+                     if (alive.expired() || !item.ok()) {
+                       return;
+                     }
+                     this->is_loaded = true;
+                     if (item.value()) {
+                       this->Adopt(item.value()->value, item.value()->revision);
+                     }
+                   });
 }
 
 void LimitKeeper::Adopt(const std::string& value, std::int64_t revision) {
@@ -72,8 +71,7 @@
     const PoolName& pool) const {
   std::map<TeamName, Resources> allotments;
   for (const std::pair<const TeamName, Resources>& team : this->limits) {
-    allotments[team.first] =
-        this->table.Usable(team.first, pool, team.second);
+    allotments[team.first] = this->table.Usable(team.first, pool, team.second);
   }
   return allotments;
 }
@@ -96,9 +94,9 @@
   AllotmentTable changed = this->table;
   bool is_changed = false;
   for (const std::pair<const TeamName, Resources>& team : this->limits) {
-    is_changed |= changed.Adjust(team.first, pool, team.second,
-                                 Find(used, team.first),
-                                 Find(wanted, team.first), gives_back);
+    is_changed |=
+        changed.Adjust(team.first, pool, team.second, Find(used, team.first),
+                       Find(wanted, team.first), gives_back);
   }
   if (!is_changed) {
     return;
--- a/Source/Core/Site/pool_lead.cc
+++ b/Source/Core/Site/pool_lead.cc
@@ -132,9 +132,9 @@
     const Result<std::vector<RememberedWorker>> workers =
         ParseRememberedWorkers(item.value);
     if (!workers.ok()) {
-      CLOG(ERROR, kTasksLog) << "event=workers_unreadable pool=" << this->pool
-                             << " error=\"" << workers.error().ToString()
-                             << "\"";
+      CLOG(ERROR, kTasksLog)
+          << "event=workers_unreadable pool=" << this->pool << " error=\""
+          << workers.error().ToString() << "\"";
       return;
     }
     this->remembered_value = item.value;
@@ -161,8 +161,8 @@
       const std::map<WorkerName, MachineName>::const_iterator machine =
           this->machine_of.find(worker.name);
       workers.push_back(RememberedWorker{
-          worker, machine == this->machine_of.end() ? MachineName()
-                                                    : machine->second});
+          worker,
+          machine == this->machine_of.end() ? MachineName() : machine->second});
       names.insert(worker.name);
     }
     const std::string value = WriteRememberedWorkers(workers);
@@ -290,9 +290,9 @@
           json.ok() ? ParseJobProgress(job, json.value())
                     : Result<JobProgress>(json.error());
       if (!parsed.ok()) {
-        CLOG(ERROR, kTasksLog) << "event=progress_unreadable job=" << job
-                               << " error=\"" << parsed.error().ToString()
-                               << "\"";
+        CLOG(ERROR, kTasksLog)
+            << "event=progress_unreadable job=" << job << " error=\""
+            << parsed.error().ToString() << "\"";
         continue;
       }
       this->progress[job] = parsed.value();
@@ -337,9 +337,9 @@
 
   void AddJob(const std::string& value, const std::string& key) {
     const Result<Json::Value> json = ParseJson(value);
-    const Result<AcceptedJob> job =
-        json.ok() ? ParseAcceptedJob(json.value())
-                  : Result<AcceptedJob>(json.error());
+    const Result<AcceptedJob> job = json.ok()
+                                        ? ParseAcceptedJob(json.value())
+                                        : Result<AcceptedJob>(json.error());
     if (!job.ok()) {
       CLOG(ERROR, kTasksLog) << "event=job_unreadable key=" << key
                              << " error=\"" << job.error().ToString() << "\"";
@@ -388,8 +388,7 @@
     }
     this->scheduler.SetAllotments(
         this->context.limits->AllotmentsOf(this->pool));
-    const std::vector<Order> orders =
-        this->scheduler.TakeOrders(now, Wall());
+    const std::vector<Order> orders = this->scheduler.TakeOrders(now, Wall());
     for (const Order& order : orders) {
       this->Send(order);
     }
@@ -436,9 +435,9 @@
           if (self->is_stopped) {
             return;
           }
-          self->Count("daisyroad_run_starts_total",
-                      std::string("outcome=\"") + ToString(answer.outcome) +
-                          "\"");
+          self->Count(
+              "daisyroad_run_starts_total",
+              std::string("outcome=\"") + ToString(answer.outcome) + "\"");
           if (answer.outcome == StartOutcome::kFenced) {
             self->EndByFence(order.worker);
           }
@@ -558,8 +557,8 @@
       this->Count("daisyroad_saves_total", "outcome=\"failed\"");
       CLOG(WARNING, kTasksLog)
           << "event=progress_not_stored pool=" << this->pool
-          << " jobs=" << jobs.size() << " error=\""
-          << result.error().ToString() << "\"";
+          << " jobs=" << jobs.size() << " error=\"" << result.error().ToString()
+          << "\"";
       // The next tick tries again.
       this->scheduler.OnSaveFailed(jobs);
       return;
@@ -669,8 +668,7 @@
   this->state->SchedulePump();
 }
 
-void PoolLead::SetListing(
-    const std::map<WorkerName, WorkerListing>& listing) {
+void PoolLead::SetListing(const std::map<WorkerName, WorkerListing>& listing) {
   for (const std::pair<const WorkerName, WorkerListing>& entry : listing) {
     this->state->known_workers[entry.first] = entry.second;
   }
@@ -680,7 +678,7 @@
 }
 
 void PoolLead::SetVacating(const std::set<WorkerName>& workers,
-                   const std::set<WorkerName>& due) {
+                           const std::set<WorkerName>& due) {
   this->state->vacate_until = Now() + kVacateHold;
   this->state->scheduler.SetVacating(workers, due);
   this->state->SchedulePump();
--- a/Source/Core/Site/prefix_mirror.cc
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -54,17 +54,16 @@
   void NoteFailure(const Error& error) {
     if (!this->has_failed) {
       this->has_failed = true;
-      CLOG(WARNING, kControlLog)
-          << "event=mirror_lost prefix=" << this->prefix
-          << " error=\"" << error.ToString() << "\"";
+      CLOG(WARNING, kControlLog) << "event=mirror_lost prefix=" << this->prefix
+                                 << " error=\"" << error.ToString() << "\"";
     }
   }
 
   void NoteSuccess() {
     if (this->has_failed) {
       this->has_failed = false;
-      CLOG(INFO, kControlLog) << "event=mirror_regained prefix="
-                              << this->prefix;
+      CLOG(INFO, kControlLog)
+          << "event=mirror_regained prefix=" << this->prefix;
     }
   }
 
--- a/Source/Core/Site/remembered_workers.cc
+++ b/Source/Core/Site/remembered_workers.cc
@@ -4,7 +4,8 @@
 
 namespace daisyroad {
 
-std::string WriteRememberedWorkers(const std::vector<RememberedWorker>& workers) {
+std::string WriteRememberedWorkers(
+    const std::vector<RememberedWorker>& workers) {
   Json::Value json(Json::objectValue);
   for (const RememberedWorker& worker : workers) {
     Json::Value& row = json[worker.listing.name.str()];
--- a/Source/Core/Site/remembered_workers.h
+++ b/Source/Core/Site/remembered_workers.h
@@ -17,7 +17,8 @@
 
 // Record of the workers that may run tasks of a pool: enough to reach a worker
 // that is no longer listed.
-std::string WriteRememberedWorkers(const std::vector<RememberedWorker>& workers);
+std::string WriteRememberedWorkers(
+    const std::vector<RememberedWorker>& workers);
 Result<std::vector<RememberedWorker>> ParseRememberedWorkers(
     const std::string& text);
 
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -73,40 +73,39 @@
       : platform(platform),
         settings(settings),
         rpc_client(platform.http),
-        site_mirror(platform.store,
-                    platform.loop,
-                    kSitePrefix,
-                    [this](const std::vector<StoreChange>&) {
-                      this->OnSiteChange();
-                    }),
+        site_mirror(
+            platform.store,
+            platform.loop,
+            kSitePrefix,
+            [this](const std::vector<StoreChange>&) { this->OnSiteChange(); }),
         limits(platform.store),
-        leadership(platform.store,
-                   platform.loop,
-                   &this->site_mirror,
-                   settings.node,
-                   settings.peers_address,
-                   Leadership::Listener{
-                       [this](const Term& term) { this->BeginTerm(term); },
-                       [this](const std::string& duty) {
-                         this->EndTerm(duty);
-                       }}),
-        jobs(platform.store,
-             platform.loop,
-             &this->rpc_client,
-             &this->leadership,
-             [this](const PoolName& pool) { return this->FindLead(pool); },
-             settings.key_withdrawal) {}
+        leadership(
+            platform.store,
+            platform.loop,
+            &this->site_mirror,
+            settings.node,
+            settings.peers_address,
+            Leadership::Listener{
+                [this](const Term& term) { this->BeginTerm(term); },
+                [this](const std::string& duty) { this->EndTerm(duty); }}),
+        jobs(
+            platform.store,
+            platform.loop,
+            &this->rpc_client,
+            &this->leadership,
+            [this](const PoolName& pool) { return this->FindLead(pool); },
+            settings.key_withdrawal) {}
 
   Status Run(HttpHandler callers) {
     this->AddMethods();
     const Status peers = this->peers_server.Start(
         OptionsFor(this->settings.peers_address),
-        this->OnLoop([this](const HttpRequest& request,
-                            const HttpResponder& respond) {
-          respond(request.path == "/metrics"
-                      ? TextResponse(200, this->metrics.Render())
-                      : this->rpc_server.Handle(request));
-        }));
+        this->OnLoop(
+            [this](const HttpRequest& request, const HttpResponder& respond) {
+              respond(request.path == "/metrics"
+                          ? TextResponse(200, this->metrics.Render())
+                          : this->rpc_server.Handle(request));
+            }));
     if (!peers.ok()) {
       return peers;
     }
@@ -124,9 +123,9 @@
     if (!front.ok()) {
       return front;
     }
-    this->platform.loop->OnSignals({SIGTERM, SIGINT, SIGHUP}, [this](int signal) {
-      this->OnSignal(signal);
-    });
+    this->platform.loop->OnSignals(
+        {SIGTERM, SIGINT, SIGHUP},
+        [this](int signal) { this->OnSignal(signal); });
     CLOG(INFO, kDaemonLog) << "event=start node=" << this->settings.node
                            << " zone=" << this->settings.zone;
     this->site_mirror.Start();
@@ -165,10 +164,9 @@
     const std::shared_ptr<const HttpHandler> shared =
         std::make_shared<const HttpHandler>(std::move(handler));
     return [loop, shared](HttpRequest request, HttpResponder respond) {
-      loop->Post([shared, request = std::move(request),
-                  respond = std::move(respond)]() {
-        (*shared)(request, respond);
-      });
+      loop->Post(
+          [shared, request = std::move(request),
+           respond = std::move(respond)]() { (*shared)(request, respond); });
     };
   }
 
@@ -186,8 +184,7 @@
   }
 
   bool IsReady() const {
-    return !this->is_stopping && this->jobs.HasConfig() &&
-           this->jobs.IsFresh();
+    return !this->is_stopping && this->jobs.HasConfig() && this->jobs.IsFresh();
   }
 
   void OnSignal(int signal) {
@@ -285,8 +282,7 @@
 
   static std::set<std::string> DutiesOf(const SiteConfig& config) {
     std::set<std::string> duties{kFleetDuty};
-    for (const std::pair<const QueueName, QueueConfig>& queue :
-         config.queues) {
+    for (const std::pair<const QueueName, QueueConfig>& queue : config.queues) {
       duties.insert(PoolDuty(queue.second.pool));
     }
     return duties;
@@ -405,31 +401,28 @@
   }
 
   void AddMethods() {
-    this->rpc_server.AddMethod(
-        "pool.load", [this](const Json::Value& params) {
-          PoolLead* const lead =
-              this->FindLead(PoolName(params["pool"].asString()));
-          if (lead == nullptr || !lead->is_ready()) {
-            return Json::Value(Json::objectValue);
-          }
-          lead->SetVacating(ReadNames(params["vacate"]),
-                            ReadNames(params["due"]));
-          return ToJson(lead->Load());
-        });
-    this->rpc_server.AddMethod(
-        "job.status", [this](const Json::Value& params) {
-          Json::Value result(Json::objectValue);
-          const PoolLead* const lead =
-              this->FindLead(PoolName(params["pool"].asString()));
-          if (lead != nullptr) {
-            const std::optional<JobStatus> status =
-                lead->StatusOf(JobId(params["job"].asString()));
-            if (status) {
-              result["status"] = ToString(*status);
-            }
-          }
-          return result;
-        });
+    this->rpc_server.AddMethod("pool.load", [this](const Json::Value& params) {
+      PoolLead* const lead =
+          this->FindLead(PoolName(params["pool"].asString()));
+      if (lead == nullptr || !lead->is_ready()) {
+        return Json::Value(Json::objectValue);
+      }
+      lead->SetVacating(ReadNames(params["vacate"]), ReadNames(params["due"]));
+      return ToJson(lead->Load());
+    });
+    this->rpc_server.AddMethod("job.status", [this](const Json::Value& params) {
+      Json::Value result(Json::objectValue);
+      const PoolLead* const lead =
+          this->FindLead(PoolName(params["pool"].asString()));
+      if (lead != nullptr) {
+        const std::optional<JobStatus> status =
+            lead->StatusOf(JobId(params["job"].asString()));
+        if (status) {
+          result["status"] = ToString(*status);
+        }
+      }
+      return result;
+    });
     this->rpc_server.AddMethod(
         "queue.pending", [this](const Json::Value& params) {
           Json::Value result(Json::objectValue);
--- a/Source/Core/Site/team_allotments.cc
+++ b/Source/Core/Site/team_allotments.cc
@@ -36,8 +36,7 @@
                                           Scale(limit, kLeastPart)));
   }
   const bool is_scarce = limit - sum < Scale(limit, kFreePart);
-  if (sum > limit ||
-      (gives_back && is_scarce && Scale(needed, kKept) < held)) {
+  if (sum > limit || (gives_back && is_scarce && Scale(needed, kKept) < held)) {
     return std::max(used, std::min(held, Scale(needed, kKept)));
   }
   return held;
@@ -46,10 +45,9 @@
 std::int64_t UsableComponent(std::int64_t held,
                              std::int64_t sum,
                              std::int64_t limit) {
-  return sum <= limit || sum == 0
-             ? held
-             : Scale(held, static_cast<double>(limit) /
-                               static_cast<double>(sum));
+  return sum <= limit || sum == 0 ? held
+                                  : Scale(held, static_cast<double>(limit) /
+                                                    static_cast<double>(sum));
 }
 
 }  // namespace
@@ -73,8 +71,8 @@
           !cell[1].isInt64() || !cell[2].isInt64()) {
         return malformed;
       }
-      table.rows[TeamName(team)][PoolName(pool)] = Resources{
-          cell[0].asInt64(), cell[1].asInt64(), cell[2].asInt64()};
+      table.rows[TeamName(team)][PoolName(pool)] =
+          Resources{cell[0].asInt64(), cell[1].asInt64(), cell[2].asInt64()};
     }
   }
   return table;
@@ -113,12 +111,11 @@
   }
   const Resources& held = row->second.at(pool);
   const Resources sum = this->Sum(team);
-  return Resources{UsableComponent(held.cpu_millicores, sum.cpu_millicores,
-                                   limit.cpu_millicores),
-                   UsableComponent(held.memory_mb, sum.memory_mb,
-                                   limit.memory_mb),
-                   UsableComponent(held.accelerators, sum.accelerators,
-                                   limit.accelerators)};
+  return Resources{
+      UsableComponent(held.cpu_millicores, sum.cpu_millicores,
+                      limit.cpu_millicores),
+      UsableComponent(held.memory_mb, sum.memory_mb, limit.memory_mb),
+      UsableComponent(held.accelerators, sum.accelerators, limit.accelerators)};
 }
 
 bool AllotmentTable::Adjust(const TeamName& team,
--- a/Source/UnitTests/Jobs/fake_worker.cc
+++ b/Source/UnitTests/Jobs/fake_worker.cc
@@ -88,8 +88,7 @@
   if (!this->Accept(fence)) {
     return false;
   }
-  this->last_run[order.task] =
-      std::max(this->last_run[order.task], order.run);
+  this->last_run[order.task] = std::max(this->last_run[order.task], order.run);
   const std::map<TaskRef, Run>::iterator found = this->active.find(order.task);
   if (found != this->active.end() && found->second.number <= order.run) {
     this->End(found->first, found->second, EndKind::kStopped);
@@ -109,9 +108,9 @@
     return end.sequence <= order.acknowledged;
   });
   if (order.lease_until.count() > 0) {
-    this->lease_until = std::max(
-        this->lease_until,
-        std::min(order.lease_until, this->Clock(now) + kLongestLease));
+    this->lease_until =
+        std::max(this->lease_until,
+                 std::min(order.lease_until, this->Clock(now) + kLongestLease));
   }
   RunReport report;
   report.worker_clock = this->Clock(now);
--- a/Source/UnitTests/Jobs/pool_schedule_test.cc
+++ b/Source/UnitTests/Jobs/pool_schedule_test.cc
@@ -16,11 +16,12 @@
 TEST_CASE("A task runs once at a time and every job ends", "[schedule]") {
   const ScheduleRunner runner(150);
   PoolSimulation::Totals totals;
-  const std::string failure = runner.Run(
-      [&totals](std::uint64_t seed) { return PoolSimulation(seed).Run(&totals); });
+  const std::string failure = runner.Run([&totals](std::uint64_t seed) {
+    return PoolSimulation(seed).Run(&totals);
+  });
   INFO("starts " << totals.starts << ", late orders " << totals.late_orders
-                 << ", terms " << totals.terms << ", crashes "
-                 << totals.crashes << ", cuts " << totals.cuts);
+                 << ", terms " << totals.terms << ", crashes " << totals.crashes
+                 << ", cuts " << totals.cuts);
   CHECK(failure == "");
   if (runner.count() >= 100) {
     CHECK(totals.late_orders > 100);
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -287,8 +287,8 @@
   const std::vector<StartRun> starts = fixture.Starts();
   fixture.Confirm(starts.at(0));
   fixture.Answer("w1", {AtWork(starts[1])}, {Done(5, starts[0])});
-  fixture.scheduler.OnStart(starts[1], StartOutcome::kStarted,
-                            Milliseconds(20), fixture.Now());
+  fixture.scheduler.OnStart(starts[1], StartOutcome::kStarted, Milliseconds(20),
+                            fixture.Now());
   const std::vector<AskReport> asks = Select<AskReport>(fixture.Orders());
   for (const AskReport& ask : asks) {
     CHECK(ask.acknowledged == 0);
@@ -307,9 +307,9 @@
     const std::vector<StartRun> starts = fixture.Starts();
     REQUIRE(starts.size() == 1);
     fixture.Confirm(starts[0]);
-    fixture.Answer(starts[0].worker.str(), {},
-                   {RunEnd{attempt, starts[0].task, starts[0].run,
-                           EndKind::kFailed, ""}});
+    fixture.Answer(
+        starts[0].worker.str(), {},
+        {RunEnd{attempt, starts[0].task, starts[0].run, EndKind::kFailed, ""}});
   }
   CHECK(fixture.Starts().empty());
   const std::vector<std::pair<JobId, JobProgress>> unsaved =
@@ -463,8 +463,7 @@
   progress.status = JobStatus::kRunning;
   progress.done.insert(TaskRef{job.id, 0, 0, 2});
   progress.failures[TaskRef{job.id, 0, 0, 1}] = {2, 5};
-  const Result<JobProgress> kept =
-      ParseJobProgress(job.id, ToJson(progress));
+  const Result<JobProgress> kept = ParseJobProgress(job.id, ToJson(progress));
   REQUIRE(kept.ok());
   CHECK(kept.value().done == progress.done);
   CHECK(kept.value().failures == progress.failures);
--- a/Source/UnitTests/Jobs/pool_simulation.cc
+++ b/Source/UnitTests/Jobs/pool_simulation.cc
@@ -114,7 +114,9 @@
           return;
         }
         for (const Order& order : old->TakeOrders(
-                 kStart + this->queue.now(), kWallStart + std::chrono::duration_cast<Milliseconds>(this->queue.now()))) {
+                 kStart + this->queue.now(),
+                 kWallStart + std::chrono::duration_cast<Milliseconds>(
+                                  this->queue.now()))) {
           const StartRun* const start = std::get_if<StartRun>(&order);
           if (start == nullptr || !this->hosts.contains(start->worker)) {
             continue;
@@ -144,8 +146,8 @@
   }
   this->scheduler->SetRemembered(names);
   this->Deliver(this->scheduler->TakeOrders(
-      now, kWallStart + std::chrono::duration_cast<Milliseconds>(
-                            this->queue.now())));
+      now, kWallStart +
+               std::chrono::duration_cast<Milliseconds>(this->queue.now())));
   this->Save();
   this->Check();
   this->queue.After(kTick, [this]() { this->Step(); });
@@ -168,17 +170,12 @@
 
 void PoolSimulation::Deliver(const std::vector<Order>& orders) {
   for (const Order& order : orders) {
-    std::visit(Overloaded{[this](const StartRun& start) {
-                            this->DeliverStart(start);
-                          },
-                          [this](const StopRun& stop) {
-                            this->DeliverStop(stop);
-                          },
-                          [this](const AskReport& ask) {
-                            this->DeliverReport(ask);
-                          },
-                          [](const PaceRun&) {}, [](const AskAdvice&) {}},
-               order);
+    std::visit(
+        Overloaded{[this](const StartRun& start) { this->DeliverStart(start); },
+                   [this](const StopRun& stop) { this->DeliverStop(stop); },
+                   [this](const AskReport& ask) { this->DeliverReport(ask); },
+                   [](const PaceRun&) {}, [](const AskAdvice&) {}},
+        order);
   }
 }
 
@@ -187,9 +184,9 @@
   if (host.worker == nullptr) {
     return;
   }
-  FakeWorker::Fate fate{Milliseconds(100 + this->random.Below(1500)),
-                        this->random.Chance(0.03) ? EndKind::kFailed
-                                                  : EndKind::kDone};
+  FakeWorker::Fate fate{
+      Milliseconds(100 + this->random.Below(1500)),
+      this->random.Chance(0.03) ? EndKind::kFailed : EndKind::kDone};
   const MonotonicTime now = kStart + this->queue.now();
   if (host.worker->Start(order, fence, fate, now) == StartOutcome::kStarted) {
     ++this->totals->starts;
@@ -236,9 +233,8 @@
                     ? StartOutcome::kStarted
                     : host.worker->Start(order, fence, {}, now);
     }
-    const Milliseconds back = outcome == StartOutcome::kUnknown
-                                  ? Milliseconds(500)
-                                  : this->Delay();
+    const Milliseconds back =
+        outcome == StartOutcome::kUnknown ? Milliseconds(500) : this->Delay();
     this->queue.After(back, [this, order, outcome, clock, sender]() {
       sender->OnStart(order, outcome, clock, kStart + this->queue.now());
     });
@@ -301,13 +297,13 @@
       ++this->totals->crashes;
       host.worker.reset();
       ++host.lives;
-      this->queue.After(Milliseconds(this->random.Below(3000)),
-                        [this, &host]() {
-                          if (host.worker == nullptr) {
-                            host.worker = std::make_unique<FakeWorker>(
-                                kStart + this->queue.now());
-                          }
-                        });
+      this->queue.After(
+          Milliseconds(this->random.Below(3000)), [this, &host]() {
+            if (host.worker == nullptr) {
+              host.worker =
+                  std::make_unique<FakeWorker>(kStart + this->queue.now());
+            }
+          });
       return;
     case 1:
       ++this->totals->cuts;
@@ -330,16 +326,15 @@
     host.second.worker->Advance(kStart + this->queue.now());
     for (const std::pair<const TaskRef, FakeWorker::Run>& run :
          host.second.worker->runs()) {
-      const bool is_first =
-          running.emplace(run.first, host.first).second;
+      const bool is_first = running.emplace(run.first, host.first).second;
       if (!is_first && this->failure.empty()) {
-        this->failure = "two runs of " + run.first.ToString() + " on " +
-                        running.at(run.first).str() + " and " +
-                        host.first.str() + " at " +
-                        std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                           this->queue.now())
-                                           .count()) +
-                        " ms";
+        this->failure =
+            "two runs of " + run.first.ToString() + " on " +
+            running.at(run.first).str() + " and " + host.first.str() + " at " +
+            std::to_string(
+                std::chrono::duration_cast<Milliseconds>(this->queue.now())
+                    .count()) +
+            " ms";
       }
     }
   }
