Site: size pools by what their open jobs need; list again after a lost watch

(3) A request that was given up in a partition could reach its peer after it; closing a connection now resets it.

--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -52,6 +52,9 @@
   }
   for (std::size_t i = 0; i < open->steps.size(); ++i) {
     const StepSpec& step = job.job.spec.steps[i];
+    if (step.is_service) {
+      continue;
+    }
     const double tasks = step.task_count - open->steps[i].done;
     work += tasks * static_cast<double>(step.request.cpu_millicores) *
             static_cast<double>(step.estimate.count()) / 1000.0;
--- a/Source/Core/Jobs/objective.h
+++ b/Source/Core/Jobs/objective.h
@@ -12,7 +12,8 @@
 
 // Longest chain of steps that are not done yet.
 Milliseconds RemainingChain(const JobState& job);
-// Millicore-seconds of the tasks that are not done yet.
+// Millicore-seconds of the tasks that are not done yet, those that last
+// excepted.
 double RemainingWork(const JobState& job);
 // When the job should be complete; for scheduled jobs, the first occurrence.
 WallTime ObjectiveOf(const AcceptedJob& job, const QueuePolicy& policy);
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -181,6 +181,7 @@
                          WallTime wall,
                          std::vector<Candidate>* candidates);
   void MeasureLoad(const std::vector<Candidate>& candidates, MonotonicTime now);
+  void MeasureNeed(WallTime wall);
   void CollectStep(JobState* job,
                    int occurrence,
                    int step,
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -24,6 +24,10 @@
 constexpr double kMovedAgainCost = 1.0;
 constexpr double kFailedThereCost = 8.0;
 
+// The work of a job that is late or nearly so is wanted within this time.
+constexpr Milliseconds kShortestNeed{1000};
+constexpr double kMillisecondsPerSecond = 1000.0;
+
 double FreePart(std::int64_t capacity, std::int64_t used) {
   return capacity <= 0 ? 0.0
                        : static_cast<double>(capacity - used) /
@@ -61,6 +65,7 @@
     }
   }
   this->MeasureLoad(candidates, now);
+  this->MeasureNeed(wall);
 }
 
 void PoolScheduler::CollectCandidates(MonotonicTime now,
@@ -368,6 +373,19 @@
   }
 }
 
+void PoolScheduler::MeasureNeed(WallTime wall) {
+  double needed = 0.0;
+  for (const JobId& id : this->open_jobs) {
+    const JobState& job = this->jobs.at(id);
+    const Milliseconds left = std::max(
+        kShortestNeed,
+        std::chrono::duration_cast<Milliseconds>(job.objective - wall));
+    needed += RemainingWork(job) / static_cast<double>(left.count());
+  }
+  this->current_load.needed =
+      static_cast<std::int64_t>(needed * kMillisecondsPerSecond);
+}
+
 void PoolScheduler::MeasureLoad(const std::vector<Candidate>& candidates,
                                 MonotonicTime now) {
   PoolLoad& load = this->current_load;
@@ -377,13 +395,16 @@
     if (this->IsUsable(worker, now)) {
       load.capacity += worker.listing.capacity.cpu_millicores;
       load.used += worker.used.cpu_millicores;
+      ++load.usable_workers;
     }
     PoolLoad::Worker& row = load.workers[entry.first];
     row.is_vacating = worker.is_vacating;
     row.runs = static_cast<int>(worker.runs.size());
     for (const std::pair<TaskRef, std::int64_t>& run : worker.runs) {
-      row.service_runs +=
-          this->SpecOf(this->jobs.at(run.first.job), run.first).is_service;
+      const StepSpec& step =
+          this->SpecOf(this->jobs.at(run.first.job), run.first);
+      row.service_runs += step.is_service;
+      load.services += step.is_service ? ReservedBy(step).cpu_millicores : 0;
     }
   }
   for (const Candidate& candidate : candidates) {
--- a/Source/Core/Machines/machine_planner.cc
+++ b/Source/Core/Machines/machine_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <tuple>
 
 namespace daisyroad {
@@ -18,11 +19,12 @@
 // A wave that is this close to its end is no longer held back by load.
 constexpr double kHurryFactor = 1.3;
 
-// Tasks that wait are worth a loan above this part of the pool's capacity.
-constexpr double kLoanLoad = 0.1;
-// A loan ends when the pool was this calm for a while.
-constexpr double kReturnLoad = 0.55;
-constexpr Milliseconds kReturnDelay{800};
+// Capacity is kept at this multiple of what the open jobs need, and above
+// this many machines.
+constexpr double kHeadroom = 1.1;
+constexpr int kLeastMachines = 3;
+// A pool gives machines up when it has had too many for a while.
+constexpr Milliseconds kReleaseDelay{1200};
 
 double LoadOf(const PoolLoad& load) {
   return load.capacity <= 0 ? 1.0
@@ -35,6 +37,7 @@
 struct MachinePlanner::Fleet {
   const std::vector<Machine>* machines = nullptr;
   const std::map<PoolName, PoolReport>* pools = nullptr;
+  const std::set<ZoneName>* zones_out = nullptr;
   MonotonicTime now;
   std::map<PoolName, std::vector<const Machine*>> up;  // by pool
   std::map<PoolName, int> coming;  // moving or in maintenance, by pool
@@ -82,8 +85,10 @@
     const std::vector<Machine>& machines,
     const std::map<PoolName, PoolReport>& pools,
     const std::map<std::int64_t, WaveProgress>& waves,
+    const std::set<ZoneName>& zones_out,
     MonotonicTime now) {
   Fleet fleet;
+  fleet.zones_out = &zones_out;
   fleet.machines = &machines;
   fleet.pools = &pools;
   fleet.now = now;
@@ -99,8 +104,7 @@
   for (const std::pair<const std::int64_t, WaveProgress>& wave : waves) {
     this->PlanWave(wave.second, &fleet, &plan);
   }
-  this->PlanLoans(&fleet, &plan);
-  this->PlanReturns(&fleet, &plan);
+  this->PlanSizes(&fleet, &plan);
   return plan;
 }
 
@@ -169,107 +173,107 @@
   }
 }
 
-int MachinePlanner::Wanted(const PoolName& pool, const Fleet& fleet) const {
-  const PoolReport& report = fleet.ReportOf(pool);
-  const std::map<PoolName, std::vector<const Machine*>>::const_iterator up =
-      fleet.up.find(pool);
-  if (!report.is_known || report.is_spare || up == fleet.up.end() ||
-      report.load.capacity <= 0 ||
-      static_cast<double>(report.load.waiting) <
-          kLoanLoad * static_cast<double>(report.load.capacity)) {
-    return 0;
+int MachinePlanner::TargetSize(const PoolName& pool, const Fleet& fleet) const {
+  const PoolLoad& load = fleet.ReportOf(pool).load;
+  const double each = static_cast<double>(load.capacity) /
+                      static_cast<double>(std::max(1, load.usable_workers));
+  const std::map<PoolName, int>::const_iterator home =
+      this->home_sizes.find(pool);
+  const int least = std::max(kLeastMachines,
+                             home == this->home_sizes.end() ? 0 : home->second);
+  if (each <= 0.0) {
+    return least;
   }
-  const double each = static_cast<double>(report.load.capacity) /
-                      static_cast<double>(up->second.size());
-  const double missing = static_cast<double>(
-      report.load.used + report.load.waiting - report.load.capacity);
-  const std::map<PoolName, int>::const_iterator coming =
-      fleet.coming.find(pool);
-  return static_cast<int>(std::ceil(missing / each)) -
-         (coming == fleet.coming.end() ? 0 : coming->second);
+  const std::int64_t needed = std::max(load.needed + load.services, load.used);
+  const int hosts_of_services = static_cast<int>(std::count_if(
+      load.workers.begin(), load.workers.end(),
+      [](const std::pair<const WorkerName, PoolLoad::Worker>& worker) {
+        return worker.second.service_runs > 0;
+      }));
+  const int sized = static_cast<int>(
+      std::ceil(kHeadroom * static_cast<double>(needed) / each));
+  return std::max({sized, hosts_of_services, least});
 }
 
-void MachinePlanner::PlanLoans(Fleet* fleet, MachinePlan* plan) {
+void MachinePlanner::PlanSizes(Fleet* fleet, MachinePlan* plan) {
+  PoolName spare;
   std::vector<const Machine*> free;
-  for (const std::pair<const PoolName, std::vector<const Machine*>>& entry :
-       fleet->up) {
-    if (!fleet->ReportOf(entry.first).is_spare) {
-      continue;
-    }
-    for (const Machine* const machine : entry.second) {
-      if (!fleet->taken.contains(machine->name)) {
-        free.push_back(machine);
-      }
-    }
-  }
-  // The neediest pool takes one machine at a time.
   std::map<PoolName, int> wanted;
   for (const std::pair<const PoolName, PoolReport>& pool : *fleet->pools) {
-    wanted[pool.first] = this->Wanted(pool.first, *fleet);
+    const std::vector<const Machine*>& up = fleet->up[pool.first];
+    if (pool.second.is_spare) {
+      spare = pool.first;
+      std::copy_if(up.begin(), up.end(), std::back_inserter(free),
+                   [fleet](const Machine* machine) {
+                     return !fleet->taken.contains(machine->name) &&
+                            !fleet->zones_out->contains(machine->zone);
+                   });
+    } else if (pool.second.is_known) {
+      const int size = static_cast<int>(up.size()) + fleet->coming[pool.first];
+      wanted[pool.first] = this->TargetSize(pool.first, *fleet) - size;
+    }
   }
+  if (spare.empty()) {
+    return;
+  }
+  this->Lend(free, &wanted, plan);
+  for (const std::pair<const PoolName, int>& pool : wanted) {
+    this->Release(pool.first, -pool.second, spare, fleet, plan);
+  }
+}
+
+void MachinePlanner::Lend(const std::vector<const Machine*>& free,
+                          std::map<PoolName, int>* wanted,
+                          MachinePlan* plan) {
+  // The neediest pool takes one machine at a time.
   for (const Machine* const machine : free) {
     const std::map<PoolName, int>::iterator neediest =
-        std::max_element(wanted.begin(), wanted.end(),
+        std::max_element(wanted->begin(), wanted->end(),
                          [](const std::pair<const PoolName, int>& left,
                             const std::pair<const PoolName, int>& right) {
                            return left.second < right.second;
                          });
-    if (neediest == wanted.end() || neediest->second <= 0) {
+    if (neediest == wanted->end() || neediest->second <= 0) {
       return;
     }
     --neediest->second;
-    fleet->taken.insert(machine->name);
     plan->orders.emplace_back(MoveMachine{machine->name, neediest->first});
   }
 }
 
-void MachinePlanner::PlanReturns(Fleet* fleet, MachinePlan* plan) {
-  PoolName spare;
-  for (const std::pair<const PoolName, PoolReport>& pool : *fleet->pools) {
-    if (pool.second.is_spare) {
-      spare = pool.first;
-    }
+void MachinePlanner::Release(const PoolName& pool,
+                             int surplus,
+                             const PoolName& spare,
+                             Fleet* fleet,
+                             MachinePlan* plan) {
+  if (surplus <= 0) {
+    this->surplus_since.erase(pool);
+    return;
   }
-  for (const std::pair<const PoolName, PoolReport>& pool : *fleet->pools) {
-    const PoolReport& report = pool.second;
-    const std::map<PoolName, int>::const_iterator home =
-        this->home_sizes.find(pool.first);
-    if (spare.empty() || report.is_spare || !report.is_known ||
-        home == this->home_sizes.end()) {
-      continue;
-    }
-    if (LoadOf(report.load) > kReturnLoad) {
-      this->calm_since.erase(pool.first);
-      continue;
+  const MonotonicTime since =
+      this->surplus_since.emplace(pool, fleet->now).first->second;
+  if (fleet->now - since < kReleaseDelay) {
+    return;
+  }
+  std::vector<const Machine*> candidates = fleet->up[pool];
+  std::sort(candidates.begin(), candidates.end(),
+            [fleet](const Machine* left, const Machine* right) {
+              return std::make_tuple(fleet->ServicesOn(*left),
+                                     fleet->RunsOn(*left), left->name) <
+                     std::make_tuple(fleet->ServicesOn(*right),
+                                     fleet->RunsOn(*right), right->name);
+            });
+  for (const Machine* const machine : candidates) {
+    if (surplus <= 0 || fleet->ServicesOn(*machine) > 0) {
+      return;
     }
-    const MonotonicTime since =
-        this->calm_since.emplace(pool.first, fleet->now).first->second;
-    if (fleet->now - since < kReturnDelay) {
+    if (fleet->taken.contains(machine->name)) {
       continue;
     }
-    std::vector<const Machine*> candidates = fleet->up[pool.first];
-    std::sort(candidates.begin(), candidates.end(),
-              [fleet](const Machine* left, const Machine* right) {
-                return std::make_tuple(fleet->ServicesOn(*left),
-                                       fleet->RunsOn(*left), left->name) <
-                       std::make_tuple(fleet->ServicesOn(*right),
-                                       fleet->RunsOn(*right), right->name);
-              });
-    int surplus = static_cast<int>(candidates.size()) - home->second;
-    for (const Machine* const machine : candidates) {
-      if (surplus <= 0) {
-        break;
-      }
-      if (fleet->taken.contains(machine->name) ||
-          fleet->ServicesOn(*machine) > 0) {
-        continue;
-      }
-      --surplus;
-      fleet->taken.insert(machine->name);
-      plan->vacate[pool.first].insert(machine->worker);
-      if (fleet->IsEmpty(*machine)) {
-        plan->orders.emplace_back(MoveMachine{machine->name, spare});
-      }
+    --surplus;
+    plan->vacate[pool].insert(machine->worker);
+    if (fleet->IsEmpty(*machine)) {
+      plan->orders.emplace_back(MoveMachine{machine->name, spare});
     }
   }
 }
--- a/Source/Core/Machines/machine_planner.h
+++ b/Source/Core/Machines/machine_planner.h
@@ -58,20 +58,28 @@
   MachinePlan Plan(const std::vector<Machine>& machines,
                    const std::map<PoolName, PoolReport>& pools,
                    const std::map<std::int64_t, WaveProgress>& waves,
+                   const std::set<ZoneName>& zones_out,
                    MonotonicTime now);
 
  private:
   struct Fleet;
 
   void PlanWave(const WaveProgress& progress, Fleet* fleet, MachinePlan* plan);
-  void PlanLoans(Fleet* fleet, MachinePlan* plan);
-  void PlanReturns(Fleet* fleet, MachinePlan* plan);
-  // Machines wanted by the pool beyond those that it has or that are coming.
-  int Wanted(const PoolName& pool, const Fleet& fleet) const;
+  // Moves machines between the spare pool and the others by what they need.
+  void PlanSizes(Fleet* fleet, MachinePlan* plan);
+  void Lend(const std::vector<const Machine*>& free,
+            std::map<PoolName, int>* wanted,
+            MachinePlan* plan);
+  void Release(const PoolName& pool,
+               int surplus,
+               const PoolName& spare,
+               Fleet* fleet,
+               MachinePlan* plan);
+  int TargetSize(const PoolName& pool, const Fleet& fleet) const;
 
   std::map<PoolName, int> home_sizes;
-  // Since when the pool has had room to spare.
-  std::map<PoolName, MonotonicTime> calm_since;
+  // Since when the pool has had more machines than it needs.
+  std::map<PoolName, MonotonicTime> surplus_since;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Site/fleet_lead.cc
+++ b/Source/Core/Site/fleet_lead.cc
@@ -316,7 +316,9 @@
             << "event=pool_load pool=" << pool.first
             << " known=" << pool.second.is_known
             << " capacity=" << load.capacity << " used=" << load.used
-            << " waiting=" << load.waiting << " workers=" << load.workers.size()
+            << " waiting=" << load.waiting << " needed=" << load.needed
+            << " services=" << load.services
+            << " workers=" << load.workers.size()
             << " vacating=" << this->vacate[pool.first].size()
             << " due=" << this->due[pool.first].size();
       }
@@ -344,7 +346,8 @@
         machine.state = MachineState::kUpkeep;
       }
     }
-    MachinePlan plan = this->planner.Plan(current, this->pools, open, now);
+    MachinePlan plan = this->planner.Plan(current, this->pools, open,
+                                          this->operators.zones_out, now);
     this->vacate = std::move(plan.vacate);
     this->due = std::move(plan.due);
     for (const MachineOrder& order : plan.orders) {
@@ -428,7 +431,7 @@
   this->state->context = context;
   this->state->term = term;
   this->state->first_order_at =
-      Now() + (term.number > 1 ? kTakeoverPause : Milliseconds(0));
+      Now() + (term.is_predecessor_gone ? Milliseconds(0) : kTakeoverPause);
 }
 
 FleetLead::~FleetLead() {
@@ -448,6 +451,9 @@
   json["capacity"] = Json::Int64(load.capacity);
   json["used"] = Json::Int64(load.used);
   json["waiting"] = Json::Int64(load.waiting);
+  json["needed"] = Json::Int64(load.needed);
+  json["services"] = Json::Int64(load.services);
+  json["usable"] = load.usable_workers;
   json["workers"] = Json::Value(Json::objectValue);
   for (const std::pair<const WorkerName, PoolLoad::Worker>& worker :
        load.workers) {
@@ -464,6 +470,9 @@
   load.capacity = json["capacity"].asInt64();
   load.used = json["used"].asInt64();
   load.waiting = json["waiting"].asInt64();
+  load.needed = json["needed"].asInt64();
+  load.services = json["services"].asInt64();
+  load.usable_workers = json["usable"].asInt();
   for (const std::string& worker : json["workers"].getMemberNames()) {
     const Json::Value& row = json["workers"][worker];
     load.workers[WorkerName(worker)] =
--- a/Source/Core/Site/prefix_mirror.cc
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -9,9 +9,9 @@
 namespace daisyroad {
 namespace {
 
-// Longest time a watch waits; a dead connection shows after this and the grace
-// of the store client.
-constexpr Milliseconds kWatchWait{10000};
+// Longest time a watch waits; a silent connection shows after this and the
+// grace of the store client.
+constexpr Milliseconds kWatchWait{2000};
 constexpr Milliseconds kListTimeout{1000};
 constexpr Milliseconds kRetryPause{150};
 
@@ -126,14 +126,10 @@
       return;
     }
     if (!changes.ok()) {
-      // What the watch missed meanwhile still shows in the history.
+      // A store that drops its history cuts the watches, and another watch
+      // from the same revision misses what was dropped.
       this->NoteFailure(changes.error());
-      const std::shared_ptr<State> self = this->shared_from_this();
-      this->loop->After(kRetryPause, [self]() {
-        if (!self->is_stopped) {
-          self->Watch();
-        }
-      });
+      this->ListLater();
       return;
     }
     this->NoteSuccess();
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -1,6 +1,7 @@
 #include "Core/Transport/http_client.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include "Core/Common/metrics_registry.h"
 
@@ -106,6 +107,17 @@
                curl_easy_strerror(code)};
 }
 
+// Closing a connection resets it: a request that was given up must not reach
+// its peer later, when a partition ends.
+int OnSocket(void* /*context*/,
+             curl_socket_t socket,
+             curlsocktype /*purpose*/) {
+  const linger reset{1, 0};
+  return setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) == 0
+             ? CURL_SOCKOPT_OK
+             : CURL_SOCKOPT_ERROR;
+}
+
 void Configure(Exchange* exchange) {
   CURL* handle = exchange->handle;
   const HttpClientRequest& request = exchange->request;
@@ -131,6 +143,7 @@
   }
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
   curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
