--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -35,6 +35,8 @@
   // The worker has answered the order to stop: the run is or was there, or
   // never will be.
   std::optional<MonotonicTime> stop_answered_at;
+  // A run found by a new scheduler is not known to stay before this time.
+  std::optional<MonotonicTime> adopted_until;
   // First report that shows the run at work at full speed.
   std::optional<MonotonicTime> at_work_since;
   // First report of an uninterrupted series that shows no progress.
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -221,7 +221,7 @@
                        const TaskRef& task,
                        RunRecord* run,
                        MonotonicTime now);
-  int TasksAway(const StepState& step, int except) const;
+  int TasksAway(const StepState& step, int except, MonotonicTime now) const;
   void PaceIdleCapacityRuns(WorkerState* worker);
   void StopStalledRuns(MonotonicTime now);
 
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -349,6 +349,8 @@
     run =
         this->AddRun(&job, active.task, active.run, worker->listing.name, now);
     run->state = RunState::kActive;
+    // An earlier scheduler may have told the worker to stop it.
+    run->adopted_until = now + this->settings.longest_stop;
     const bool is_surplus =
         task->runs.size() > 1 && !this->SpecOf(job, active.task).allows_copies;
     if (IsFinal(job.status) || task->is_done || is_surplus) {
--- a/Source/Core/Jobs/pool_scheduler_services.cc
+++ b/Source/Core/Jobs/pool_scheduler_services.cc
@@ -41,7 +41,7 @@
   const JobState& job = this->jobs.at(task.job);
   const StepState& step = job.occurrences.at(task.occurrence).steps[task.step];
   const int budget = std::max(1, this->SpecOf(job, task).disruption_budget);
-  if (this->TasksAway(step, task.index) >= budget ||
+  if (this->TasksAway(step, task.index, now) >= budget ||
       this->ChooseWorker(job, task, RackName(), now) == nullptr) {
     return;
   }
@@ -51,14 +51,17 @@
   this->StopRunOf(task, run, now);
 }
 
-int PoolScheduler::TasksAway(const StepState& step, int except) const {
+int PoolScheduler::TasksAway(const StepState& step,
+                             int except,
+                             MonotonicTime now) const {
   int away = 0;
   for (int i = 0; i < static_cast<int>(step.tasks.size()); ++i) {
     const std::vector<RunRecord>& runs = step.tasks[i].runs;
-    const bool is_at_work =
-        std::any_of(runs.begin(), runs.end(), [this](const RunRecord& run) {
+    const bool is_at_work = std::any_of(
+        runs.begin(), runs.end(), [this, now](const RunRecord& run) {
           return run.state == RunState::kActive && run.percent == 100 &&
                  run.at_work_since &&
+                 (!run.adopted_until || *run.adopted_until <= now) &&
                  this->workers.at(run.worker).missed_reports == 0;
         });
     away += i != except && !is_at_work;
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -355,6 +356,29 @@
   CHECK(stops.size() == 1);
 }
 
+// Guards against AVAIL in the recorded day of izarra-pendulo: an earlier
+// scheduler had just told a worker to stop a task, which was still reported.
+TEST_CASE(
+    "Tasks that were taken over leave a worker once they are sure to stay") {
+  Fixture fixture({Worker("w1"), Worker("w2"), Worker("w3")});
+  fixture.Add(JobBuilder("j").Service(2, 1).Build(), true);
+  const std::function<void()> report = [&fixture]() {
+    for (int i = 0; i < 2; ++i) {
+      StartRun earlier;
+      earlier.task = TaskRef{JobId("j"), 0, 0, i};
+      earlier.run = 1;
+      fixture.Answer("w" + std::to_string(i + 1), {AtWork(earlier)});
+    }
+    fixture.Answer("w3");
+  };
+  report();
+  fixture.scheduler.SetVacating({WorkerName("w1")}, {});
+  CHECK(Select<StopRun>(fixture.Orders()).empty());
+  fixture.Pass(Milliseconds(1000));
+  report();
+  CHECK(Select<StopRun>(fixture.Orders()).size() == 1);
+}
+
 // Guards against starts in a zone that operators have taken out.
 TEST_CASE("Nothing starts in a zone that is out") {
   Fixture fixture({Worker("w1", "north"), Worker("w2", "south")});
