--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -27,7 +27,7 @@
   // Added to the end of a lease for the time a report is on its way.
   Milliseconds lease_margin{150};
   // Ends that complete no job are written together within this time.
-  Milliseconds save_interval{40};
+  Milliseconds save_interval{15};
   // An idle worker is asked once more after its last end, so that it can
   // forget its ends.
   Milliseconds acknowledge_pause{1000};
--- a/Source/Core/Site/fleet_lead.cc
+++ b/Source/Core/Site/fleet_lead.cc
@@ -20,8 +20,8 @@
 namespace daisyroad {
 namespace {
 
-constexpr Milliseconds kPlanInterval{200};
-constexpr Milliseconds kListInterval{400};
+constexpr Milliseconds kPlanInterval{100};
+constexpr Milliseconds kListInterval{250};
 constexpr Milliseconds kLoadTimeout{300};
 constexpr Milliseconds kStoreTimeout{700};
 // A load older than this says nothing of what runs now.
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -29,7 +29,7 @@
 constexpr Milliseconds kOperatorInterval{500};
 constexpr Milliseconds kOperatorTimeout{700};
 // A worker that leaves must get no new runs within two seconds.
-constexpr Milliseconds kWorkerInterval{400};
+constexpr Milliseconds kWorkerInterval{250};
 constexpr Milliseconds kWorkerTimeout{700};
 // Part of the grace period left when the process ends by itself.
 constexpr Milliseconds kStopReserve{700};
