Machines: lend machines between pools, and order only on a fresh word

Pools now lend what they do not need, keep half of their home size, and go home when nobody is short; work that is late is wanted within 2 s (within 1 s a pool took 38 machines). Services are packed, so that machines are free to lend.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -33,6 +33,10 @@
   this->allotments = std::move(allotments);
 }
 
+void PoolScheduler::HoldStartsUntil(MonotonicTime time) {
+  this->no_starts_before = time;
+}
+
 void PoolScheduler::SetSole(bool is_sole) {
   this->is_sole = is_sole;
 }
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -48,6 +48,8 @@
   // False while another scheduler may have taken over. Runs on workers that do
   // not answer are not given up then: they may belong to the other one.
   void SetSole(bool is_sole);
+  // A new scheduler learns within this time which workers are to be emptied.
+  void HoldStartsUntil(MonotonicTime time);
   // Workers whose machines wait for planned work, and those whose turn comes
   // later.
   void SetVacating(const std::set<WorkerName>& workers,
@@ -244,6 +246,7 @@
   MonotonicTime next_save;
   bool is_fenced = false;
   bool is_sole = true;
+  MonotonicTime no_starts_before;
   PoolLoad current_load;
   std::vector<Order> orders;
   std::vector<std::string> decisions;
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -25,7 +25,7 @@
 constexpr double kFailedThereCost = 8.0;
 
 // The work of a job that is late or nearly so is wanted within this time.
-constexpr Milliseconds kShortestNeed{1000};
+constexpr Milliseconds kShortestNeed{2000};
 constexpr double kMillisecondsPerSecond = 1000.0;
 
 double FreePart(std::int64_t capacity, std::int64_t used) {
@@ -47,8 +47,11 @@
                      std::tie(right.tier, right.priority, right.order,
                               right.task);
             });
-  int misfits = 0;
+  int misfits = now < this->no_starts_before ? kMisfitsPerPass : 0;
   for (Candidate& candidate : candidates) {
+    if (misfits >= kMisfitsPerPass) {
+      break;
+    }
     const StepSpec& step = this->SpecOf(*candidate.job, candidate.task);
     candidate.placement = step.is_gang ? this->PlaceGang(candidate, now)
                                        : this->PlaceOne(candidate, now);
@@ -56,9 +59,7 @@
       misfits = 0;
       continue;
     }
-    if (++misfits >= kMisfitsPerPass) {
-      break;
-    }
+    ++misfits;
     if (candidate.placement == Placement::kNoRoom &&
         this->reserved_worker.empty()) {
       this->ReserveWorker(candidate, now);
@@ -203,7 +204,7 @@
       std::max(FreePart(capacity.cpu_millicores, worker.used.cpu_millicores),
                FreePart(capacity.memory_mb, worker.used.memory_mb));
   // Long-lived tasks are spread, short ones packed.
-  double cost = step.is_service ? -free : free;
+  double cost = free;
   if (!step.data_rack.empty() && step.data_rack != worker.listing.rack.str()) {
     cost += kOtherRackCost;
   }
--- a/Source/Core/Machines/machine_planner.cc
+++ b/Source/Core/Machines/machine_planner.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <tuple>
 
 namespace daisyroad {
@@ -23,9 +22,23 @@
 // this many machines.
 constexpr double kHeadroom = 1.1;
 constexpr int kLeastMachines = 3;
+// A pool that lends machines keeps this part of its home size.
+constexpr double kKeptShare = 0.5;
 // A pool gives machines up when it has had too many for a while.
 constexpr Milliseconds kReleaseDelay{1200};
 
+// The pool that wants the most machines; empty if none wants any.
+PoolName Neediest(const std::map<PoolName, int>& wanted) {
+  const std::map<PoolName, int>::const_iterator neediest =
+      std::max_element(wanted.begin(), wanted.end(),
+                       [](const std::pair<const PoolName, int>& left,
+                          const std::pair<const PoolName, int>& right) {
+                         return left.second < right.second;
+                       });
+  return neediest == wanted.end() || neediest->second <= 0 ? PoolName()
+                                                           : neediest->first;
+}
+
 double LoadOf(const PoolLoad& load) {
   return load.capacity <= 0 ? 1.0
                             : static_cast<double>(load.used + load.waiting) /
@@ -173,88 +186,95 @@
   }
 }
 
-int MachinePlanner::TargetSize(const PoolName& pool, const Fleet& fleet) const {
+int MachinePlanner::NeededSize(const PoolName& pool, const Fleet& fleet) const {
   const PoolLoad& load = fleet.ReportOf(pool).load;
+  const int hosts_of_services = static_cast<int>(std::count_if(
+      load.workers.begin(), load.workers.end(),
+      [](const std::pair<const WorkerName, PoolLoad::Worker>& worker) {
+        return worker.second.service_runs > 0;
+      }));
+  const int least = std::max(hosts_of_services, kLeastMachines);
   const double each = static_cast<double>(load.capacity) /
                       static_cast<double>(std::max(1, load.usable_workers));
-  const std::map<PoolName, int>::const_iterator home =
-      this->home_sizes.find(pool);
-  const int least = std::max(kLeastMachines,
-                             home == this->home_sizes.end() ? 0 : home->second);
   if (each <= 0.0) {
     return least;
   }
   const std::int64_t needed = std::max(load.needed + load.services, load.used);
-  const int hosts_of_services = static_cast<int>(std::count_if(
-      load.workers.begin(), load.workers.end(),
-      [](const std::pair<const WorkerName, PoolLoad::Worker>& worker) {
-        return worker.second.service_runs > 0;
-      }));
-  const int sized = static_cast<int>(
-      std::ceil(kHeadroom * static_cast<double>(needed) / each));
-  return std::max({sized, hosts_of_services, least});
+  return std::max(least, static_cast<int>(std::ceil(
+                             kHeadroom * static_cast<double>(needed) / each)));
 }
 
 void MachinePlanner::PlanSizes(Fleet* fleet, MachinePlan* plan) {
   PoolName spare;
-  std::vector<const Machine*> free;
+  std::map<PoolName, int> sizes;
   std::map<PoolName, int> wanted;
+  bool is_anyone_short = false;
   for (const std::pair<const PoolName, PoolReport>& pool : *fleet->pools) {
-    const std::vector<const Machine*>& up = fleet->up[pool.first];
     if (pool.second.is_spare) {
       spare = pool.first;
-      std::copy_if(up.begin(), up.end(), std::back_inserter(free),
-                   [fleet](const Machine* machine) {
-                     return !fleet->taken.contains(machine->name) &&
-                            !fleet->zones_out->contains(machine->zone);
-                   });
     } else if (pool.second.is_known) {
-      const int size = static_cast<int>(up.size()) + fleet->coming[pool.first];
-      wanted[pool.first] = this->TargetSize(pool.first, *fleet) - size;
+      const int size = static_cast<int>(fleet->up[pool.first].size()) +
+                       fleet->coming[pool.first];
+      sizes[pool.first] = size;
+      wanted[pool.first] = this->NeededSize(pool.first, *fleet) - size;
+      is_anyone_short |= wanted[pool.first] > 0;
     }
   }
-  if (spare.empty()) {
-    return;
+  // Pools lend what they do not need while another is short; otherwise each
+  // goes back to its home size.
+  for (std::pair<const PoolName, int>& pool : wanted) {
+    const int home_gap = this->HomeSize(pool.first) - sizes[pool.first];
+    const int least = static_cast<int>(
+        kKeptShare * static_cast<double>(this->HomeSize(pool.first)));
+    pool.second = std::max(
+        pool.second, is_anyone_short ? least - sizes[pool.first] : home_gap);
   }
-  this->Lend(free, &wanted, plan);
-  for (const std::pair<const PoolName, int>& pool : wanted) {
-    this->Release(pool.first, -pool.second, spare, fleet, plan);
+  if (!spare.empty()) {
+    this->Lend(spare, &wanted, fleet, plan);
+  }
+  for (const std::pair<const PoolName, int>& pool :
+       std::map<PoolName, int>(wanted)) {
+    if (pool.second >= 0 || (!is_anyone_short && spare.empty())) {
+      this->surplus_since.erase(pool.first);
+      continue;
+    }
+    const MonotonicTime since =
+        this->surplus_since.emplace(pool.first, fleet->now).first->second;
+    if (is_anyone_short || fleet->now - since >= kReleaseDelay) {
+      this->Release(pool.first, -pool.second, spare, &wanted, fleet, plan);
+    }
   }
 }
 
-void MachinePlanner::Lend(const std::vector<const Machine*>& free,
+int MachinePlanner::HomeSize(const PoolName& pool) const {
+  const std::map<PoolName, int>::const_iterator home =
+      this->home_sizes.find(pool);
+  return home == this->home_sizes.end() ? 0 : home->second;
+}
+
+void MachinePlanner::Lend(const PoolName& spare,
                           std::map<PoolName, int>* wanted,
+                          Fleet* fleet,
                           MachinePlan* plan) {
-  // The neediest pool takes one machine at a time.
-  for (const Machine* const machine : free) {
-    const std::map<PoolName, int>::iterator neediest =
-        std::max_element(wanted->begin(), wanted->end(),
-                         [](const std::pair<const PoolName, int>& left,
-                            const std::pair<const PoolName, int>& right) {
-                           return left.second < right.second;
-                         });
-    if (neediest == wanted->end() || neediest->second <= 0) {
+  for (const Machine* const machine : fleet->up[spare]) {
+    const PoolName pool = Neediest(*wanted);
+    if (pool.empty()) {
       return;
     }
-    --neediest->second;
-    plan->orders.emplace_back(MoveMachine{machine->name, neediest->first});
+    if (!fleet->taken.contains(machine->name) &&
+        !fleet->zones_out->contains(machine->zone)) {
+      --wanted->at(pool);
+      plan->orders.emplace_back(MoveMachine{machine->name, pool});
+    }
   }
 }
 
 void MachinePlanner::Release(const PoolName& pool,
                              int surplus,
                              const PoolName& spare,
+                             std::map<PoolName, int>* wanted,
                              Fleet* fleet,
                              MachinePlan* plan) {
-  if (surplus <= 0) {
-    this->surplus_since.erase(pool);
-    return;
-  }
-  const MonotonicTime since =
-      this->surplus_since.emplace(pool, fleet->now).first->second;
-  if (fleet->now - since < kReleaseDelay) {
-    return;
-  }
   std::vector<const Machine*> candidates = fleet->up[pool];
   std::sort(candidates.begin(), candidates.end(),
             [fleet](const Machine* left, const Machine* right) {
@@ -267,13 +287,19 @@
     if (surplus <= 0 || fleet->ServicesOn(*machine) > 0) {
       return;
     }
-    if (fleet->taken.contains(machine->name)) {
+    const PoolName neediest = Neediest(*wanted);
+    const PoolName target = neediest.empty() ? spare : neediest;
+    if (fleet->taken.contains(machine->name) || target.empty() ||
+        fleet->zones_out->contains(machine->zone)) {
       continue;
     }
     --surplus;
+    if (!neediest.empty()) {
+      --wanted->at(neediest);
+    }
     plan->vacate[pool].insert(machine->worker);
     if (fleet->IsEmpty(*machine)) {
-      plan->orders.emplace_back(MoveMachine{machine->name, spare});
+      plan->orders.emplace_back(MoveMachine{machine->name, target});
     }
   }
 }
--- a/Source/Core/Machines/machine_planner.h
+++ b/Source/Core/Machines/machine_planner.h
@@ -65,17 +65,22 @@
   struct Fleet;
 
   void PlanWave(const WaveProgress& progress, Fleet* fleet, MachinePlan* plan);
-  // Moves machines between the spare pool and the others by what they need.
+  // Moves machines to pools that need them, from the spare pool and from those
+  // that have more than they need; back home when nobody is short.
   void PlanSizes(Fleet* fleet, MachinePlan* plan);
-  void Lend(const std::vector<const Machine*>& free,
+  // `wanted`: machines that each pool lacks, negative for a surplus.
+  void Lend(const PoolName& spare,
             std::map<PoolName, int>* wanted,
+            Fleet* fleet,
             MachinePlan* plan);
   void Release(const PoolName& pool,
                int surplus,
                const PoolName& spare,
+               std::map<PoolName, int>* wanted,
                Fleet* fleet,
                MachinePlan* plan);
-  int TargetSize(const PoolName& pool, const Fleet& fleet) const;
+  int NeededSize(const PoolName& pool, const Fleet& fleet) const;
+  int HomeSize(const PoolName& pool) const;
 
   std::map<PoolName, int> home_sizes;
   // Since when the pool has had more machines than it needs.
--- a/Source/Core/Site/fleet_lead.cc
+++ b/Source/Core/Site/fleet_lead.cc
@@ -26,6 +26,9 @@
 constexpr Milliseconds kStoreTimeout{700};
 // A load older than this says nothing of what runs now.
 constexpr Milliseconds kLoadAge{600};
+// An order ends what runs on the machine, so the word that its worker is empty
+// must be newer than a new scheduler's first start.
+constexpr Milliseconds kOrderLoadAge{180};
 constexpr Milliseconds kNoteInterval{1000};
 // An order whose answer is missing is not repeated sooner.
 constexpr Milliseconds kOrderPause{700};
@@ -350,6 +353,9 @@
                                           this->operators.zones_out, now);
     this->vacate = std::move(plan.vacate);
     this->due = std::move(plan.due);
+    std::erase_if(plan.orders, [this, now](const MachineOrder& order) {
+      return !this->IsLoadFresh(order, now);
+    });
     for (const MachineOrder& order : plan.orders) {
       std::visit(Overloaded{[this, now](const MoveMachine& move) {
                               this->Move(move, now);
@@ -361,6 +367,21 @@
     }
   }
 
+  bool IsLoadFresh(const MachineOrder& order, MonotonicTime now) const {
+    const MachineName& name = std::visit(
+        [](const auto& any) -> const MachineName& { return any.machine; },
+        order);
+    for (const Machine& machine : this->machines) {
+      if (machine.name == name) {
+        const std::map<PoolName, MonotonicTime>::const_iterator at =
+            this->load_at.find(machine.pool);
+        return this->pools.at(machine.pool).is_spare ||
+               (at != this->load_at.end() && now - at->second < kOrderLoadAge);
+      }
+    }
+    return false;
+  }
+
   bool TakeTurn(const MachineName& machine, MonotonicTime now) {
     MonotonicTime& next = this->next_order[machine];
     if (now < next) {
--- a/Source/Core/Site/pool_lead.cc
+++ b/Source/Core/Site/pool_lead.cc
@@ -35,6 +35,9 @@
 // Run numbers of a term begin here for each term before; a term rarely starts
 // a task this often.
 constexpr std::int64_t kRunsPerTerm = 100;
+// A term that follows another starts nothing before this: the machines'
+// caretaker may act on what the scheduler before said.
+constexpr Milliseconds kFirstStart{300};
 constexpr Milliseconds kLookInterval{400};
 constexpr Milliseconds kForgetInterval{5000};
 constexpr std::size_t kForgottenAtOnce = 10;
@@ -103,6 +106,9 @@
   bool is_stopped = false;
 
   void Start() {
+    if (this->term.number > 1) {
+      this->scheduler.HoldStartsUntil(this->begun_at + kFirstStart);
+    }
     this->LoadWorkers();
     this->Tick();
   }
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -88,20 +88,15 @@
 
 Error ToError(CURLcode code, const Exchange& exchange) {
   Errc errc = Errc::kProtocol;
-  long connects = 0;
-  curl_easy_getinfo(exchange.handle, CURLINFO_NUM_CONNECTS, &connects);
-  curl_off_t connect_time = 0;
-  curl_easy_getinfo(exchange.handle, CURLINFO_CONNECT_TIME_T, &connect_time);
-  curl_off_t pretransfer_time = 0;
-  curl_easy_getinfo(exchange.handle, CURLINFO_PRETRANSFER_TIME_T,
-                    &pretransfer_time);
+  // Times cannot tell whether the request was sent: on a kept connection they
+  // may all be zero.
+  long sent_bytes = 0;
+  curl_easy_getinfo(exchange.handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
   if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
       code == CURLE_URL_MALFORMAT) {
     errc = Errc::kUnavailable;
   } else if (code == CURLE_OPERATION_TIMEDOUT) {
-    // No connection yet means that nothing was sent.
-    errc = pretransfer_time == 0 && connect_time == 0 ? Errc::kUnavailable
-                                                      : Errc::kTimeout;
+    errc = sent_bytes == 0 ? Errc::kUnavailable : Errc::kTimeout;
   }
   return Error{errc, "http." + exchange.request.method, exchange.request.url,
                curl_easy_strerror(code)};
