Site: bound the log, count latencies, and ask placement advisors

The log never waits for its reader and is limited to 2,000 lines a second; queues with an advisor start tasks only under its tickets.

--- /dev/null
+++ b/Source/Core/Common/bounded_line_writer.cc
@@ -0,0 +1,54 @@
+#include "Core/Common/bounded_line_writer.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace daisyroad {
+
+BoundedLineWriter::BoundedLineWriter(int descriptor, double per_second)
+    : descriptor(descriptor), per_second(per_second), tokens(per_second) {}
+
+void BoundedLineWriter::Write(const std::string& line, MonotonicTime now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (!this->HasToken(now) || !this->WriteNow(line)) {
+    ++this->dropped_total;
+    ++this->dropped_unreported;
+    return;
+  }
+  if (this->dropped_unreported > 0 &&
+      this->WriteNow("event=log_lines_dropped count=" +
+                     std::to_string(this->dropped_unreported) + "\n")) {
+    this->dropped_unreported = 0;
+  }
+}
+
+std::int64_t BoundedLineWriter::dropped() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->dropped_total;
+}
+
+bool BoundedLineWriter::HasToken(MonotonicTime now) {
+  const std::chrono::duration<double> passed = now - this->refilled_at;
+  this->tokens = std::min(this->per_second,
+                          this->tokens + passed.count() * this->per_second);
+  this->refilled_at = now;
+  if (this->tokens < 1.0) {
+    return false;
+  }
+  this->tokens -= 1.0;
+  return true;
+}
+
+bool BoundedLineWriter::WriteNow(const std::string& line) const {
+  // A pipe that is ready takes at least PIPE_BUF bytes without waiting.
+  pollfd state{this->descriptor, POLLOUT, 0};
+  if (poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0) {
+    return false;
+  }
+  return write(this->descriptor, line.data(), line.size()) ==
+         static_cast<ssize_t>(line.size());
+}
+
+}  // namespace daisyroad
--- a/Source/Core/Common/logging.cc
+++ b/Source/Core/Common/logging.cc
@@ -1,7 +1,11 @@
 #include "Core/Common/logging.h"
 
+#include <unistd.h>
+
 #include <iostream>
 
+#include "Core/Common/bounded_line_writer.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace daisyroad {
@@ -14,6 +18,15 @@
 
 LogOutput g_output = LogOutput::kStandardError;
 
+// More than an instance writes at the busiest sites; a fault that makes it
+// write more must not cost it its processor.
+constexpr double kLinesPerSecond = 2000.0;
+
+BoundedLineWriter& StandardOutput() {
+  static BoundedLineWriter writer(STDOUT_FILENO, kLinesPerSecond);
+  return writer;
+}
+
 // The library's own console output cannot be told where to go.
 class StreamDispatch : public el::LogDispatchCallback {
  protected:
@@ -25,9 +38,11 @@
       const std::string line =
           data->logMessage()->logger()->logBuilder()->build(data->logMessage(),
                                                             true);
-      std::ostream& stream =
-          g_output == LogOutput::kStandardError ? std::cerr : std::cout;
-      stream << line << std::flush;
+      if (g_output == LogOutput::kStandardError) {
+        std::cerr << line << std::flush;
+      } else {
+        StandardOutput().Write(line, std::chrono::steady_clock::now());
+      }
     } catch (...) {
       // A log line that cannot be written must not end the process.
     }
--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -58,6 +58,11 @@
 struct StepState {
   std::vector<TaskState> tasks;
   int done = 0;
+  // Tickets of the placement advisor, where the queue has one.
+  std::map<WorkerName, std::string> tickets;
+  MonotonicTime tickets_until;
+  bool is_advice_pending = false;
+  MonotonicTime next_advice;
 };
 
 // One pass through the steps of a job.
--- /dev/null
+++ b/Source/Core/Jobs/placement_ticket.h
@@ -0,0 +1,18 @@
+#ifndef SOURCE_CORE_JOBS_PLACEMENT_TICKET_H_
+#define SOURCE_CORE_JOBS_PLACEMENT_TICKET_H_
+
+#include <string>
+
+#include "Core/Common/identifiers.h"
+
+namespace daisyroad {
+
+// Leave of a queue's placement advisor to run a step on a worker.
+struct PlacementTicket {
+  WorkerName worker;
+  std::string ticket;
+};
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_JOBS_PLACEMENT_TICKET_H_
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -14,6 +14,7 @@
 #include "Core/Jobs/job_progress.h"
 #include "Core/Jobs/job_state.h"
 #include "Core/Jobs/order.h"
+#include "Core/Jobs/placement_ticket.h"
 #include "Core/Jobs/pool_load.h"
 #include "Core/Jobs/queue_policy.h"
 #include "Core/Jobs/run_report.h"
@@ -93,6 +94,11 @@
                MonotonicTime now);
   void OnStop(const StopRun& order, bool is_answered, MonotonicTime now);
 
+  // `tickets` is empty if the advisor did not answer.
+  void OnAdvice(const TaskRef& step,
+                const std::vector<PlacementTicket>& tickets,
+                MonotonicTime now);
+
   // The orders that follow from all events up to now.
   std::vector<Order> TakeOrders(MonotonicTime now, WallTime wall);
 
@@ -117,7 +123,8 @@
   std::vector<std::string> TakeDecisions();
 
  private:
-  enum class Placement { kPlaced, kNoRoom, kOverLimit };
+  // kHeldBack: the team's allotment or a ticket is missing.
+  enum class Placement { kPlaced, kNoRoom, kHeldBack };
 
   // One placeable part of a job: a task, or a gang as a whole.
   struct Candidate {
@@ -207,6 +214,8 @@
                             const TaskRef& task,
                             const RackName& rack,
                             MonotonicTime now);
+  // Asks the advisor for tickets of the step if it has none that are valid.
+  bool HasTickets(JobState* job, const TaskRef& task, MonotonicTime now);
   bool HasAllotment(const TeamName& team, const Resources& request);
   Placement PlaceOne(const Candidate& candidate, MonotonicTime now);
   Placement PlaceGang(const Candidate& candidate, MonotonicTime now);
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -28,6 +28,13 @@
 constexpr Milliseconds kShortestNeed{2000};
 constexpr double kMillisecondsPerSecond = 1000.0;
 
+// An advisor takes at most this many workers in one question.
+constexpr std::size_t kWorkersPerAdvice = 100;
+// Pause before the advisor is asked again for the same step.
+constexpr Milliseconds kAdvicePause{300};
+// Tickets are not used in the last moments of their validity.
+constexpr Milliseconds kTicketMargin{200};
+
 double FreePart(std::int64_t capacity, std::int64_t used) {
   return capacity <= 0 ? 0.0
                        : static_cast<double>(capacity - used) /
@@ -173,6 +180,12 @@
       !ReservedBy(step).FitsIn(worker.listing.capacity - worker.used)) {
     return false;
   }
+  if (this->PolicyOf(job).advice &&
+      !job.occurrences.at(task.occurrence)
+           .steps[task.step]
+           .tickets.contains(worker.listing.name)) {
+    return false;
+  }
   const std::vector<std::string>& labels = worker.listing.labels;
   if (!step.required_label.empty() &&
       std::find(labels.begin(), labels.end(), step.required_label) ==
@@ -248,6 +261,54 @@
   return best;
 }
 
+bool PoolScheduler::HasTickets(JobState* job,
+                               const TaskRef& task,
+                               MonotonicTime now) {
+  StepState& step = job->occurrences.at(task.occurrence).steps[task.step];
+  if (!this->PolicyOf(*job).advice || now < step.tickets_until) {
+    return true;
+  }
+  if (step.is_advice_pending || now < step.next_advice) {
+    return false;
+  }
+  AskAdvice ask;
+  ask.step = TaskRef{task.job, task.occurrence, task.step, 0};
+  for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    if (this->IsUsable(entry.second, now) &&
+        ask.workers.size() < kWorkersPerAdvice) {
+      ask.workers.push_back(entry.first);
+    }
+  }
+  if (!ask.workers.empty()) {
+    step.is_advice_pending = true;
+    this->orders.emplace_back(std::move(ask));
+  }
+  return false;
+}
+
+void PoolScheduler::OnAdvice(const TaskRef& ref,
+                             const std::vector<PlacementTicket>& tickets,
+                             MonotonicTime now) {
+  if (this->FindTask(ref) == nullptr) {
+    return;
+  }
+  JobState& job = this->jobs.at(ref.job);
+  StepState& step = job.occurrences.at(ref.occurrence).steps[ref.step];
+  step.is_advice_pending = false;
+  step.next_advice = now + kAdvicePause;
+  const QueuePolicy& policy = this->PolicyOf(job);
+  if (tickets.empty() || !policy.advice) {
+    return;
+  }
+  step.tickets.clear();
+  for (const PlacementTicket& ticket : tickets) {
+    step.tickets[ticket.worker] = ticket.ticket;
+  }
+  step.tickets_until = now + policy.advice->valid_for - kTicketMargin;
+  this->Note("advice", ref, 0, WorkerName(),
+             std::to_string(tickets.size()) + " workers");
+}
+
 bool PoolScheduler::HasAllotment(const TeamName& team,
                                  const Resources& request) {
   const std::map<TeamName, Resources>::const_iterator allotment =
@@ -266,8 +327,9 @@
                                                  MonotonicTime now) {
   JobState& job = *candidate.job;
   const StepSpec& step = this->SpecOf(job, candidate.task);
-  if (!this->HasAllotment(job.job.team, step.request)) {
-    return Placement::kOverLimit;
+  if (!this->HasTickets(&job, candidate.task, now) ||
+      !this->HasAllotment(job.job.team, step.request)) {
+    return Placement::kHeldBack;
   }
   WorkerState* const worker =
       this->ChooseWorker(job, candidate.task, RackName(), now);
@@ -292,8 +354,9 @@
     request += step.request;
     number = std::max(number, task.last_run + 1);
   }
-  if (!this->HasAllotment(job.job.team, request)) {
-    return Placement::kOverLimit;
+  if (!this->HasTickets(&job, candidate.task, now) ||
+      !this->HasAllotment(job.job.team, request)) {
+    return Placement::kHeldBack;
   }
   std::set<RackName> racks{RackName()};
   if (step.same_rack) {
@@ -346,6 +409,12 @@
   order.payload = job->job.spec.payload;
   order.checkpoint = this->FindTask(task)->checkpoint;
   order.lease_until = this->LeaseFor(worker, now);
+  const StepState& step = job->occurrences.at(task.occurrence).steps[task.step];
+  const std::map<WorkerName, std::string>::const_iterator ticket =
+      step.tickets.find(order.worker);
+  if (ticket != step.tickets.end()) {
+    order.ticket = ticket->second;
+  }
   this->orders.emplace_back(std::move(order));
   this->Note("run_started", task, number, worker->listing.name,
              job->job.team.str());
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -230,9 +230,14 @@
       worker.missed_reports = std::max(worker.missed_reports, 1);
       worker.next_report = now;
       break;
+    case StartOutcome::kNoTicket:
+      this->jobs.at(order.task.job)
+          .occurrences.at(order.task.occurrence)
+          .steps[order.task.step]
+          .tickets_until = now;
+      break;
     case StartOutcome::kStaleRun:
     case StartOutcome::kLeaseEnded:
-    case StartOutcome::kNoTicket:
       break;
   }
   this->Note("start_refused", order.task, order.run, order.worker,
--- a/Source/Core/Site/pool_lead.cc
+++ b/Source/Core/Site/pool_lead.cc
@@ -4,10 +4,12 @@
 #include <utility>
 
 #include "Core/Common/json.h"
+#include "Core/Common/latency_histogram.h"
 #include "Core/Common/logging.h"
 #include "Core/Common/metrics_registry.h"
 #include "Core/Common/overloaded.h"
 #include "Core/Jobs/pool_scheduler.h"
+#include "Core/Platform/advice_client.h"
 #include "Core/Platform/machine_client.h"
 #include "Core/Platform/revision_store.h"
 #include "Core/Platform/run_client.h"
@@ -425,7 +427,7 @@
                    [this](const StopRun& stop) { this->SendStop(stop); },
                    [this](const PaceRun& pace) { this->SendPace(pace); },
                    [this](const AskReport& ask) { this->SendReport(ask); },
-                   [](const AskAdvice&) {}},
+                   [this](const AskAdvice& ask) { this->SendAdvice(ask); }},
         order);
   }
 
@@ -437,10 +439,12 @@
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.workers->Start(
         *worker, order, this->term.fence,
-        [self, order](const StartAnswer& answer) {
+        [self, order, sent_at = Now()](const StartAnswer& answer) {
           if (self->is_stopped) {
             return;
           }
+          LatencyHistogram(self->context.metrics, "daisyroad_run_start_ms")
+              .Observe(Now() - sent_at);
           self->Count(
               "daisyroad_run_starts_total",
               std::string("outcome=\"") + ToString(answer.outcome) + "\"");
@@ -471,6 +475,27 @@
         });
   }
 
+  void SendAdvice(const AskAdvice& question) {
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->context.advisor->Ask(
+        question, [self, step = question.step](
+                      const Result<std::vector<PlacementTicket>>& tickets) {
+          if (self->is_stopped) {
+            return;
+          }
+          if (!tickets.ok()) {
+            CLOG(WARNING, kTasksLog)
+                << "event=no_advice step=" << step.ToString() << " error=\""
+                << tickets.error().ToString() << "\"";
+          }
+          self->scheduler.OnAdvice(
+              step,
+              tickets.ok() ? tickets.value() : std::vector<PlacementTicket>(),
+              Now());
+          self->SchedulePump();
+        });
+  }
+
   void SendPace(const PaceRun& order) {
     const WorkerListing* const worker = this->Find(order.worker);
     if (worker == nullptr) {
@@ -549,8 +574,11 @@
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.store->Commit(
         transaction, kSaveTimeout,
-        [self, jobs](const Result<TransactionResult>& result) {
+        [self, jobs, sent_at = Now()](const Result<TransactionResult>& result) {
           if (!self->is_stopped) {
+            LatencyHistogram(self->context.metrics,
+                             "daisyroad_progress_store_ms")
+                .Observe(Now() - sent_at);
             self->is_saving = false;
             self->OnSaveResult(jobs, result);
           }
--- a/Source/Core/Site/pool_lead.h
+++ b/Source/Core/Site/pool_lead.h
@@ -20,6 +20,7 @@
 
 namespace daisyroad {
 
+class AdviceClient;
 class EventLoop;
 class LimitKeeper;
 class MachineClient;
@@ -31,6 +32,7 @@
   RevisionStore* store = nullptr;
   RunClient* workers = nullptr;
   MachineClient* machines = nullptr;
+  AdviceClient* advisor = nullptr;
   EventLoop* loop = nullptr;
   LimitKeeper* limits = nullptr;
   MetricsRegistry* metrics = nullptr;
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "Core/Common/latency_histogram.h"
 #include "Core/Common/logging.h"
 #include "Core/Common/metrics_registry.h"
 #include "Core/Site/fleet_lead.h"
@@ -117,9 +118,9 @@
     if (!ready.ok()) {
       return ready;
     }
-    const Status front =
-        this->callers_server.Start(OptionsFor(this->settings.callers_address),
-                                   this->OnLoop(std::move(callers)));
+    const Status front = this->callers_server.Start(
+        OptionsFor(this->settings.callers_address),
+        this->OnLoop(this->Measured(std::move(callers))));
     if (!front.ok()) {
       return front;
     }
@@ -183,6 +184,24 @@
     }
   }
 
+  // Counts the answers by status and their time.
+  HttpHandler Measured(HttpHandler handler) {
+    return [this, handler = std::move(handler)](const HttpRequest& request,
+                                                const HttpResponder& respond) {
+      const MonotonicTime begun = std::chrono::steady_clock::now();
+      handler(request, [this, begun, method = request.method,
+                        respond](const HttpResponse& response) {
+        ++this->metrics.Counter("daisyroad_requests_total",
+                                "method=\"" + method + "\",status=\"" +
+                                    std::to_string(response.status) + "\"");
+        LatencyHistogram(&this->metrics, "daisyroad_request_ms",
+                         "method=\"" + method + "\"")
+            .Observe(std::chrono::steady_clock::now() - begun);
+        respond(response);
+      });
+    };
+  }
+
   bool IsReady() const {
     return !this->is_stopping && this->jobs.HasConfig() && this->jobs.IsFresh();
   }
@@ -360,6 +379,7 @@
     context.store = this->platform.store;
     context.workers = this->platform.workers;
     context.machines = this->platform.machines;
+    context.advisor = this->platform.advisor;
     context.loop = this->platform.loop;
     context.limits = &this->limits;
     context.metrics = &this->metrics;
--- a/Source/Core/Site/site_instance.h
+++ b/Source/Core/Site/site_instance.h
@@ -11,6 +11,7 @@
 
 namespace daisyroad {
 
+class AdviceClient;
 class EventLoop;
 class HttpClient;
 class JobService;
@@ -27,6 +28,7 @@
   RevisionStore* store = nullptr;
   RunClient* workers = nullptr;
   MachineClient* machines = nullptr;
+  AdviceClient* advisor = nullptr;
   SiteCodec* codec = nullptr;
 };
 
--- /dev/null
+++ b/Source/UnitTests/Common/bounded_line_writer_test.cc
@@ -0,0 +1,66 @@
+#include "Core/Common/bounded_line_writer.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "Core/Common/latency_histogram.h"
+
+namespace daisyroad {
+namespace {
+
+const MonotonicTime kStart(std::chrono::hours(1));
+
+std::string ReadAll(int descriptor) {
+  std::string text(1 << 20, '\0');
+  const ssize_t size = read(descriptor, text.data(), text.size());
+  text.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+  return text;
+}
+
+// Guards against a log that takes the processor when a fault repeats.
+TEST_CASE("Lines above the rate are left out and counted") {
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  BoundedLineWriter writer(ends[1], 10.0);
+  for (int i = 0; i < 25; ++i) {
+    writer.Write("line\n", kStart);
+  }
+  CHECK(writer.dropped() == 15);
+  writer.Write("later\n", kStart + Milliseconds(500));
+  CHECK(ReadAll(ends[0]).find("later\nevent=log_lines_dropped count=15\n") !=
+        std::string::npos);
+  close(ends[0]);
+  close(ends[1]);
+}
+
+// Guards against a process that stops because nobody reads its log.
+TEST_CASE("A reader that does not read holds nobody up") {
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  BoundedLineWriter writer(ends[1], 1e9);
+  const std::string line(1000, 'x');
+  for (int i = 0; i < 1000; ++i) {
+    writer.Write(line + "\n", kStart);
+  }
+  CHECK(writer.dropped() > 0);
+  close(ends[0]);
+  close(ends[1]);
+}
+
+// Guards against histograms that Prometheus cannot read.
+TEST_CASE("Durations are counted in cumulative buckets") {
+  MetricsRegistry metrics;
+  LatencyHistogram histogram(&metrics, "x_ms", "a=\"b\"");
+  histogram.Observe(Milliseconds(3));
+  histogram.Observe(Milliseconds(30000));
+  const std::string text = metrics.Render();
+  CHECK(text.find("x_ms_bucket{a=\"b\",le=\"5\"} 1") != std::string::npos);
+  CHECK(text.find("x_ms_bucket{a=\"b\",le=\"+Inf\"} 2") != std::string::npos);
+  CHECK(text.find("x_ms_count{a=\"b\"} 2") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace daisyroad
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -401,6 +401,31 @@
   CHECK(fixture.scheduler.wanted().at(TeamName("team")).cpu_millicores == 2000);
 }
 
+// Guards against starts that the queue's policy does not allow.
+TEST_CASE("A queue with an advisor starts tasks where it was given tickets") {
+  Fixture fixture({Worker("w1"), Worker("w2")});
+  fixture.AnswerAll();
+  QueuePolicy policy;
+  policy.advice =
+      AdvicePolicy{Milliseconds(10), Milliseconds(1), Milliseconds(3000)};
+  fixture.scheduler.SetPolicies({{QueueName("queue"), policy}});
+  fixture.Add(JobBuilder("j").Step(2).Build());
+  const std::vector<Order> orders = fixture.Orders();
+  CHECK(Select<StartRun>(orders).empty());
+  const std::vector<AskAdvice> asks = Select<AskAdvice>(orders);
+  REQUIRE(asks.size() == 1);
+  CHECK(asks[0].workers.size() == 2);
+  fixture.scheduler.OnAdvice(asks[0].step,
+                             {PlacementTicket{WorkerName("w2"), "ticket"}},
+                             fixture.Now());
+  const std::vector<StartRun> starts = fixture.Starts();
+  REQUIRE(starts.size() == 2);
+  for (const StartRun& start : starts) {
+    CHECK(start.worker == WorkerName("w2"));
+    CHECK(start.ticket == "ticket");
+  }
+}
+
 // Guards against a gang of which only a part runs.
 TEST_CASE("A gang starts as a whole under one run number") {
   Fixture fixture({Worker("w1"), Worker("w2")});
--- a/Source/UnitTests/Machines/machine_planner_test.cc
+++ b/Source/UnitTests/Machines/machine_planner_test.cc
@@ -114,6 +114,23 @@
   CHECK(plan.vacate.empty());
 }
 
+// Guards against idle machines of one pool beside a burst in another.
+TEST_CASE("A pool lends what it does not need and keeps half of its size") {
+  Fixture fixture;
+  const PoolName busy("busy");
+  fixture.machines.push_back(MachineIn(busy, 0));
+  PoolReport& report = fixture.pools[busy];
+  report.is_known = true;
+  report.load.capacity = 4000;
+  report.load.usable_workers = 1;
+  report.load.needed = 100 * 4000;
+  MachinePlan plan = fixture.Plan();
+  CHECK(plan.vacate[kPool].size() == 5);
+  fixture.Obey(plan);
+  plan = fixture.Plan();
+  CHECK(plan.orders.size() == 7);  // two spare ones and five lent ones
+}
+
 // Guards against bursts that the home machines alone must carry.
 TEST_CASE("Spare machines go where open jobs need them and come back") {
   Fixture fixture;
