--- a/Source/Core/Jobs/pool_load.h
+++ b/Source/Core/Jobs/pool_load.h
@@ -26,6 +26,7 @@
   std::int64_t needed = 0;
   std::int64_t services = 0;
   int usable_workers = 0;
+  // Those whose runs are known.
   std::map<WorkerName, Worker> workers;
 };
 
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -467,6 +467,10 @@
       load.used += worker.used.cpu_millicores;
       ++load.usable_workers;
     }
+    // What runs on a worker that has not answered is not known.
+    if (!worker.is_known) {
+      continue;
+    }
     PoolLoad::Worker& row = load.workers[entry.first];
     row.is_vacating = worker.is_vacating;
     row.runs = static_cast<int>(worker.runs.size());
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -336,6 +336,16 @@
   CHECK(fixture.Starts().size() == 1);
 }
 
+// Guards against AVAIL at izarra-pendulo trouble-2: a new scheduler called a
+// worker empty that had not answered it, and its machine was moved away.
+TEST_CASE("A worker that has not answered is not reported as empty") {
+  Fixture fixture({Worker("w1"), Worker("w2")});
+  fixture.Answer("w1");
+  fixture.Orders();
+  CHECK(fixture.scheduler.load().workers.contains(WorkerName("w1")));
+  CHECK_FALSE(fixture.scheduler.load().workers.contains(WorkerName("w2")));
+}
+
 // Guards against planned work that takes more tasks away than the budget.
 TEST_CASE("Tasks that last leave a worker one by one within their budget") {
   Fixture fixture({Worker("w1"), Worker("w2"), Worker("w3"), Worker("w4")});
