--- a/Source/Core/Platform/revision_store.h
+++ b/Source/Core/Platform/revision_store.h
@@ -108,10 +108,6 @@
   virtual void KeepLease(StoreLease lease,
                          Milliseconds timeout,
                          Callback<std::monostate> callback) = 0;
-  // Deletes the keys of the lease.
-  virtual void EndLease(StoreLease lease,
-                        Milliseconds timeout,
-                        Callback<std::monostate> callback) = 0;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -434,27 +434,6 @@
   return lead ? lead->address : "";
 }
 
-std::vector<std::string> Leadership::PeerAddresses() const {
-  std::vector<std::string> addresses;
-  for (const std::pair<const std::string, StoreItem>& entry :
-       this->state->mirror->items()) {
-    const Result<Json::Value> json = ParseJson(entry.second.value);
-    if (entry.first.starts_with(kNodePrefix) &&
-        entry.first != kNodePrefix + this->state->node && json.ok()) {
-      addresses.push_back(json.value()["address"].asString());
-    }
-  }
-  return addresses;
-}
-
-bool Leadership::HasDuty(const std::string& duty) const {
-  return this->state->terms.contains(duty);
-}
-
-bool Leadership::IsPredecessorGone(const Term& term) const {
-  return this->state->IsPredecessorGone(term);
-}
-
 bool Leadership::IsLeaseValid() const {
   return this->state->lease != 0 &&
          BootClock::now() < this->state->lease_valid_until;
--- a/Source/Core/Site/leadership.h
+++ b/Source/Core/Site/leadership.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 #include "Core/Common/boot_clock.h"
 #include "Core/Common/result.h"
@@ -72,8 +71,6 @@
 
   // Address of the instance that has the duty; empty if there is none.
   std::string LeaderAddress(const std::string& duty) const;
-  std::vector<std::string> PeerAddresses() const;
-  bool HasDuty(const std::string& duty) const;
   // Whether no other instance can have the duties of this one. False during
   // an outage of the store, while duties that workers guard go on.
   bool IsLeaseValid() const;
--- /dev/null
+++ b/Source/Core/Site/pool_lead_orders.cc
@@ -0,0 +1,159 @@
+// Sends the orders of the scheduler and hands it the answers.
+
+#include "Core/Site/pool_lead_state.h"
+
+#include "Core/Common/latency_histogram.h"
+#include "Core/Common/logging.h"
+#include "Core/Common/metrics_registry.h"
+#include "Core/Common/overloaded.h"
+#include "Core/Platform/advice_client.h"
+#include "Core/Platform/run_client.h"
+
+namespace daisyroad {
+namespace {
+
+MonotonicTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+const WorkerListing* PoolLead::State::Find(const WorkerName& worker) const {
+  const std::map<WorkerName, WorkerListing>::const_iterator found =
+      this->known_workers.find(worker);
+  return found == this->known_workers.end() ? nullptr : &found->second;
+}
+
+void PoolLead::State::Count(const char* name, const std::string& labels) {
+  ++this->context.metrics->Counter(name, labels);
+}
+
+void PoolLead::State::Send(const Order& order) {
+  std::visit(
+      Overloaded{[this](const StartRun& start) { this->SendStart(start); },
+                 [this](const StopRun& stop) { this->SendStop(stop); },
+                 [this](const PaceRun& pace) { this->SendPace(pace); },
+                 [this](const AskReport& ask) { this->SendReport(ask); },
+                 [this](const AskAdvice& ask) { this->SendAdvice(ask); }},
+      order);
+}
+
+void PoolLead::State::SendStart(const StartRun& order) {
+  const WorkerListing* const worker = this->Find(order.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  const std::shared_ptr<State> self = this->shared_from_this();
+  this->context.workers->Start(
+      *worker, order, this->term.fence,
+      [self, order, sent_at = Now()](const StartAnswer& answer) {
+        if (self->is_stopped) {
+          return;
+        }
+        LatencyHistogram(self->context.metrics, "daisyroad_run_start_ms")
+            .Observe(Now() - sent_at);
+        self->Count(
+            "daisyroad_run_starts_total",
+            std::string("outcome=\"") + ToString(answer.outcome) + "\"");
+        if (answer.outcome == StartOutcome::kFenced) {
+          self->EndByFence(order.worker);
+        }
+        self->scheduler.OnStart(order, answer.outcome, answer.worker_clock,
+                                Now());
+        self->SchedulePump();
+      });
+}
+
+void PoolLead::State::SendStop(const StopRun& order) {
+  const WorkerListing* const worker = this->Find(order.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  const std::shared_ptr<State> self = this->shared_from_this();
+  this->context.workers->Stop(
+      *worker, order, this->term.fence, [self, order](const Status& status) {
+        if (self->is_stopped) {
+          return;
+        }
+        self->Count("daisyroad_run_stops_total", "");
+        self->OnAnswer(order.worker, status);
+        self->scheduler.OnStop(order, status.ok(), Now());
+        self->SchedulePump();
+      });
+}
+
+void PoolLead::State::SendAdvice(const AskAdvice& question) {
+  const std::shared_ptr<State> self = this->shared_from_this();
+  this->context.advisor->Ask(
+      question, [self, step = question.step](
+                    const Result<std::vector<PlacementTicket>>& tickets) {
+        if (self->is_stopped) {
+          return;
+        }
+        if (!tickets.ok()) {
+          CLOG(WARNING, kTasksLog)
+              << "event=no_advice step=" << step.ToString() << " error=\""
+              << tickets.error().ToString() << "\"";
+        }
+        self->scheduler.OnAdvice(
+            step,
+            tickets.ok() ? tickets.value() : std::vector<PlacementTicket>(),
+            Now());
+        self->SchedulePump();
+      });
+}
+
+void PoolLead::State::SendPace(const PaceRun& order) {
+  const WorkerListing* const worker = this->Find(order.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  this->context.workers->Pace(*worker, order, this->term.fence,
+                              [](const Status&) {});
+}
+
+void PoolLead::State::SendReport(const AskReport& order) {
+  const WorkerListing* const worker = this->Find(order.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  const MonotonicTime asked_at = Now();
+  const std::shared_ptr<State> self = this->shared_from_this();
+  this->context.workers->Report(
+      *worker, order, this->term.fence,
+      [self, order, asked_at](const Result<RunReport>& report) {
+        if (self->is_stopped) {
+          return;
+        }
+        if (report.ok()) {
+          self->scheduler.OnReport(order.worker, report.value(), asked_at,
+                                   Now());
+        } else {
+          self->OnAnswer(order.worker, report.error());
+          self->scheduler.OnReportFailed(order.worker, Now());
+        }
+        self->SchedulePump();
+      });
+}
+
+void PoolLead::State::OnAnswer(const WorkerName& worker, const Status& status) {
+  if (status.ok()) {
+    return;
+  }
+  if (status.error().code == Errc::kNotFound) {
+    this->scheduler.OnWorkerGone(worker, Now());
+  } else if (status.error().code == Errc::kConflict) {
+    this->EndByFence(worker);
+  }
+}
+
+void PoolLead::State::EndByFence(const WorkerName& worker) {
+  if (!this->is_fenced) {
+    this->is_fenced = true;
+    CLOG(WARNING, kTasksLog)
+        << "decision=term_fenced pool=" << this->pool
+        << " fence=" << this->term.fence << " worker=" << worker;
+  }
+}
+
+}  // namespace daisyroad
--- /dev/null
+++ b/Source/Core/Site/pool_lead_store.cc
@@ -0,0 +1,245 @@
+// What a pool lead keeps in the store: jobs and progress read, progress and
+// workers written, jobs forgotten.
+
+#include "Core/Site/pool_lead_state.h"
+
+#include <utility>
+
+#include "Core/Common/json.h"
+#include "Core/Common/latency_histogram.h"
+#include "Core/Common/logging.h"
+#include "Core/Site/store_keys.h"
+#include "Core/Transport/event_loop.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr Milliseconds kListTimeout{1500};
+constexpr Milliseconds kSaveTimeout{600};
+constexpr Milliseconds kRetryPause{150};
+// A transaction holds the term's record once, and an expectation and a write
+// for each job.
+constexpr std::size_t kJobsPerSave = (kMostTransactionEntries - 1) / 2;
+constexpr Milliseconds kForgetInterval{5000};
+constexpr std::size_t kForgottenAtOnce = 10;
+
+MonotonicTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+void PoolLead::State::LoadProgress(const std::string& after) {
+  const std::shared_ptr<State> self = this->shared_from_this();
+  this->context.store->List(
+      ProgressPrefix(this->pool), after, kListTimeout,
+      [self, after](const Result<StorePage>& page) {
+        if (self->is_stopped) {
+          return;
+        }
+        if (!page.ok()) {
+          CLOG(WARNING, kTasksLog)
+              << "event=progress_not_loaded pool=" << self->pool << " error=\""
+              << page.error().ToString() << "\"";
+          self->context.loop->After(
+              kRetryPause, [self, after]() { self->LoadProgress(after); });
+          return;
+        }
+        self->AdoptProgress(page.value());
+      });
+}
+
+void PoolLead::State::AdoptProgress(const StorePage& page) {
+  for (const StoreItem& item : page.items) {
+    const JobId job(item.key.substr(ProgressPrefix(this->pool).size()));
+    this->progress_revisions[job] = item.revision;
+    const Result<Json::Value> json = ParseJson(item.value);
+    const Result<JobProgress> parsed = json.ok()
+                                           ? ParseJobProgress(job, json.value())
+                                           : Result<JobProgress>(json.error());
+    if (!parsed.ok()) {
+      CLOG(ERROR, kTasksLog)
+          << "event=progress_unreadable job=" << job << " error=\""
+          << parsed.error().ToString() << "\"";
+      continue;
+    }
+    this->progress[job] = parsed.value();
+  }
+  if (page.has_more && !page.items.empty()) {
+    this->LoadProgress(page.items.back().key);
+    return;
+  }
+  this->is_progress_loaded = true;
+  this->inbox = std::make_unique<PrefixMirror>(
+      this->context.store, this->context.loop, InboxPrefix(this->pool),
+      [this](const std::vector<StoreChange>& changes) {
+        this->OnInbox(changes);
+      });
+  this->inbox->Start();
+}
+
+void PoolLead::State::OnInbox(const std::vector<StoreChange>& changes) {
+  const std::string job_prefix = InboxPrefix(this->pool) + "job/";
+  const std::string cancel_prefix = InboxPrefix(this->pool) + "cancel/";
+  for (const StoreChange& change : changes) {
+    if (!change.value) {
+      continue;
+    }
+    if (change.key.starts_with(job_prefix)) {
+      this->AddJob(*change.value, change.key);
+    } else if (change.key.starts_with(cancel_prefix)) {
+      const JobId job(change.key.substr(cancel_prefix.size()));
+      this->cancels.insert(job);
+      this->scheduler.CancelJob(job, Now());
+    }
+  }
+  if (!this->is_inbox_loaded) {
+    this->is_inbox_loaded = true;
+    this->progress.clear();
+    CLOG(INFO, kTasksLog) << "event=pool_ready pool=" << this->pool
+                          << " fence=" << this->term.fence
+                          << " jobs=" << this->inbox->items().size();
+  }
+  this->SchedulePump();
+}
+
+void PoolLead::State::AddJob(const std::string& value, const std::string& key) {
+  const Result<Json::Value> json = ParseJson(value);
+  const Result<AcceptedJob> job = json.ok() ? ParseAcceptedJob(json.value())
+                                            : Result<AcceptedJob>(json.error());
+  if (!job.ok()) {
+    CLOG(ERROR, kTasksLog) << "event=job_unreadable key=" << key << " error=\""
+                           << job.error().ToString() << "\"";
+    return;
+  }
+  const JobId id = job.value().id;
+  this->scheduler.AddJob(job.value(), this->progress[id],
+                         !this->is_inbox_loaded && this->term.number > 1,
+                         Now());
+  if (this->cancels.contains(id)) {
+    this->scheduler.CancelJob(id, Now());
+  }
+}
+
+void PoolLead::State::Save(MonotonicTime now) {
+  if (this->is_saving) {
+    return;
+  }
+  const std::vector<std::pair<JobId, JobProgress>> batch =
+      this->scheduler.TakeUnsaved(kJobsPerSave, now);
+  if (batch.empty()) {
+    return;
+  }
+  StoreTransaction transaction;
+  transaction.expected.push_back(
+      {kLeadPrefix + this->term.duty, this->term.fence});
+  std::vector<JobId> jobs;
+  for (const std::pair<JobId, JobProgress>& entry : batch) {
+    const std::string key = ProgressKey(this->pool, entry.first);
+    transaction.expected.push_back(
+        {key, this->progress_revisions[entry.first]});
+    transaction.writes.push_back({key, WriteJson(ToJson(entry.second)), 0});
+    jobs.push_back(entry.first);
+  }
+  this->is_saving = true;
+  const std::shared_ptr<State> self = this->shared_from_this();
+  this->context.store->Commit(
+      transaction, kSaveTimeout,
+      [self, jobs, sent_at = Now()](const Result<TransactionResult>& result) {
+        if (!self->is_stopped) {
+          LatencyHistogram(self->context.metrics, "daisyroad_progress_store_ms")
+              .Observe(Now() - sent_at);
+          self->is_saving = false;
+          self->OnSaveResult(jobs, result);
+        }
+      });
+}
+
+void PoolLead::State::OnSaveResult(const std::vector<JobId>& jobs,
+                                   const Result<TransactionResult>& result) {
+  if (!result.ok()) {
+    this->Count("daisyroad_saves_total", "outcome=\"failed\"");
+    CLOG(WARNING, kTasksLog) << "event=progress_not_stored pool=" << this->pool
+                             << " jobs=" << jobs.size() << " error=\""
+                             << result.error().ToString() << "\"";
+    // The next tick tries again.
+    this->scheduler.OnSaveFailed(jobs);
+    return;
+  }
+  if (const TransactionCommitted* const committed =
+          std::get_if<TransactionCommitted>(&result.value())) {
+    this->Count("daisyroad_saves_total", "outcome=\"stored\"");
+    for (const JobId& job : jobs) {
+      this->progress_revisions[job] = committed->revision;
+    }
+    this->scheduler.OnSaved(jobs);
+    this->SchedulePump();
+    return;
+  }
+  this->OnSaveConflict(jobs,
+                       std::get<TransactionConflict>(result.value()).items);
+}
+
+void PoolLead::State::OnSaveConflict(const std::vector<JobId>& jobs,
+                                     const std::vector<StoreItem>& items) {
+  this->Count("daisyroad_saves_total", "outcome=\"conflict\"");
+  for (const StoreItem& item : items) {
+    if (item.key.starts_with(ProgressPrefix(this->pool))) {
+      const JobId job(item.key.substr(ProgressPrefix(this->pool).size()));
+      this->progress_revisions[job] = item.revision;
+    }
+  }
+  this->scheduler.OnSaveFailed(jobs);
+}
+
+void PoolLead::State::Forget(MonotonicTime now) {
+  if (now < this->next_forget) {
+    return;
+  }
+  this->next_forget = now + kForgetInterval;
+  StoreTransaction transaction;
+  std::vector<JobId> jobs;
+  for (const std::pair<const std::string, StoreItem>& entry :
+       this->inbox->items()) {
+    const std::string prefix = InboxPrefix(this->pool) + "job/";
+    if (!entry.first.starts_with(prefix)) {
+      continue;
+    }
+    const JobId job(entry.first.substr(prefix.size()));
+    const std::optional<JobStatus> status = this->scheduler.StatusOf(job);
+    if (!status || !IsFinal(*status)) {
+      continue;
+    }
+    const MonotonicTime since =
+        this->final_since.emplace(job, now).first->second;
+    if (now - since > this->context.retention &&
+        jobs.size() < kForgottenAtOnce) {
+      jobs.push_back(job);
+      transaction.deletions.push_back(entry.first);
+      transaction.deletions.push_back(CancelKey(this->pool, job));
+      transaction.deletions.push_back(ProgressKey(this->pool, job));
+    }
+  }
+  if (jobs.empty()) {
+    return;
+  }
+  transaction.expected.push_back(
+      {kLeadPrefix + this->term.duty, this->term.fence});
+  const std::shared_ptr<State> self = this->shared_from_this();
+  this->context.store->Commit(
+      transaction, kSaveTimeout,
+      [self, jobs](const Result<TransactionResult>& result) {
+        if (self->is_stopped || !result.ok() ||
+            !std::holds_alternative<TransactionCommitted>(result.value())) {
+          return;
+        }
+        for (const JobId& job : jobs) {
+          self->scheduler.ForgetJob(job);
+          self->final_since.erase(job);
+          self->progress_revisions.erase(job);
+          self->cancels.erase(job);
+        }
+      });
+}
+
+}  // namespace daisyroad
--- a/Source/Core/Site/prefix_mirror.cc
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -28,7 +28,6 @@
   bool is_loaded = false;
   bool is_stopped = false;
   bool has_failed = false;
-  bool is_refresh_wanted = false;
 
   void List(const std::string& after) {
     const std::shared_ptr<State> self = this->shared_from_this();
@@ -48,7 +47,6 @@
     }
     this->listed.clear();
     this->revision = 0;
-    this->is_refresh_wanted = false;
     this->List("");
   }
 
@@ -135,7 +133,7 @@
       return;
     }
     this->NoteSuccess();
-    if (changes.value().is_history_lost || this->is_refresh_wanted) {
+    if (changes.value().is_history_lost) {
       this->Restart();
       return;
     }
@@ -189,8 +187,4 @@
   return this->state->items;
 }
 
-void PrefixMirror::Refresh() {
-  this->state->is_refresh_wanted = true;
-}
-
 }  // namespace daisyroad
--- a/Source/Core/Site/prefix_mirror.h
+++ b/Source/Core/Site/prefix_mirror.h
@@ -36,8 +36,6 @@
   void Start();
   bool is_loaded() const;
   const Items& items() const;
-  // Lists the prefix again soon, for changes that a watch may have missed.
-  void Refresh();
 
  private:
   struct State;
--- a/Source/UnitTests/Site/fake_revision_store.cc
+++ b/Source/UnitTests/Site/fake_revision_store.cc
@@ -190,13 +190,6 @@
   });
 }
 
-void FakeRevisionStore::EndLease(StoreLease lease,
-                                 Milliseconds /*timeout*/,
-                                 Callback<std::monostate> callback) {
-  this->Expire(lease);
-  this->Answer([callback]() { callback(OkStatus()); });
-}
-
 void FakeRevisionStore::Put(const std::string& key, const std::string& value) {
   ++this->revision;
   this->items[key] = StoreItem{key, value, this->revision};
--- a/Source/UnitTests/Site/fake_revision_store.h
+++ b/Source/UnitTests/Site/fake_revision_store.h
@@ -37,9 +37,6 @@
   void KeepLease(StoreLease lease,
                  Milliseconds timeout,
                  Callback<std::monostate> callback) override;
-  void EndLease(StoreLease lease,
-                Milliseconds timeout,
-                Callback<std::monostate> callback) override;
 
   // A change made by somebody else.
   void Put(const std::string& key, const std::string& value);
