--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -434,6 +434,10 @@
   return lead ? lead->address : "";
 }
 
+bool Leadership::IsPredecessorGone(const Term& term) const {
+  return this->state->IsPredecessorGone(term);
+}
+
 bool Leadership::IsLeaseValid() const {
   return this->state->lease != 0 &&
          BootClock::now() < this->state->lease_valid_until;
