--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -89,13 +89,14 @@
 Error ToError(CURLcode code, const Exchange& exchange) {
   Errc errc = Errc::kProtocol;
   // Times cannot tell whether the request was sent: on a kept connection they
-  // may all be zero.
+  // may all be zero. Nor can the last error: libcurl tries again on a new
+  // connection when a kept one breaks after the request was sent.
   long sent_bytes = 0;
   curl_easy_getinfo(exchange.handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
-  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
-      code == CURLE_URL_MALFORMAT) {
+  if (code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT) {
     errc = Errc::kUnavailable;
-  } else if (code == CURLE_OPERATION_TIMEDOUT) {
+  } else if (code == CURLE_COULDNT_CONNECT ||
+             code == CURLE_OPERATION_TIMEDOUT) {
     errc = sent_bytes == 0 ? Errc::kUnavailable : Errc::kTimeout;
   }
   return Error{errc, "http." + exchange.request.method, exchange.request.url,
