Site: take workers of moved and removed machines for over

Machines that move or are maintained were not taken for proof either, though what ran there has ended.

Ruled out: room (most of the pool was idle) and the order of tasks (tasks that last go first).

--- a/Source/Core/Site/pool_lead_state.h
+++ b/Source/Core/Site/pool_lead_state.h
@@ -31,8 +31,6 @@
   // The list of machines tells when the life of a silent worker is over, long
   // before its leases are.
   void LookAtMachines(MonotonicTime now);
-  // A worker's life is over when its machine is down or has another worker. A
-  // machine that merely names no worker may be cut off with it.
   void CompareWithMachines(const WorkerName& worker,
                            const std::vector<Machine>& machines);
   void LoadProgress(const std::string& after);
@@ -75,6 +73,8 @@
   bool is_remembering = false;
   MonotonicTime next_remember;
   std::map<WorkerName, MachineName> machine_of;
+  // Number of lists in a row without the machine of a silent worker.
+  std::map<WorkerName, int> absences;
   bool is_looking = false;
   MonotonicTime next_look;
   MonotonicTime begun_at = std::chrono::steady_clock::now();
--- a/Source/Core/Site/pool_lead_workers.cc
+++ b/Source/Core/Site/pool_lead_workers.cc
@@ -9,6 +9,7 @@
 #include "Core/Common/logging.h"
 #include "Core/Site/remembered_workers.h"
 #include "Core/Site/store_keys.h"
+#include "Core/Site/worker_life.h"
 #include "Core/Transport/event_loop.h"
 
 namespace daisyroad {
@@ -18,6 +19,9 @@
 constexpr Milliseconds kSaveTimeout{600};
 constexpr Milliseconds kRetryPause{150};
 constexpr Milliseconds kLookInterval{400};
+// A machine that so many lists in a row leave out was taken away: the pages of
+// one list are not a snapshot.
+constexpr int kAbsencesOfRemoved = 2;
 // How soon after a look that found nothing missing the next one is.
 constexpr Milliseconds kLookPause{20};
 // How often workers that are to be remembered are compared with those that
@@ -169,19 +173,19 @@
   if (host == this->machine_of.end()) {
     return;
   }
-  for (const Machine& machine : machines) {
-    if (machine.name != host->second) {
-      continue;
-    }
-    const bool is_over = machine.state == MachineState::kDown ||
-                         (!machine.worker.empty() && machine.worker != worker);
-    CLOG(INFO, kTasksLog) << "decision=silent_worker pool=" << this->pool
-                          << " worker=" << worker << " machine=" << machine.name
-                          << " state=" << static_cast<int>(machine.state)
-                          << " now=" << machine.worker << " over=" << is_over;
-    if (is_over) {
-      this->scheduler.OnWorkerGone(worker, Now());
-    }
+  const WorkerLife life = JudgeWorkerLife(worker, host->second, machines);
+  int& absences = this->absences[worker];
+  absences = life == WorkerLife::kMachineAbsent ? absences + 1 : 0;
+  const bool is_over =
+      life == WorkerLife::kOver ||
+      (absences >= kAbsencesOfRemoved && !this->listing.contains(worker));
+  CLOG(INFO, kTasksLog) << "decision=silent_worker pool=" << this->pool
+                        << " worker=" << worker << " machine=" << host->second
+                        << " life=" << ToString(life)
+                        << " absences=" << absences << " over=" << is_over;
+  if (is_over) {
+    this->absences.erase(worker);
+    this->scheduler.OnWorkerGone(worker, Now());
   }
 }
 
--- /dev/null
+++ b/Source/Core/Site/worker_life.h
@@ -0,0 +1,28 @@
+#ifndef SOURCE_CORE_SITE_WORKER_LIFE_H_
+#define SOURCE_CORE_SITE_WORKER_LIFE_H_
+
+#include <vector>
+
+#include "Core/Platform/machine_client.h"
+
+namespace daisyroad {
+
+// What a list of machines says of a worker that does not answer.
+enum class WorkerLife {
+  kMayGoOn,
+  kOver,           // all that ran there has ended
+  kMachineAbsent,  // over, unless the list misses the machine
+};
+
+// `machine` is where the worker lived by an earlier list. Its life is over once
+// the machine moves, is maintained, is down or has another worker. A machine
+// that merely names no worker may be cut off with it.
+WorkerLife JudgeWorkerLife(const WorkerName& worker,
+                           const MachineName& machine,
+                           const std::vector<Machine>& machines);
+
+const char* ToString(WorkerLife life);
+
+}  // namespace daisyroad
+
+#endif  // SOURCE_CORE_SITE_WORKER_LIFE_H_
--- /dev/null
+++ b/Source/UnitTests/Site/worker_life_test.cc
@@ -0,0 +1,57 @@
+#include "Core/Site/worker_life.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace daisyroad {
+namespace {
+
+const WorkerName kWorker("w");
+const MachineName kMachine("m");
+
+std::vector<Machine> MachinesWith(MachineState state,
+                                  const WorkerName& worker) {
+  Machine machine;
+  machine.name = kMachine;
+  machine.state = state;
+  machine.worker = worker;
+  Machine other;
+  other.name = MachineName("other");
+  return {other, machine};
+}
+
+WorkerLife Judge(const std::vector<Machine>& machines) {
+  return JudgeWorkerLife(kWorker, kMachine, machines);
+}
+
+// Guards against runs that are given up while they may go on.
+TEST_CASE("A worker that its machine still names may go on") {
+  CHECK(Judge(MachinesWith(MachineState::kUp, kWorker)) ==
+        WorkerLife::kMayGoOn);
+  CHECK(Judge(MachinesWith(MachineState::kUp, WorkerName())) ==
+        WorkerLife::kMayGoOn);
+  CHECK(Judge(MachinesWith(MachineState::kUnknown, kWorker)) ==
+        WorkerLife::kMayGoOn);
+}
+
+// Guards against a new scheduler that waits for the leases of workers whose
+// machines moved to another pool or went into maintenance.
+TEST_CASE("A worker is over once its machine has gone on") {
+  CHECK(Judge(MachinesWith(MachineState::kMoving, WorkerName())) ==
+        WorkerLife::kOver);
+  CHECK(Judge(MachinesWith(MachineState::kUpkeep, WorkerName())) ==
+        WorkerLife::kOver);
+  CHECK(Judge(MachinesWith(MachineState::kDown, kWorker)) == WorkerLife::kOver);
+  CHECK(Judge(MachinesWith(MachineState::kUp, WorkerName("next"))) ==
+        WorkerLife::kOver);
+}
+
+// Guards against LOST at vpl-ajot-grown scale-2: the machine of a worker that
+// had left was no longer listed, and a task that lasts waited 14 s for it after
+// a change of the scheduler.
+TEST_CASE("A machine that is not listed is told from one that goes on") {
+  CHECK(Judge({}) == WorkerLife::kMachineAbsent);
+}
+
+}  // namespace
+}  // namespace daisyroad
