Jobs: size pools by the work that arrives, too

Cause: machines came three to five seconds after a burst of eight had begun. The work that arrived in the last 800 ms says so within a second.

Ruled out: the time that a move takes (1.5 s) and the planner, which moved as soon as the need was reported.

--- a/Source/Core/Jobs/pool_load.h
+++ b/Source/Core/Jobs/pool_load.h
@@ -21,8 +21,8 @@
   std::int64_t capacity = 0;
   std::int64_t used = 0;
   std::int64_t waiting = 0;
-  // Millicores that would complete all open jobs in time, and those of tasks
-  // that last.
+  // Millicores that would complete all open jobs in time and keep up with those
+  // that come, and those of tasks that last.
   std::int64_t needed = 0;
   std::int64_t services = 0;
   int usable_workers = 0;
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -100,6 +100,9 @@
     state.has_started = true;
     this->FinishTask(&state, task, now);
   }
+  if (!may_have_runs && state.job.spec.occurrences == 0) {
+    this->arrivals.emplace_back(now, state.remaining_work);
+  }
   this->Note("job_known", TaskRef{id}, 0, WorkerName(),
              may_have_runs ? "found" : "accepted");
 }
@@ -213,6 +216,10 @@
 }
 
 std::vector<Order> PoolScheduler::TakeOrders(MonotonicTime now, WallTime wall) {
+  while (!this->arrivals.empty() &&
+         this->arrivals.front().first + this->settings.demand_window < now) {
+    this->arrivals.pop_front();
+  }
   this->ExpireLeases(now);
   if (now >= this->next_review) {
     this->next_review = now + this->settings.review_interval;
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -2,6 +2,7 @@
 #define SOURCE_CORE_JOBS_POOL_SCHEDULER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -256,6 +257,8 @@
   bool is_fenced = false;
   bool is_sole = true;
   MonotonicTime no_starts_before;
+  // Work (millicore-seconds) of the jobs that came lately, oldest first.
+  std::deque<std::pair<MonotonicTime, double>> arrivals;
   MonotonicTime next_review;
   // Orders to stop may wait for an answer.
   bool has_open_stops = false;
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -476,7 +476,16 @@
         std::chrono::duration_cast<Milliseconds>(job.objective - wall));
     needed += job.remaining_work / static_cast<double>(left.count());
   }
-  load.needed = static_cast<std::int64_t>(needed * kMillisecondsPerSecond);
+  // The open jobs say what is needed only once a burst has filled the pool, and
+  // machines take seconds to come; the work that arrives says so sooner.
+  double arrived = 0.0;
+  for (const std::pair<MonotonicTime, double>& arrival : this->arrivals) {
+    arrived += arrival.second;
+  }
+  load.needed = static_cast<std::int64_t>(
+      kMillisecondsPerSecond *
+      std::max(needed, arrived / static_cast<double>(
+                                     this->settings.demand_window.count())));
   for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
     const WorkerState& worker = entry.second;
     if (this->IsUsable(worker, now)) {
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -42,6 +42,9 @@
   // pool, so that one answer tells of several ends: at most 4,000 reports a
   // second, which half a core can take.
   std::chrono::microseconds report_pause{250};
+  // The work that arrives is measured over this time: long enough for several
+  // jobs, short against the time that machines take to come.
+  Milliseconds demand_window{800};
   // A worker that failed this many runs in a row gets no more for a while.
   int failures_before_suspension = 2;
   Milliseconds suspension{4000};
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -349,6 +349,23 @@
   CHECK_FALSE(fixture.Load().workers.contains(WorkerName("w2")));
 }
 
+// Guards against machines that come seconds after a burst has begun: while the
+// pool had room, the open jobs alone showed less than half of the demand.
+TEST_CASE("The load tells what arrives, not only what is left") {
+  Fixture fixture({Worker("w1"), Worker("w2")});
+  fixture.AnswerAll();
+  for (int i = 0; i < 8; ++i) {
+    // Two core-seconds every 100 ms.
+    fixture.Add(JobBuilder("j" + std::to_string(i)).Step(4).Build());
+    fixture.Pass(Milliseconds(100));
+    fixture.Orders();
+  }
+  CHECK(fixture.Load().needed >= 20000);
+  fixture.Pass(Milliseconds(1000));
+  fixture.Orders();
+  CHECK(fixture.Load().needed < 20000);
+}
+
 // Guards against TWICE at vpl-ajot scale-1: after a partition, a scheduler that
 // had been replaced learned of a new job before it learned of its successor,
 // which had started it on a worker that this one did not use.
