--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -477,11 +477,15 @@
     needed += job.remaining_work / static_cast<double>(left.count());
   }
   // The open jobs say what is needed only once a burst has filled the pool, and
-  // machines take seconds to come; the work that arrives says so sooner.
+  // machines take seconds to come; the work that arrives says so sooner. The
+  // largest job is left out: one alone is no burst.
   double arrived = 0.0;
+  double largest = 0.0;
   for (const std::pair<MonotonicTime, double>& arrival : this->arrivals) {
     arrived += arrival.second;
+    largest = std::max(largest, arrival.second);
   }
+  arrived -= largest;
   load.needed = static_cast<std::int64_t>(
       kMillisecondsPerSecond *
       std::max(needed, arrived / static_cast<double>(
--- a/Source/Core/Machines/machine_planner.cc
+++ b/Source/Core/Machines/machine_planner.cc
@@ -20,10 +20,13 @@
 
 // Capacity is kept at this multiple of what the open jobs need, and above
 // this many machines.
-constexpr double kHeadroom = 1.1;
+constexpr double kHeadroom = 1.4;
 constexpr int kLeastMachines = 3;
 // A pool that lends machines keeps this part of its home size.
 constexpr double kKeptShare = 0.5;
+// A pool rests at this part of its home size when nobody is short; the rest
+// waits in the spare pool, where it costs nothing and is ready to move.
+constexpr double kRestingShare = 0.6;
 // A pool gives machines up when it has had too many for a while.
 constexpr Milliseconds kReleaseDelay{1200};
 
@@ -223,11 +226,11 @@
   // Pools lend what they do not need while another is short; otherwise each
   // goes back to its home size.
   for (std::pair<const PoolName, int>& pool : wanted) {
-    const int home_gap = this->HomeSize(pool.first) - sizes[pool.first];
+    const double share =
+        is_anyone_short || spare.empty() ? kKeptShare : kRestingShare;
     const int least = static_cast<int>(
-        kKeptShare * static_cast<double>(this->HomeSize(pool.first)));
-    pool.second = std::max(
-        pool.second, is_anyone_short ? least - sizes[pool.first] : home_gap);
+        std::ceil(share * static_cast<double>(this->HomeSize(pool.first))));
+    pool.second = std::max(pool.second, least - sizes[pool.first]);
   }
   if (!spare.empty()) {
     this->Lend(spare, &wanted, fleet, plan);
--- a/Source/Core/Site/fleet_lead.cc
+++ b/Source/Core/Site/fleet_lead.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -50,6 +51,14 @@
 
 }  // namespace
 
+// An order that the list of machines may not show yet.
+struct SentOrder {
+  MachineState state = MachineState::kUnknown;  // to which it leads
+  PoolName pool;                                // for moves
+  MonotonicTime sent_at;
+  std::optional<MonotonicTime> done_at;
+};
+
 struct FleetLead::State : std::enable_shared_from_this<State> {
   FleetLeadContext context;
   Term term;
@@ -67,8 +76,7 @@
   std::set<std::int64_t> waves_asked;  // whose record is being read
   std::set<std::int64_t> waves_complete;
   std::map<MachineName, MonotonicTime> next_order;
-  // Machines whose order was carried out after the current list was asked for.
-  std::map<MachineName, MonotonicTime> ordered_at;
+  std::map<MachineName, SentOrder> sent_orders;
   MonotonicTime next_note;
   bool is_listing = false;
   bool has_home_sizes = false;
@@ -337,20 +345,9 @@
         open.insert(wave);
       }
     }
-    // Machines that were given an order since the list was asked for are not
-    // what the list says.
-    std::vector<Machine> current = this->machines;
-    for (Machine& machine : current) {
-      const std::map<MachineName, MonotonicTime>::const_iterator ordered =
-          this->ordered_at.find(machine.name);
-      if (ordered != this->ordered_at.end() &&
-          ordered->second >= this->listed_at &&
-          machine.state == MachineState::kUp) {
-        machine.state = MachineState::kUpkeep;
-      }
-    }
-    MachinePlan plan = this->planner.Plan(current, this->pools, open,
-                                          this->operators.zones_out, now);
+    MachinePlan plan =
+        this->planner.Plan(this->CurrentMachines(now), this->pools, open,
+                           this->operators.zones_out, now);
     this->vacate = std::move(plan.vacate);
     this->due = std::move(plan.due);
     std::erase_if(plan.orders, [this, now](const MachineOrder& order) {
@@ -367,6 +364,31 @@
     }
   }
 
+  // The list, with the orders that it does not show yet.
+  std::vector<Machine> CurrentMachines(MonotonicTime now) {
+    std::erase_if(
+        this->sent_orders,
+        [this, now](const std::pair<const MachineName, SentOrder>& entry) {
+          const SentOrder& order = entry.second;
+          return order.done_at ? *order.done_at < this->listed_at
+                               : now - order.sent_at >= kOrderPause;
+        });
+    std::vector<Machine> current = this->machines;
+    for (Machine& machine : current) {
+      const std::map<MachineName, SentOrder>::const_iterator order =
+          this->sent_orders.find(machine.name);
+      if (order == this->sent_orders.end() ||
+          machine.state != MachineState::kUp) {
+        continue;
+      }
+      machine.state = order->second.state;
+      if (!order->second.pool.empty()) {
+        machine.pool = order->second.pool;
+      }
+    }
+    return current;
+  }
+
   bool IsLoadFresh(const MachineOrder& order, MonotonicTime now) const {
     const MachineName& name = std::visit(
         [](const auto& any) -> const MachineName& { return any.machine; },
@@ -398,6 +420,8 @@
     CLOG(INFO, kFleetLog) << "decision=move machine=" << order.machine
                           << " pool=" << order.pool
                           << " fence=" << this->term.fence;
+    this->sent_orders[order.machine] =
+        SentOrder{MachineState::kMoving, order.pool, now, std::nullopt};
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.machines->Move(
         order.machine, order.pool, this->term.fence,
@@ -413,6 +437,8 @@
     CLOG(INFO, kFleetLog) << "decision=maintain machine=" << order.machine
                           << " wave=" << order.wave
                           << " fence=" << this->term.fence;
+    this->sent_orders[order.machine] =
+        SentOrder{MachineState::kUpkeep, PoolName(), now, std::nullopt};
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.machines->Upkeep(
         order.machine, order.wave, this->term.fence,
@@ -440,9 +466,16 @@
           << (outcome.ok() ? std::to_string(static_cast<int>(outcome.value()))
                            : outcome.error().ToString())
           << "\"";
+      if (outcome.ok()) {
+        this->sent_orders.erase(machine);
+      }
       return false;
     }
-    this->ordered_at[machine] = Now();
+    const std::map<MachineName, SentOrder>::iterator sent =
+        this->sent_orders.find(machine);
+    if (sent != this->sent_orders.end()) {
+      sent->second.done_at = Now();
+    }
     return !this->is_stopped;
   }
 };
