Limits: keep a reserve of the allotment for outages of the store

An idle holder now keeps half of its even part of the limit; a peer in need is still given it.

Ruled out: a longer idle time, which only moves the moment.

--- a/Source/Core/Limits/team_allotment.cc
+++ b/Source/Core/Limits/team_allotment.cc
@@ -161,7 +161,7 @@
   const bool gave =
       LimitLedger::Free(*next) == 0 &&
       (this->GiveToPeers(peers, next) || this->GiveToStarving(peers, next));
-  return gave || this->ReturnIdle(now, next) || changed;
+  return gave || this->ReturnIdle(peers, now, next) || changed;
 }
 
 std::int64_t TeamAllotment::Idle(const LimitRecord& record) const {
@@ -169,9 +169,15 @@
          std::max(this->Keep(), this->active);
 }
 
-bool TeamAllotment::ReturnIdle(MonotonicTime now, LimitRecord* next) {
+bool TeamAllotment::ReturnIdle(const Peers& peers,
+                               MonotonicTime now,
+                               LimitRecord* next) {
   const std::int64_t count = LimitLedger::Count(*next, this->self);
-  const std::int64_t idle = this->Idle(*next);
+  const std::int64_t holders = static_cast<std::int64_t>(peers.size()) + 1;
+  const std::int64_t reserve =
+      next->limit / (this->options.reserve_divisor * holders);
+  const std::int64_t idle =
+      std::min(this->Idle(*next), count - std::min(count, reserve));
   if (idle <= count / this->options.slack_divisor) {
     this->idle_since.reset();
     return false;
--- a/Source/Core/Limits/team_allotment.h
+++ b/Source/Core/Limits/team_allotment.h
@@ -27,6 +27,10 @@
     // A holder keeps want / slack_divisor above its demand, so that small
     // changes of demand cause no write.
     std::int64_t slack_divisor = 8;
+    // A holder keeps its even part of 1 / reserve_divisor of the limit while it
+    // is idle: it can start work with it when the store does not answer. Peers
+    // in need are given it all the same.
+    std::int64_t reserve_divisor = 2;
   };
   using Peers = std::map<EntryName, PeerDemand>;
 
@@ -67,7 +71,7 @@
             const std::vector<EntryName>& dead,
             MonotonicTime now,
             LimitRecord* next);
-  bool ReturnIdle(MonotonicTime now, LimitRecord* next);
+  bool ReturnIdle(const Peers& peers, MonotonicTime now, LimitRecord* next);
   std::int64_t Idle(const LimitRecord& record) const;
   bool GiveToPeers(const Peers& peers, LimitRecord* next);
   bool GiveToStarving(const Peers& peers, LimitRecord* next);
