--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -358,7 +358,9 @@
 
   void Answer(Exchange* exchange, Result<HttpResponse> result) {
     this->executor([callback = std::move(exchange->callback),
-                    result = std::move(result)]() { callback(result); });
+                    result = std::move(result)]() mutable {
+      callback(std::move(result));
+    });
   }
 
   void CountBytes(const Exchange& exchange) {
