Site: deal out duties that are vacant at once

Vacant duties are now dealt out in order of name before an instance ranks itself. The test fails without the change.

Ruled out: the processor of the instances, which the rank already weighs.

--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -238,17 +238,19 @@
     }
   }
 
-  // Position of this instance among those that should take the duty.
-  int Rank(const std::string& duty) const {
-    struct Load {
-      double processor = kUnknownProcessor;
-      int duties = 0;
-    };
-    std::map<std::string, Load> instances;
+  struct Load {
+    double processor = kUnknownProcessor;  // cores
+    int duties = 0;
+  };
+  using Loads = std::map<std::string, Load>;
+
+  // The registered instances with the duties that they have.
+  Loads LoadsOfInstances() const {
+    Loads loads;
     for (const std::pair<const std::string, StoreItem>& entry :
          this->mirror->items()) {
       if (entry.first.starts_with(kNodePrefix)) {
-        Load& load = instances[entry.first.substr(kNodePrefix.size())];
+        Load& load = loads[entry.first.substr(kNodePrefix.size())];
         const Result<Json::Value> json = ParseJson(entry.second.value);
         if (json.ok() && json.value()["processor"].isNumeric()) {
           load.processor =
@@ -256,25 +258,51 @@
         }
       }
     }
-    for (const std::string& other : this->duties) {
-      const std::optional<LeadRecord> lead = this->LeadOf(other);
-      if (lead && instances.contains(lead->node)) {
-        ++instances[lead->node].duties;
+    for (const std::string& duty : this->duties) {
+      const std::optional<LeadRecord> lead = this->LeadOf(duty);
+      if (lead && loads.contains(lead->node)) {
+        ++loads[lead->node].duties;
       }
     }
+    return loads;
+  }
+
+  // Instances in the order in which they should take the duty.
+  static std::vector<std::string> Candidates(const Loads& loads,
+                                             const std::string& duty) {
     using Key = std::tuple<double, std::uint64_t, std::string>;
     const std::uint64_t seed = StableHash(duty);
-    const auto key_of = [&instances, seed](const std::string& name) {
-      const Load& load = instances[name];
-      return Key{(load.duties + 1) / load.processor, StableHash(name, seed),
-                 name};
-    };
-    const Key own = key_of(this->node);
-    int rank = 0;
-    for (const std::pair<const std::string, Load>& entry : instances) {
-      rank += key_of(entry.first) < own;
+    std::vector<Key> keys;
+    for (const std::pair<const std::string, Load>& entry : loads) {
+      keys.emplace_back((entry.second.duties + 1) / entry.second.processor,
+                        StableHash(entry.first, seed), entry.first);
+    }
+    std::sort(keys.begin(), keys.end());
+    std::vector<std::string> names;
+    for (const Key& key : keys) {
+      names.push_back(std::get<std::string>(key));
+    }
+    return names;
+  }
+
+  // Position of this instance among those that should take the duty. Duties
+  // that are vacant at the same time are dealt out in order of name, so that
+  // they do not all fall to the same instance.
+  int Rank(const std::string& duty) const {
+    Loads loads = this->LoadsOfInstances();
+    for (const std::string& other : this->duties) {
+      if (other == duty) {
+        break;
+      }
+      const std::vector<std::string> candidates = Candidates(loads, other);
+      if (!this->LeadOf(other) && !candidates.empty()) {
+        ++loads[candidates.front()].duties;
+      }
     }
-    return rank;
+    const std::vector<std::string> candidates = Candidates(loads, duty);
+    return static_cast<int>(
+        std::find(candidates.begin(), candidates.end(), this->node) -
+        candidates.begin());
   }
 
   void ConsiderDuty(const std::string& duty, MonotonicTime now) {
--- a/Source/UnitTests/Site/leadership_test.cc
+++ b/Source/UnitTests/Site/leadership_test.cc
@@ -79,6 +79,22 @@
   CHECK(large.begun.size() == 2);
 }
 
+// Guards against an instance that takes all duties that are vacant at once: at
+// vpl-ajot-grown scale-2 one took four of five after a partition.
+TEST_CASE("Duties that are vacant at once go to different instances") {
+  EventLoop loop;
+  FakeRevisionStore store(&loop);
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (const char* const name : {"one", "two", "three", "four"}) {
+    nodes.push_back(std::make_unique<Node>(&store, &loop, name));
+    nodes.back()->leadership.SetDuties({"a", "b", "c", "d"});
+  }
+  loop.RunFor(Milliseconds(1500));
+  for (const std::unique_ptr<Node>& node : nodes) {
+    CHECK(node->begun.size() == 1);
+  }
+}
+
 // Guards against a pause of the duties of an instance that stops.
 TEST_CASE("The duties of an instance that stops pass on at once") {
   EventLoop loop;
