Site, Jobs: split what grew by duty

The reading of workers is a class of its own (WorkerDirectory, with tests), which also logs when readings fail and succeed again: such failures were dropped without a line. The scheduler's contact with workers and the JSON of loads have files of their own. Behaviour is unchanged otherwise.

--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -177,6 +177,8 @@
   // Runs that the last report should have shown and did not.
   void DropMissingRuns(WorkerState* worker, MonotonicTime asked_at);
   void AcknowledgeSavedEnds(WorkerState* worker);
+
+  // pool_scheduler_workers.cc
   void ExpireLeases(MonotonicTime now);
   void AskReports(MonotonicTime now);
   // An unanswered start whose stop was answered: the next report tells.
--- a/Source/Core/Site/fleet_lead.h
+++ b/Source/Core/Site/fleet_lead.h
@@ -1,8 +1,6 @@
 #ifndef SOURCE_CORE_SITE_FLEET_LEAD_H_
 #define SOURCE_CORE_SITE_FLEET_LEAD_H_
 
-#include <json/value.h>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -51,10 +49,6 @@
   std::shared_ptr<State> state;
 };
 
-// JSON of a load between instances.
-Json::Value ToJson(const PoolLoad& load);
-PoolLoad ParsePoolLoad(const Json::Value& json);
-
 inline const std::string kFleetDuty = "fleet";
 
 }  // namespace daisyroad
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -2,7 +2,6 @@
 
 #include <csignal>
 #include <map>
-#include <optional>
 #include <set>
 #include <utility>
 
@@ -14,9 +13,11 @@
 #include "Core/Site/leadership.h"
 #include "Core/Site/limit_keeper.h"
 #include "Core/Site/pool_lead.h"
+#include "Core/Site/pool_load_codec.h"
 #include "Core/Site/prefix_mirror.h"
 #include "Core/Site/site_codec.h"
 #include "Core/Site/store_keys.h"
+#include "Core/Site/worker_directory.h"
 #include "Core/Transport/event_loop.h"
 #include "Core/Transport/http_client.h"
 #include "Core/Transport/http_server.h"
@@ -30,12 +31,6 @@
 // the keys are, which a silent watch does not.
 constexpr Milliseconds kOperatorInterval{500};
 constexpr Milliseconds kOperatorTimeout{700};
-// A worker that leaves must get no new runs within two seconds. Reading the
-// entry of a worker takes about 30 us of a core: with this pause for each, it
-// takes 2% of one at most.
-constexpr Milliseconds kWorkerInterval{250};
-constexpr std::chrono::microseconds kWorkerPause{1500};
-constexpr Milliseconds kWorkerTimeout{700};
 // Part of the grace period left when the process ends by itself.
 constexpr Milliseconds kStopReserve{700};
 // Idle connections of callers are kept: the platform's balancer leaves a
@@ -84,6 +79,12 @@
             kSitePrefix,
             [this](const std::vector<StoreChange>&) { this->OnSiteChange(); }),
         limits(platform.store),
+        workers(
+            platform.store,
+            platform.loop,
+            platform.codec,
+            WorkerDirectory::Listener{[this]() { return !this->leads.empty(); },
+                                      [this]() { this->OnWorkers(); }}),
         leadership(
             platform.store,
             platform.loop,
@@ -135,7 +136,7 @@
     CLOG(INFO, kDaemonLog) << "event=start node=" << this->settings.node
                            << " zone=" << this->settings.zone;
     this->site_mirror.Start();
-    this->ReadWorkers();
+    this->workers.Start();
     this->leadership.Start();
     this->ReadOperators();
     this->platform.loop->Run();
@@ -159,18 +160,13 @@
   RpcServer rpc_server;
   PrefixMirror site_mirror;
   LimitKeeper limits;
+  WorkerDirectory workers;
   Leadership leadership;
   JobService jobs;
   std::function<void(const SiteConfig&)> config_listener;
   std::function<Result<SiteSettings>()> reload;
 
  private:
-  // An entry of the list of workers; without a listing if it names none.
-  struct WorkerEntry {
-    std::int64_t revision = 0;
-    std::optional<WorkerListing> listing;
-  };
-
   HttpHandler OnLoop(HttpHandler handler) {
     EventLoop* const loop = this->platform.loop;
     const std::shared_ptr<const HttpHandler> shared =
@@ -318,83 +314,17 @@
     return duties;
   }
 
-  // Workers write their entries every second or two, and each write would end
-  // a watch; a listing at a fixed interval costs the store less.
-  void ReadWorkers() {
-    this->platform.loop->After(
-        std::max<Duration>(kWorkerInterval,
-                           kWorkerPause * this->worker_entries.size()),
-        [this]() { this->ReadWorkers(); });
-    if (!this->leads.empty()) {
-      this->ReadWorkerPage("", std::make_shared<std::vector<StoreItem>>());
-    }
-  }
-
-  void ReadWorkerPage(const std::string& after,
-                      const std::shared_ptr<std::vector<StoreItem>>& pages) {
-    this->platform.store->List(
-        this->platform.codec->WorkerPrefix(), after, kWorkerTimeout,
-        [this, pages](const Result<StorePage>& page) {
-          if (!page.ok()) {
-            return;
-          }
-          pages->insert(pages->end(), page.value().items.begin(),
-                        page.value().items.end());
-          if (page.value().has_more && !page.value().items.empty()) {
-            this->ReadWorkerPage(pages->back().key, pages);
-          } else {
-            this->AdoptWorkers(*pages);
-          }
-        });
-  }
-
-  void AdoptWorkers(const std::vector<StoreItem>& items) {
-    std::map<WorkerName, WorkerListing> listed;
-    std::map<std::string, WorkerEntry> entries;
-    for (const StoreItem& item : items) {
-      WorkerEntry& entry = entries[item.key];
-      const std::map<std::string, WorkerEntry>::const_iterator known =
-          this->worker_entries.find(item.key);
-      if (known != this->worker_entries.end() &&
-          known->second.revision == item.revision) {
-        entry = known->second;
-      } else {
-        entry.revision = item.revision;
-        entry.listing = this->DecodeWorker(item);
-      }
-      if (entry.listing) {
-        listed[entry.listing->name] = *entry.listing;
-      }
-    }
-    this->worker_entries = std::move(entries);
-    if (listed == this->workers) {
-      return;
-    }
-    this->workers = std::move(listed);
+  void OnWorkers() {
     for (const std::pair<const std::string, std::unique_ptr<PoolLead>>& lead :
          this->leads) {
       this->GiveListing(lead.first, lead.second.get());
     }
   }
 
-  std::optional<WorkerListing> DecodeWorker(const StoreItem& item) {
-    const Result<WorkerListing> worker =
-        this->platform.codec->DecodeWorker(item.key, item.value);
-    if (worker.ok()) {
-      return worker.value();
-    }
-    if (this->unreadable_workers.insert(item.key).second) {
-      CLOG(WARNING, kRoutingLog)
-          << "event=worker_unreadable key=" << item.key << " error=\""
-          << worker.error().ToString() << "\"";
-    }
-    return std::nullopt;
-  }
-
   void GiveListing(const std::string& duty, PoolLead* lead) {
     std::map<WorkerName, WorkerListing> listing;
     for (const std::pair<const WorkerName, WorkerListing>& entry :
-         this->workers) {
+         this->workers.workers()) {
       if (PoolDuty(entry.second.pool) == duty) {
         listing.insert(entry);
       }
@@ -425,7 +355,7 @@
     this->GiveListing(term.duty, lead.get());
     lead->Start();
     this->leads[term.duty] = std::move(lead);
-    this->ReadWorkerPage("", std::make_shared<std::vector<StoreItem>>());
+    this->workers.ReadNow();
   }
 
   void BeginFleetTerm(const Term& term) {
@@ -494,10 +424,6 @@
   HttpServer callers_server;
   OperatorState operators;
   BootClock::time_point operators_asked_at;
-  std::map<WorkerName, WorkerListing> workers;
-  // The entries of the last reading by key; most are the same in the next.
-  std::map<std::string, WorkerEntry> worker_entries;
-  std::set<std::string> unreadable_workers;
   std::map<std::string, std::unique_ptr<PoolLead>> leads;
   std::unique_ptr<FleetLead> fleet_lead;
   bool are_operators_known = false;
--- /dev/null
+++ b/Source/Core/Site/worker_directory.cc
@@ -0,0 +1,112 @@
+#include "Core/Site/worker_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Core/Common/logging.h"
+#include "Core/Site/site_codec.h"
+#include "Core/Transport/event_loop.h"
+
+namespace daisyroad {
+namespace {
+
+// A worker that leaves must get no new runs within two seconds. Reading the
+// entry of a worker takes about 30 us of a core: with this pause for each, it
+// takes 2% of one at most.
+constexpr Milliseconds kInterval{250};
+constexpr std::chrono::microseconds kPauseForEach{1500};
+constexpr Milliseconds kTimeout{700};
+
+}  // namespace
+
+WorkerDirectory::WorkerDirectory(RevisionStore* store,
+                                 EventLoop* loop,
+                                 SiteCodec* codec,
+                                 Listener listener)
+    : store(store), loop(loop), codec(codec), listener(std::move(listener)) {}
+
+void WorkerDirectory::Start() {
+  this->loop->After(
+      std::max<Duration>(kInterval, kPauseForEach * this->entries.size()),
+      [this]() { this->Start(); });
+  if (this->listener.is_needed()) {
+    this->ReadNow();
+  }
+}
+
+void WorkerDirectory::ReadNow() {
+  this->ReadPage("", std::make_shared<std::vector<StoreItem>>());
+}
+
+void WorkerDirectory::ReadPage(
+    const std::string& after,
+    const std::shared_ptr<std::vector<StoreItem>>& items) {
+  this->store->List(
+      this->codec->WorkerPrefix(), after, kTimeout,
+      [this, items](const Result<StorePage>& page) {
+        this->NoteReading(page.ok() ? "" : page.error().ToString());
+        if (!page.ok()) {
+          return;
+        }
+        items->insert(items->end(), page.value().items.begin(),
+                      page.value().items.end());
+        if (page.value().has_more && !page.value().items.empty()) {
+          this->ReadPage(items->back().key, items);
+        } else {
+          this->Adopt(*items);
+        }
+      });
+}
+
+void WorkerDirectory::NoteReading(const std::string& error) {
+  if (this->has_failed != error.empty()) {
+    return;
+  }
+  this->has_failed = !error.empty();
+  CLOG(WARNING, kRoutingLog)
+      << "event="
+      << (this->has_failed ? "workers_not_listed" : "workers_listed")
+      << " known=" << this->listed.size() << " error=\"" << error << "\"";
+}
+
+void WorkerDirectory::Adopt(const std::vector<StoreItem>& items) {
+  Workers found;
+  std::map<std::string, Entry> read;
+  for (const StoreItem& item : items) {
+    Entry& entry = read[item.key];
+    const std::map<std::string, Entry>::const_iterator known =
+        this->entries.find(item.key);
+    if (known != this->entries.end() &&
+        known->second.revision == item.revision) {
+      entry = known->second;
+    } else {
+      entry.revision = item.revision;
+      entry.listing = this->Decode(item);
+    }
+    if (entry.listing) {
+      found[entry.listing->name] = *entry.listing;
+    }
+  }
+  this->entries = std::move(read);
+  if (found == this->listed) {
+    return;
+  }
+  this->listed = std::move(found);
+  this->listener.on_change();
+}
+
+std::optional<WorkerListing> WorkerDirectory::Decode(const StoreItem& item) {
+  const Result<WorkerListing> worker =
+      this->codec->DecodeWorker(item.key, item.value);
+  if (worker.ok()) {
+    return worker.value();
+  }
+  if (this->unreadable.insert(item.key).second) {
+    CLOG(WARNING, kRoutingLog)
+        << "event=worker_unreadable key=" << item.key << " error=\""
+        << worker.error().ToString() << "\"";
+  }
+  return std::nullopt;
+}
+
+}  // namespace daisyroad
