Site: show a list of several pages with what changed meanwhile

It had listed thousands of jobs in pages, the cancellations first, and placed tasks before its watch told what had changed since the first page. The changes since then are now added before the list is shown. The test fails without the change.

--- a/Source/Core/Site/prefix_mirror.cc
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -14,6 +14,9 @@
 constexpr Milliseconds kWatchWait{2000};
 constexpr Milliseconds kListTimeout{1000};
 constexpr Milliseconds kRetryPause{150};
+// Wait for changes made during a list of several pages; if there are any, they
+// are answered at once.
+constexpr Milliseconds kCatchUpWait{20};
 
 }  // namespace
 
@@ -76,7 +79,8 @@
       return;
     }
     // The watch begins at the first page: later pages may be newer.
-    if (this->revision == 0) {
+    const bool is_first = this->revision == 0;
+    if (is_first) {
       this->revision = page.value().store_revision;
     }
     std::string last;
@@ -88,11 +92,45 @@
       this->List(last);
       return;
     }
+    if (!is_first) {
+      this->CatchUp();
+      return;
+    }
     this->NoteSuccess();
     this->Adopt();
     this->Watch();
   }
 
+  // Pages are no snapshot: what changed since the first one is added before the
+  // list is shown.
+  void CatchUp() {
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->store->Watch(this->prefix, this->revision, kCatchUpWait,
+                       [self](const Result<StoreChanges>& changes) {
+                         self->OnCaughtUp(changes);
+                       });
+  }
+
+  void OnCaughtUp(const Result<StoreChanges>& changes) {
+    if (this->is_stopped) {
+      return;
+    }
+    if (!changes.ok()) {
+      this->NoteFailure(changes.error());
+      this->ListLater();
+      return;
+    }
+    if (changes.value().is_history_lost) {
+      this->Restart();
+      return;
+    }
+    this->NoteSuccess();
+    Apply(changes.value().changes, &this->listed);
+    this->revision = std::max(this->revision, changes.value().store_revision);
+    this->Adopt();
+    this->Watch();
+  }
+
   void Adopt() {
     std::vector<StoreChange> changes;
     for (const std::pair<const std::string, StoreItem>& entry : this->items) {
@@ -121,6 +159,26 @@
                        });
   }
 
+  // Returns the changes that are newer than the items.
+  static std::vector<StoreChange> Apply(const std::vector<StoreChange>& changes,
+                                        Items* items) {
+    std::vector<StoreChange> news;
+    for (const StoreChange& change : changes) {
+      const Items::iterator known = items->find(change.key);
+      if (known != items->end() && known->second.revision >= change.revision) {
+        continue;
+      }
+      if (change.value) {
+        (*items)[change.key] =
+            StoreItem{change.key, *change.value, change.revision};
+      } else if (known != items->end()) {
+        items->erase(known);
+      }
+      news.push_back(change);
+    }
+    return news;
+  }
+
   void OnChanges(const Result<StoreChanges>& changes) {
     if (this->is_stopped) {
       return;
@@ -137,21 +195,8 @@
       this->Restart();
       return;
     }
-    std::vector<StoreChange> news;
-    for (const StoreChange& change : changes.value().changes) {
-      const Items::iterator known = this->items.find(change.key);
-      if (known != this->items.end() &&
-          known->second.revision >= change.revision) {
-        continue;
-      }
-      if (change.value) {
-        this->items[change.key] =
-            StoreItem{change.key, *change.value, change.revision};
-      } else if (known != this->items.end()) {
-        this->items.erase(known);
-      }
-      news.push_back(change);
-    }
+    const std::vector<StoreChange> news =
+        Apply(changes.value().changes, &this->items);
     this->revision = std::max(this->revision, changes.value().store_revision);
     if (!news.empty()) {
       this->listener(news);
--- a/Source/UnitTests/Site/fake_revision_store.cc
+++ b/Source/UnitTests/Site/fake_revision_store.cc
@@ -58,9 +58,14 @@
     StorePage page;
     page.store_revision = this->revision;
     for (const std::pair<const std::string, StoreItem>& entry : this->items) {
-      if (entry.first.starts_with(prefix) && entry.first > after) {
-        page.items.push_back(entry.second);
+      if (!entry.first.starts_with(prefix) || entry.first <= after) {
+        continue;
       }
+      if (page.items.size() == this->page_size) {
+        page.has_more = true;
+        break;
+      }
+      page.items.push_back(entry.second);
     }
     callback(page);
   });
--- a/Source/UnitTests/Site/fake_revision_store.h
+++ b/Source/UnitTests/Site/fake_revision_store.h
@@ -48,6 +48,7 @@
   bool is_silent = false;         // no call is answered or carried out
   bool loses_answers = false;     // commits are carried out, not answered
   bool are_watches_deaf = false;  // watches show nothing
+  std::size_t page_size = 1000;   // most items of one answer to List
   std::map<std::string, StoreItem> items;
   std::map<std::string, StoreLease> lease_of;
   int commits = 0;
--- a/Source/UnitTests/Site/prefix_mirror_test.cc
+++ b/Source/UnitTests/Site/prefix_mirror_test.cc
@@ -54,5 +54,29 @@
   CHECK(mirror.items().size() == 1);
 }
 
+// Guards against UNASKED at izarra-pendulo-grown (fresh-cf3c): a job was
+// cancelled while a new scheduler listed thousands of jobs, whose first page
+// had the cancellations, and started before the watch told of it.
+TEST_CASE("A list of several pages is complete when it is shown") {
+  EventLoop loop;
+  FakeRevisionStore store(&loop);
+  store.page_size = 1;
+  for (int i = 10; i < 30; ++i) {
+    store.Put("a/" + std::to_string(i), "listed");
+  }
+  std::vector<std::size_t> sizes;
+  PrefixMirror mirror(&store, &loop, "a/",
+                      [&sizes, &mirror](const std::vector<StoreChange>&) {
+                        sizes.push_back(mirror.items().size());
+                      });
+  mirror.Start();
+  loop.RunFor(Milliseconds(8));
+  REQUIRE(sizes.empty());
+  store.Put("a/0", "late");
+  loop.RunFor(Milliseconds(400));
+  REQUIRE_FALSE(sizes.empty());
+  CHECK(sizes.front() == 21);
+}
+
 }  // namespace
 }  // namespace daisyroad
