--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -273,12 +273,14 @@
     using Key = std::tuple<double, std::uint64_t, std::string>;
     const std::uint64_t seed = StableHash(duty);
     std::vector<Key> keys;
+    keys.reserve(loads.size());
     for (const std::pair<const std::string, Load>& entry : loads) {
       keys.emplace_back((entry.second.duties + 1) / entry.second.processor,
                         StableHash(entry.first, seed), entry.first);
     }
     std::sort(keys.begin(), keys.end());
     std::vector<std::string> names;
+    names.reserve(keys.size());
     for (const Key& key : keys) {
       names.push_back(std::get<std::string>(key));
     }
