Entry: follow the workers of a cell while tasks wait there

An entry instance that does not know the others yet takes itself for the dispatcher of a cell and accepts tasks. When the owner joins, the instance stops following the workers of the cell, so it never learns the clock that a start needs, and its registrars go on renewing the tasks.

Ruled out: the retry budget (the tasks were never recovered or sent again) and lost answers (the tasks were queued before the first fault).

The new test fails without the change.

--- a/Source/Core/Entry/cell_dispatcher.cc
+++ b/Source/Core/Entry/cell_dispatcher.cc
@@ -176,6 +176,13 @@
   return found;
 }
 
+bool CellDispatcher::NeedsWorker(const WorkerInfo& worker) const {
+  const bool is_member = worker.present && worker.pool == this->pool_name &&
+                         worker.listed.zone == this->zone_name;
+  return (is_member && this->waiting() > 0) ||
+         !this->RunningOn(worker.listed.name).empty();
+}
+
 void CellDispatcher::OnReport(const WorkerName& worker,
                               const TaskReport& report) {
   const auto found = this->tasks.find(report.task);
--- a/Source/Core/Entry/dispatch_service_workers.cc
+++ b/Source/Core/Entry/dispatch_service_workers.cc
@@ -1,6 +1,8 @@
 // How a dispatcher follows the workers of its cells: leases, ended tasks and
 // silent connections.
 
+#include <algorithm>
+
 #include "Core/Control/authority_tracker.h"
 #include "Core/Entry/dispatch_service.h"
 
@@ -26,13 +28,10 @@
       this->OwnerOf(worker->pool, worker->listed.zone) == this->context->self) {
     return true;
   }
-  for (const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>& entry :
-       this->dispatchers) {
-    if (!entry.second->RunningOn(name).empty()) {
-      return true;
-    }
-  }
-  return false;
+  return std::any_of(
+      this->dispatchers.begin(), this->dispatchers.end(),
+      [worker](const std::pair<const CellKey, std::unique_ptr<CellDispatcher>>&
+                   entry) { return entry.second->NeedsWorker(*worker); });
 }
 
 void DispatchService::FollowWorkers() {
--- a/Source/UnitTests/Dispatch/cell_dispatcher_test.cc
+++ b/Source/UnitTests/Dispatch/cell_dispatcher_test.cc
@@ -90,6 +90,27 @@
   CHECK(fixture.workers.starts.size() == 1);
 }
 
+// Guards against tasks that wait until their deadline at an instance that has
+// lost its cell to one that joined: it stopped following the workers, so it
+// never learned a clock to start by (load_lost_worker_answers, seed 202).
+TEST_CASE("A cell with waiting tasks needs its workers") {
+  DispatchFixture fixture(1);
+  const WorkerInfo worker = *fixture.directory.Find(WorkerName("w0"));
+  CHECK_FALSE(fixture.cell->NeedsWorker(worker));
+  fixture.may_start = false;
+  fixture.Submit("t");
+  CHECK(fixture.cell->NeedsWorker(worker));
+  WorkerInfo other = worker;
+  other.listed.name = WorkerName("elsewhere");
+  other.listed.zone = ZoneName("elsewhere");
+  CHECK_FALSE(fixture.cell->NeedsWorker(other));
+  fixture.may_start = true;
+  fixture.cell->Tick();
+  fixture.AnswerStart(0, StartOutcome::kStarted);
+  CHECK(fixture.cell->Waiting(TeamName("team")) == 0);
+  CHECK(fixture.cell->NeedsWorker(worker));
+}
+
 // Guards against tasks that wait for their deadline in a zone taken out.
 TEST_CASE("Waiting tasks are handed back as not run, running ones stay") {
   DispatchFixture fixture(1);
