Routing: allow one retry a second without new requests

Cause: the retry budget grew with requests only. Accepted work that had to be sent again after the budget was used up waited for later callers, or for its deadline. Found by reading while load_lost_worker_answers was traced; it was not the cause there.

The new test uses up the budget and fails without the change. The bound of a tenth of the requests holds as before, as its test shows.

--- a/Source/Core/Entry/task_service_dispatch.cc
+++ b/Source/Core/Entry/task_service_dispatch.cc
@@ -116,7 +116,7 @@
     this->Finish(record, DispatchState::kNotRun, error.ToString());
     return;
   }
-  if (!this->retries.TryRetry()) {
+  if (!this->retries.TryRetry(Now())) {
     record->refusal = error;
     this->Finish(record, DispatchState::kNotRun,
                  error.ToString() + "; the retry budget is used up");
@@ -132,7 +132,7 @@
   const TaskId id = record->id;
   const Duration pause = RetryBudget::Backoff(std::max(record->attempts, 1),
                                               *this->context->random);
-  if (this->retries.TryRetry()) {
+  if (this->retries.TryRetry(Now())) {
     this->context->loop->After(
         pause, [this, id]() { this->Dispatch(id, std::nullopt); });
     return;
--- a/Source/Core/Routing/retry_budget.cc
+++ b/Source/Core/Routing/retry_budget.cc
@@ -18,7 +18,14 @@
   this->tokens = std::min(kCapacity, this->tokens + kFraction);
 }
 
-bool RetryBudget::TryRetry() {
+bool RetryBudget::TryRetry(MonotonicTime now) {
+  if (this->refilled_at) {
+    const double elapsed =
+        std::chrono::duration<double>(now - *this->refilled_at).count();
+    this->tokens =
+        std::min(kCapacity, this->tokens + elapsed * kFloorPerSecond);
+  }
+  this->refilled_at = now;
   if (this->tokens < 1.0 - kTolerance) {
     return false;
   }
--- a/Source/UnitTests/Routing/selector_test.cc
+++ b/Source/UnitTests/Routing/selector_test.cc
@@ -105,7 +105,7 @@
   int retries = 0;
   for (int i = 0; i < 1000; ++i) {
     budget.OnRequest();
-    retries += budget.TryRetry() ? 1 : 0;
+    retries += budget.TryRetry(kStart) ? 1 : 0;
   }
   CHECK(retries <= 110);
   CHECK(retries >= 100);
@@ -118,6 +118,22 @@
   }
 }
 
+// Guards against accepted work that waits for a retry until its deadline because
+// no caller has sent anything since.
+TEST_CASE("A used up retry budget allows a retry a second without requests") {
+  RetryBudget budget;
+  while (budget.TryRetry(kStart)) {
+  }
+  CHECK_FALSE(budget.TryRetry(kStart + milliseconds(500)));
+  CHECK(budget.TryRetry(kStart + seconds(1)));
+  CHECK_FALSE(budget.TryRetry(kStart + seconds(1)));
+  int retries = 0;
+  for (int second = 2; second <= 61; ++second) {
+    retries += budget.TryRetry(kStart + seconds(second)) ? 1 : 0;
+  }
+  CHECK(retries == 60);
+}
+
 CellSelector ThreeZones() {
   CellSelector selector(ZoneName("a"));
   for (const char* zone : {"a", "b", "c"}) {
