--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -234,6 +234,8 @@
                        const TaskRef& task,
                        RunRecord* run,
                        MonotonicTime now);
+  // Whether an order may take the task away now, by the budget of its step.
+  bool IsWithinBudget(const TaskRef& task, MonotonicTime now) const;
   int TasksAway(const StepState& step, int except, MonotonicTime now) const;
   void PaceIdleCapacityRuns(WorkerState* worker);
   void StopStalledRuns(MonotonicTime now);
--- a/Source/Core/Jobs/pool_scheduler_services.cc
+++ b/Source/Core/Jobs/pool_scheduler_services.cc
@@ -38,11 +38,9 @@
                                     const TaskRef& task,
                                     RunRecord* run,
                                     MonotonicTime now) {
-  const JobState& job = this->jobs.at(task.job);
-  const StepState& step = job.occurrences.at(task.occurrence).steps[task.step];
-  const int budget = std::max(1, this->SpecOf(job, task).disruption_budget);
-  if (this->TasksAway(step, task.index, now) >= budget ||
-      this->ChooseWorker(job, task, RackName(), now) == nullptr) {
+  if (!this->IsWithinBudget(task, now) ||
+      this->ChooseWorker(this->jobs.at(task.job), task, RackName(), now) ==
+          nullptr) {
     return;
   }
   this->Note("service_moved", task, run->number, worker->listing.name,
@@ -51,6 +49,14 @@
   this->StopRunOf(task, run, now);
 }
 
+bool PoolScheduler::IsWithinBudget(const TaskRef& task,
+                                   MonotonicTime now) const {
+  const JobState& job = this->jobs.at(task.job);
+  const StepState& step = job.occurrences.at(task.occurrence).steps[task.step];
+  const int budget = std::max(1, this->SpecOf(job, task).disruption_budget);
+  return this->TasksAway(step, task.index, now) < budget;
+}
+
 int PoolScheduler::TasksAway(const StepState& step,
                              int except,
                              MonotonicTime now) const {
@@ -126,6 +132,11 @@
           worker.missed_reports > 0) {
         continue;
       }
+      // A task that lasts may be at work and use too little to be reported.
+      if (this->SpecOf(this->jobs.at(key.first.job), key.first).is_service &&
+          !this->IsWithinBudget(key.first, now)) {
+        continue;
+      }
       has_stalled = true;
       this->FindTask(key.first)->failed_on = entry.first;
       this->Note("run_stalled", key.first, key.second, entry.first,
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -423,6 +423,51 @@
   CHECK(stops.size() == 1);
 }
 
+// Guards against AVAIL at izarra-pendulo hunt-b8db-31: a task that lasts and
+// seemed to stand still was stopped while another one of its step, which had
+// been moved, was still away.
+TEST_CASE("A task that stands still is stopped within the budget of its step") {
+  Fixture fixture({Worker("w1"), Worker("w2"), Worker("w3"), Worker("w4")});
+  fixture.AnswerAll();
+  fixture.Add(JobBuilder("j").Service(3, 1).Build());
+  const std::vector<StartRun> starts = fixture.Starts();
+  REQUIRE(starts.size() == 3);
+  const std::function<void(bool)> report = [&](bool is_first_there) {
+    for (std::size_t i = is_first_there ? 0 : 1; i < starts.size(); ++i) {
+      ActiveRun run = AtWork(starts[i]);
+      run.load = i == 1 ? 0 : 10;
+      fixture.Answer(starts[i].worker.str(), {run});
+    }
+  };
+  for (const StartRun& start : starts) {
+    fixture.Confirm(start);
+  }
+  report(true);
+  fixture.Pass(Milliseconds(1000));
+  report(true);
+  fixture.scheduler.SetVacating({starts[0].worker}, {});
+  const std::vector<StopRun> moved = Select<StopRun>(fixture.Orders());
+  REQUIRE(moved.size() == 1);
+  REQUIRE(moved[0].task == starts[0].task);
+  fixture.scheduler.OnStop(moved[0], true, fixture.Now());
+  fixture.Pass(Milliseconds(1));
+  fixture.Answer(starts[0].worker.str(), {},
+                 {RunEnd{1, starts[0].task, 1, EndKind::kStopped, ""}});
+  fixture.Pass(SchedulerSettings().stall);
+  report(false);
+  const std::vector<Order> orders = fixture.Orders();
+  CHECK(Select<StopRun>(orders).empty());
+  const std::vector<StartRun> again = Select<StartRun>(orders);
+  REQUIRE(again.size() == 1);
+  fixture.Confirm(again[0]);
+  fixture.Answer(again[0].worker.str(), {AtWork(again[0])});
+  report(false);
+  fixture.Pass(SchedulerSettings().at_work_margin);
+  const std::vector<StopRun> stalled = Select<StopRun>(fixture.Orders());
+  REQUIRE(stalled.size() == 1);
+  CHECK(stalled[0].task == starts[1].task);
+}
+
 // Guards against AVAIL in the recorded day of izarra-pendulo: an earlier
 // scheduler had just told a worker to stop a task, which was still reported.
 TEST_CASE(
