Jobs: size pools by the trend of the work that arrives

Cause: a burst rises over about four seconds, and machines that are ordered run their first task 2.2 s later.

Change: the growth between the last two windows is followed 2.2 s ahead, up to twice what arrives now.

Ruled out: a shorter window (few jobs fall into it), reading the list of workers more often (at most 0.3 s of the 2.2 s).

The new test fails without the change.

--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -227,6 +227,10 @@
              std::int64_t number,
              MonotonicTime now);
   void ReserveWorker(const StepSpec& step, MonotonicTime now);
+  // Work that arrived in a window of time, in millicore-seconds a millisecond.
+  double ArrivalRate(MonotonicTime from, MonotonicTime to) const;
+  // The same by the time at which machines that are ordered now run tasks.
+  double ExpectedArrivals(MonotonicTime now) const;
 
   // pool_scheduler_services.cc
   void MoveServicesAway(MonotonicTime now);
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -45,6 +45,9 @@
   // The work that arrives is measured over this time: long enough for several
   // jobs, short against the time that machines take to come.
   Milliseconds demand_window{800};
+  // Machines that are ordered now take this long to run their first task; the
+  // trend of the work that arrives is followed that far ahead.
+  Milliseconds machine_lead{2200};
   // A task that lasts counts as at work this long after a report first shows it
   // at full speed: its worker rounds, and others may see it a little later.
   Milliseconds at_work_margin{300};
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -367,6 +367,28 @@
   CHECK(fixture.Load().needed < 17500);
 }
 
+// Guards against machines that are ordered for the demand of now and come when
+// a burst has doubled it.
+TEST_CASE("The load follows the trend of the work that arrives") {
+  Fixture fixture({Worker("w1"), Worker("w2")});
+  fixture.AnswerAll();
+  const Milliseconds window = SchedulerSettings().demand_window;
+  int jobs = 0;
+  const std::function<std::int64_t(int)> play = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      fixture.Add(JobBuilder("j" + std::to_string(jobs++)).Step(4).Build());
+      fixture.Pass(window / count);
+      fixture.Orders();
+    }
+    return fixture.Load().needed;
+  };
+  play(8);
+  const std::int64_t steady = play(8);
+  const std::int64_t rising = play(16);
+  CHECK(rising >= 3 * steady);
+  CHECK(rising <= 5 * steady);
+}
+
 // Guards against TWICE at vpl-ajot scale-1: after a partition, a scheduler that
 // had been replaced learned of a new job before it learned of its successor,
 // which had started it on a worker that this one did not use.
