--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: packages build test sanitize bench lint format demo clean
+.PHONY: packages build test soak sanitize bench lint format demo clean
 
 JOBS ?= $(shell nproc)
 SOURCES = $(shell find Source platform -name '*.cc' -o -name '*.h')
@@ -14,6 +14,11 @@
 test: build
 	Tools/run_tests.sh build $(JOBS)
 
+# Faults that overlap against real processes, for the seeds named.
+SEEDS ?= 1
+soak: build
+	DAISYROAD_SOAK_SEEDS="$(SEEDS)" build/bin/test_load "[soak]"
+
 # Decision modules and their tests under address, undefined and thread sanitizers.
 sanitize: packages
 	cmake --preset asan >/dev/null && cmake --build build-asan -j $(JOBS)
--- a/Source/StandIns/Link/main.cc
+++ b/Source/StandIns/Link/main.cc
@@ -2,7 +2,10 @@
 // and loses them on command, for tests of partitions and silent connections.
 // Commands are lines on standard input: "cut" drops all bytes of open and new
 // connections without closing them, "cut-open" those of open connections only,
-// "heal" lets new connections through again.
+// "cut-to" and "cut-from" those towards the target and back, "reset" closes all
+// open connections, "delay MS" holds bytes up, and "heal" lets new connections
+// through again without delay. Bytes that were dropped leave their connection
+// silent for good.
 
 #include <array>
 #include <asio/connect.hpp>
@@ -11,14 +14,20 @@
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/read_until.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
+#include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <iostream>
 #include <istream>
+#include <limits>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
@@ -32,7 +41,9 @@
 using asio::ip::tcp;
 
 struct LinkState {
-  bool cut = false;
+  bool cut_to = false;    // towards the target
+  bool cut_from = false;  // back from it
+  std::chrono::milliseconds delay{0};
   // Connections of an older generation are silent for good.
   std::uint64_t generation = 0;
 };
@@ -45,6 +56,15 @@
         state(state),
         generation(state->generation) {}
 
+  // Both sides see a reset.
+  void Reset() {
+    std::error_code ignored;
+    for (tcp::socket* const socket : {&this->client, &this->server}) {
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+
   void Start(std::uint16_t target) {
     const std::shared_ptr<Relay> self = this->shared_from_this();
     const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), target);
@@ -60,43 +80,61 @@
  private:
   using Buffer = std::array<char, 16384>;
 
-  bool Silent() const {
-    return this->state->cut || this->generation != this->state->generation;
+  bool IsSilent(const tcp::socket* from) const {
+    const bool is_cut =
+        from == &this->client ? this->state->cut_to : this->state->cut_from;
+    return is_cut || this->generation != this->state->generation;
   }
 
   void Forward(tcp::socket* from, tcp::socket* to, Buffer* buffer) {
     const std::shared_ptr<Relay> self = this->shared_from_this();
-    from->async_read_some(
-        asio::buffer(*buffer),
-        [self, from, to, buffer](const std::error_code& error,
-                                 std::size_t size) {
-          if (error) {
-            self->Close(error, to);
-            return;
-          }
-          if (self->Silent()) {
-            self->Forward(from, to, buffer);
-            return;
-          }
-          asio::async_write(
-              *to, asio::buffer(buffer->data(), size),
-              [self, from, to, buffer](const std::error_code& write_error,
-                                       std::size_t) {
-                if (!write_error) {
-                  self->Forward(from, to, buffer);
-                }
-              });
-        });
+    from->async_read_some(asio::buffer(*buffer),
+                          [self, from, to, buffer](const std::error_code& error,
+                                                   std::size_t size) {
+                            if (error) {
+                              self->Close(from, to);
+                            } else if (self->IsSilent(from)) {
+                              // A gap in the stream would be read as other
+                              // bytes.
+                              self->generation = kSilentForGood;
+                              self->Forward(from, to, buffer);
+                            } else {
+                              self->Deliver(from, to, buffer, size);
+                            }
+                          });
   }
 
-  void Close(const std::error_code&, tcp::socket* to) {
+  void Deliver(tcp::socket* from,
+               tcp::socket* to,
+               Buffer* buffer,
+               std::size_t size) {
+    const std::shared_ptr<Relay> self = this->shared_from_this();
+    const std::shared_ptr<asio::steady_timer> timer =
+        std::make_shared<asio::steady_timer>(from->get_executor(),
+                                             this->state->delay);
+    timer->async_wait([self, timer, from, to, buffer,
+                       size](const std::error_code&) {
+      asio::async_write(*to, asio::buffer(buffer->data(), size),
+                        [self, from, to, buffer](
+                            const std::error_code& write_error, std::size_t) {
+                          if (!write_error) {
+                            self->Forward(from, to, buffer);
+                          }
+                        });
+    });
+  }
+
+  void Close(const tcp::socket* from, tcp::socket* to) {
     // A lost connection does not carry the end of the stream either.
-    if (!this->Silent()) {
+    if (!this->IsSilent(from)) {
       std::error_code ignored;
       to->close(ignored);
     }
   }
 
+  static constexpr std::uint64_t kSilentForGood =
+      std::numeric_limits<std::uint64_t>::max();
+
   tcp::socket client;
   tcp::socket server;
   const LinkState* state;
@@ -121,8 +159,13 @@
     this->acceptor.async_accept(
         [this](const std::error_code& error, tcp::socket socket) {
           if (!error) {
-            std::make_shared<Relay>(std::move(socket), &this->state)
-                ->Start(absl::GetFlag(FLAGS_target));
+            const std::shared_ptr<Relay> relay =
+                std::make_shared<Relay>(std::move(socket), &this->state);
+            relay->Start(absl::GetFlag(FLAGS_target));
+            std::erase_if(this->relays, [](const std::weak_ptr<Relay>& old) {
+              return old.expired();
+            });
+            this->relays.push_back(relay);
           }
           this->Accept();
         });
@@ -143,19 +186,37 @@
   }
 
   void Apply(const std::string& command) {
+    constexpr std::string_view kDelay = "delay ";
     if (command == "cut") {
-      this->state.cut = true;
+      this->state.cut_to = true;
+      this->state.cut_from = true;
       ++this->state.generation;
     } else if (command == "cut-open") {
       ++this->state.generation;
+    } else if (command == "cut-to") {
+      this->state.cut_to = true;
+    } else if (command == "cut-from") {
+      this->state.cut_from = true;
+    } else if (command == "reset") {
+      for (const std::weak_ptr<Relay>& relay : this->relays) {
+        if (const std::shared_ptr<Relay> open = relay.lock()) {
+          open->Reset();
+        }
+      }
+    } else if (command.starts_with(kDelay)) {
+      this->state.delay = std::chrono::milliseconds(
+          std::strtol(command.c_str() + kDelay.size(), nullptr, 10));
     } else if (command == "heal") {
-      this->state.cut = false;
+      this->state.cut_to = false;
+      this->state.cut_from = false;
+      this->state.delay = std::chrono::milliseconds(0);
     } else {
       std::cerr << "unknown command \"" << command << "\"\n";
     }
   }
 
   LinkState state;
+  std::vector<std::weak_ptr<Relay>> relays;
   tcp::acceptor acceptor;
   asio::posix::stream_descriptor input;
   asio::streambuf buffer;
--- a/Source/UnitTests/Load/child_process.cc
+++ b/Source/UnitTests/Load/child_process.cc
@@ -29,14 +29,21 @@
     argv.push_back(const_cast<char*>(argument.c_str()));
   }
   argv.push_back(nullptr);
+  int pipe_ends[2];
+  if (::pipe2(pipe_ends, O_CLOEXEC) != 0) {
+    throw std::runtime_error("cannot make a pipe for " + path);
+  }
+  this->input = pipe_ends[1];
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_adddup2(&files, pipe_ends[0], STDIN_FILENO);
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, output_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
   const int failure = posix_spawn(&this->process, path.c_str(), &files, nullptr,
                                   argv.data(), environ);
   posix_spawn_file_actions_destroy(&files);
+  ::close(pipe_ends[0]);
   if (failure != 0) {
     throw std::runtime_error("cannot start " + path);
   }
@@ -47,6 +54,15 @@
     ::kill(this->process, SIGKILL);
     ::waitpid(this->process, nullptr, 0);
   }
+  ::close(this->input);
+}
+
+void ChildProcess::Tell(const std::string& line) {
+  const std::string text = line + "\n";
+  if (::write(this->input, text.data(), text.size()) !=
+      static_cast<ssize_t>(text.size())) {
+    throw std::runtime_error("cannot write to the input of a process");
+  }
 }
 
 int ChildProcess::WaitForEnd(Milliseconds patience) {
--- a/Source/UnitTests/Load/child_process.h
+++ b/Source/UnitTests/Load/child_process.h
@@ -23,6 +23,8 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   pid_t id() const { return this->process; }
+  // Writes a line to the standard input of the program.
+  void Tell(const std::string& line);
   // Exit code, minus the signal that ended it, or kStillRunning after
   // `patience`.
   int WaitForEnd(Milliseconds patience);
@@ -31,6 +33,7 @@
 
  private:
   pid_t process = 0;
+  int input = -1;  // write end of its standard input
   bool ended = false;
   int exit_code = 0;
 };
--- a/Source/UnitTests/Load/test_deployment.cc
+++ b/Source/UnitTests/Load/test_deployment.cc
@@ -137,11 +137,17 @@
 
 }  // namespace
 
-TestDeployment::TestDeployment(std::uint64_t seed)
-    : seed(seed), base_port(FindPorts(kPorts)), folder(MakeFolder()) {
+TestDeployment::TestDeployment(std::uint64_t seed, StorePath store_path)
+    : seed(seed),
+      store_path(store_path),
+      base_port(FindPorts(kPorts)),
+      folder(MakeFolder()) {
   this->StartPlatform();
+  if (store_path == StorePath::kLinks) {
+    this->StartLinks();
+  }
   for (int i = 0; i < kEntries; ++i) {
-    this->StartEntry(i);
+    this->entries.push_back(this->StartEntry(i));
   }
   this->Declare();
   this->AwaitReady();
@@ -151,6 +157,7 @@
 
 TestDeployment::~TestDeployment() {
   this->entries.clear();
+  this->links.clear();
   this->platform.clear();
   // Settings and logs stay for inspection if the variable is set.
   if (std::getenv("DAISYROAD_KEEP_TEST_FILES") == nullptr) {
@@ -188,17 +195,33 @@
       this->OutputOf("workers")));
 }
 
-void TestDeployment::StartEntry(int index) {
+std::unique_ptr<ChildProcess> TestDeployment::StartEntry(int index) {
   const std::string name = "entry-" + std::to_string(index);
   const std::string settings = this->folder + "/" + name + ".toml";
   std::ofstream(settings) << this->EntrySettings(index);
-  this->entries.push_back(std::make_unique<ChildProcess>(
+  return std::make_unique<ChildProcess>(
       "daisyroad",
       std::vector<std::string>{
           "--settings=" + settings,
           std::string("--bootstrap_operator_key=boot:") + kSalt + ":" +
               KeyHasher::Hash(kOperatorSecret, kSalt).digest},
-      this->OutputOf(name)));
+      this->OutputOf(name));
+}
+
+void TestDeployment::RestartEntry(int index) {
+  this->entries[index].reset();
+  this->entries[index] = this->StartEntry(index);
+}
+
+void TestDeployment::StartLinks() {
+  for (int i = 0; i < kEntries; ++i) {
+    this->links.push_back(std::make_unique<ChildProcess>(
+        "standin-link",
+        std::vector<std::string>{
+            "--port=" + std::to_string(this->base_port + kFirstLinkPort + i),
+            "--target=" + std::to_string(this->base_port + kStorePort)},
+        this->OutputOf("link-" + std::to_string(i))));
+  }
 }
 
 std::string TestDeployment::EntrySettings(int index) const {
@@ -207,7 +230,10 @@
       ZoneOf(index) + "\"\nregion = \"here\"\n\n[listen]\ncallers = \"" +
       this->AddressOf(kFirstCallerPort + index) + "\"\npeers = \"" +
       this->AddressOf(kFirstPeerPort + index) +
-      "\"\n\n[store]\naddresses = [\"" + this->store() +
+      "\"\n\n[store]\naddresses = [\"" +
+      (this->store_path == StorePath::kLinks
+           ? this->AddressOf(kFirstLinkPort + index)
+           : this->store()) +
       "\"]\n\n[instance_list]\naddress = \"" + this->AddressOf(kInstancesPort) +
       "\"\n";
   for (int i = 0; i < kEntries; ++i) {
--- a/Source/UnitTests/Load/test_deployment.h
+++ b/Source/UnitTests/Load/test_deployment.h
@@ -25,12 +25,20 @@
   static constexpr int kWorkers = 4;  // in zones north, south, north, south
   static constexpr int kTeamLimit = 20;
 
+  // How the entry instances reach the store.
+  enum class StorePath { kDirect, kLinks };
+
   // Returns when every entry instance is ready and knows the teams' keys;
   // throws std::runtime_error otherwise.
-  explicit TestDeployment(std::uint64_t seed);
+  explicit TestDeployment(std::uint64_t seed,
+                          StorePath store_path = StorePath::kDirect);
   ~TestDeployment();
 
   ChildProcess* entry(int index) { return this->entries[index].get(); }
+  // The relay between an entry instance and the store; needs kLinks.
+  ChildProcess* store_link(int index) { return this->links[index].get(); }
+  // Kills what is left of the entry instance and starts it anew.
+  void RestartEntry(int index);
   std::string store() const { return this->AddressOf(kStorePort); }
   std::string worker(int index) const {
     return this->AddressOf(kFirstWorkerPort + index);
@@ -51,12 +59,14 @@
   static constexpr int kFirstWorkerPort = 2;
   static constexpr int kFirstCallerPort = kFirstWorkerPort + kWorkers;
   static constexpr int kFirstPeerPort = kFirstCallerPort + kEntries;
-  static constexpr int kPorts = kFirstPeerPort + kEntries;
+  static constexpr int kFirstLinkPort = kFirstPeerPort + kEntries;
+  static constexpr int kPorts = kFirstLinkPort + kEntries;
 
   std::string AddressOf(int offset) const;
   std::string OutputOf(const std::string& name) const;
   void StartPlatform();
-  void StartEntry(int index);
+  void StartLinks();
+  std::unique_ptr<ChildProcess> StartEntry(int index);
   std::string EntrySettings(int index) const;
   void AwaitReady();
   void Declare();
@@ -68,12 +78,14 @@
                       const Json::Value& body);
 
   std::uint64_t seed;
+  StorePath store_path;
   int base_port;
   std::string folder;
   BlockingHttp http;
   std::map<TeamName, std::string> secrets;
   std::map<TeamName, std::string> key_ids;
   std::vector<std::unique_ptr<ChildProcess>> platform;
+  std::vector<std::unique_ptr<ChildProcess>> links;
   std::vector<std::unique_ptr<ChildProcess>> entries;
 };
 
