--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -81,7 +81,6 @@
   bool has_started = false;
   // From the queue's policy.
   WallTime objective;
-  WallTime useful_until;
   // Declared durations and work (millicore-seconds) that are left; see
   // RefreshRemaining().
   Milliseconds remaining_chain{0};
--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -5,13 +5,6 @@
 namespace daisyroad {
 namespace {
 
-// Callers have turned elsewhere after this many times the objective.
-constexpr int kUsefulFactor = 3;
-
-WallTime BeginOf(const AcceptedJob& job) {
-  return job.spec.occurrences > 0 ? job.spec.first_due : job.accepted_at;
-}
-
 // Longest chain through the steps for which `is_open` holds.
 template <typename Predicate>
 Milliseconds LongestChain(const JobSpec& spec, Predicate is_open) {
@@ -71,16 +64,13 @@
 WallTime ObjectiveOf(const AcceptedJob& job, const QueuePolicy& policy) {
   const Milliseconds chain =
       LongestChain(job.spec, [](std::size_t) { return true; });
-  return BeginOf(job) + policy.slack +
+  const WallTime begin =
+      job.spec.occurrences > 0 ? job.spec.first_due : job.accepted_at;
+  return begin + policy.slack +
          Milliseconds(static_cast<std::int64_t>(
              policy.stretch * static_cast<double>(chain.count())));
 }
 
-WallTime UsefulUntil(const AcceptedJob& job, WallTime objective) {
-  const WallTime begin = BeginOf(job);
-  return begin + kUsefulFactor * (objective - begin);
-}
-
 Resources ReservedBy(const StepSpec& step) {
   Resources reserved = step.request;
   if (step.uses_idle_capacity) {
--- a/Source/Core/Jobs/objective.h
+++ b/Source/Core/Jobs/objective.h
@@ -16,8 +16,6 @@
 void RefreshRemaining(JobState* job);
 // When the job should be complete; for scheduled jobs, the first occurrence.
 WallTime ObjectiveOf(const AcceptedJob& job, const QueuePolicy& policy);
-// From then on the job is of no more use to its caller.
-WallTime UsefulUntil(const AcceptedJob& job, WallTime objective);
 
 // What a run of the step takes from its worker's capacity.
 Resources ReservedBy(const StepSpec& step);
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -68,7 +68,6 @@
   state.status = progress.status;
   state.may_have_unknown_runs = may_have_runs;
   state.objective = ObjectiveOf(state.job, this->PolicyOf(state));
-  state.useful_until = UsefulUntil(state.job, state.objective);
   if (IsFinal(state.status)) {
     return;
   }
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -12,8 +12,7 @@
 // Tiers of candidates; lower ones are placed first.
 constexpr int kServiceTier = 0;  // tasks that last, at work for their users
 constexpr int kInTimeTier = 1;   // jobs that can still meet their objective
-constexpr int kLateTier = 2;     // late, and still of use to their callers
-constexpr int kOverdueTier = 3;
+constexpr int kLateTier = 2;
 
 // A pass ends after this many candidates in a row that fit nowhere: the pool
 // is full, and the rest are later in the order.
@@ -40,14 +39,6 @@
 // Tickets are not used in the last moments of their validity.
 constexpr Milliseconds kTicketMargin{200};
 
-int TierOf(const JobState& job, WallTime wall) {
-  const WallTime end = wall + job.remaining_chain;
-  if (end <= job.objective) {
-    return kInTimeTier;
-  }
-  return end <= job.useful_until ? kLateTier : kOverdueTier;
-}
-
 double FreePart(std::int64_t capacity, std::int64_t used) {
   return capacity <= 0 ? 0.0
                        : static_cast<double>(capacity - used) /
@@ -96,7 +87,8 @@
     Candidate candidate;
     candidate.job = &job;
     candidate.priority = this->PolicyOf(job).priority;
-    candidate.tier = TierOf(job, wall);
+    candidate.tier =
+        wall + job.remaining_chain <= job.objective ? kInTimeTier : kLateTier;
     for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
       const int steps = static_cast<int>(entry.second.steps.size());
       candidate.occurrence = entry.first;
