Claims: exclude an outage by when members were without the store

Change: instances tell the stretches in which they did not reach the store; an agreed outage takes a majority and every zone without it at one time, within the age that reports may have.

What stays, and is allowed by design 3.3: after an outage of the store for all, or links that most instances lost together, keys of an instance that did not seal its log are unknown. The soak allows unknown answers in such plans only.

--- a/Source/Core/Entry/claim_service.cc
+++ b/Source/Core/Entry/claim_service.cc
@@ -5,7 +5,7 @@
 #include <variant>
 
 #include "Core/Claims/claim_record.h"
-#include "Core/Claims/outage_witnesses.h"
+#include "Core/Claims/outage_proof.h"
 #include "Core/Common/json.h"
 #include "Core/Common/logging.h"
 #include "Core/Common/metrics_registry.h"
@@ -87,6 +87,25 @@
   return page;
 }
 
+// Time since the stretch began and since it ended.
+Json::Value AgesToJson(const StoreAbsence& absence, MonotonicTime now) {
+  Json::Value ages(Json::arrayValue);
+  for (const MonotonicTime time : {absence.from, absence.to}) {
+    ages.append(Json::Int64(
+        std::chrono::duration_cast<Milliseconds>(now - time).count()));
+  }
+  return ages;
+}
+
+// The peer answered between the two times, and looks every kIdleTick.
+StoreAbsence AbsenceFromAges(const Json::Value& ages,
+                             MonotonicTime asked_at,
+                             MonotonicTime answered_at) {
+  return StoreAbsence{
+      asked_at - Milliseconds(ages[0].asInt64()) - kIdleTick,
+      answered_at - Milliseconds(ages[1].asInt64()) + kIdleTick};
+}
+
 }  // namespace
 
 ClaimService::ClaimService(EntryContext* context,
@@ -136,7 +155,10 @@
 
 Json::Value ClaimService::ServeWitness() const {
   Json::Value witness;
-  witness["without_store"] = this->WasWithoutStore();
+  witness["absences"] = Json::Value(Json::arrayValue);
+  for (const StoreAbsence& absence : this->absences.stretches()) {
+    witness["absences"].append(AgesToJson(absence, Now()));
+  }
   witness["rosters"] = Json::Value(Json::arrayValue);
   for (const std::pair<const std::uint64_t, KnownRoster>& known :
        this->rosters) {
@@ -160,9 +182,8 @@
 
 void ClaimService::CheckOutage() {
   const MonotonicTime now = Now();
-  if (!this->control->Report().reaches_store) {
-    this->last_without_store = now;
-  }
+  this->absences.Note(this->control->Report().reaches_store, now);
+  this->absences.ForgetBefore(now - this->context->settings.claim_retention);
   if (!this->roster.members.empty()) {
     KnownRoster& current = this->rosters[this->roster.epoch];
     current.lasted += now - current.seen;
@@ -195,18 +216,16 @@
 void ClaimService::Prepare() {
   this->preparation = Preparation();
   this->preparation.epoch = this->roster.epoch;
-  if (!this->WasWithoutStore()) {
-    this->preparation.without_outage.insert(this->context->self);
-  }
+  this->preparation.absences[this->context->self] = this->absences.stretches();
   const std::vector<PeerService::Peer> live = this->peers->Live();
   this->preparation.pending = live.size();
   for (const PeerService::Peer& peer : live) {
     this->context->rpc->Call(
         peer.address, "claims.witness", Json::Value(Json::objectValue),
         kRpcTimeout,
-        [this, epoch = this->roster.epoch,
-         name = peer.name](const Result<Json::Value>& reply) {
-          this->OnWitness(epoch, name,
+        [this, epoch = this->roster.epoch, name = peer.name,
+         asked_at = Now()](const Result<Json::Value>& reply) {
+          this->OnWitness(epoch, name, asked_at,
                           reply.ok() ? std::optional<Json::Value>(reply.value())
                                      : std::nullopt);
         });
@@ -218,13 +237,17 @@
 
 void ClaimService::OnWitness(std::uint64_t epoch,
                              const EntryName& peer,
+                             MonotonicTime asked_at,
                              const std::optional<Json::Value>& witness) {
   if (epoch != this->preparation.epoch || this->preparation.pending == 0) {
     return;
   }
   if (witness) {
-    if (!(*witness)["without_store"].asBool()) {
-      this->preparation.without_outage.insert(peer);
+    if ((*witness)["absences"].isArray()) {
+      std::vector<StoreAbsence>& stretches = this->preparation.absences[peer];
+      for (const Json::Value& ages : (*witness)["absences"]) {
+        stretches.push_back(AbsenceFromAges(ages, asked_at, Now()));
+      }
     }
     for (const Json::Value& item : (*witness)["rosters"]) {
       const std::optional<ClaimRoster> known = FromJson(item);
@@ -253,8 +276,8 @@
     previous.push_back(known.second.roster);
     // Claims are kept in memory only after an agreed outage of kFreshness.
     if (known.second.lasted >= kFreshness) {
-      outage_possible |= MayHaveAgreedOutage(known.second.roster,
-                                             this->preparation.without_outage);
+      outage_possible |= MayHaveAgreedOutage(
+          known.second.roster, this->preparation.absences, kFreshness);
     }
   }
   CLOG(INFO, kTasksLog) << "claims epoch=" << this->roster.epoch
@@ -282,12 +305,6 @@
   return now - *this->outage_since >= kFreshness;
 }
 
-bool ClaimService::WasWithoutStore() const {
-  return this->last_without_store &&
-         *this->last_without_store + this->context->settings.claim_retention >
-             Now();
-}
-
 void ClaimService::Learn(const ClaimRoster& known,
                          MonotonicTime seen,
                          Duration lasted) {
--- a/Source/Core/Entry/claim_service.h
+++ b/Source/Core/Entry/claim_service.h
@@ -7,13 +7,13 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "Core/Claims/claim_actions.h"
 #include "Core/Claims/claim_registry.h"
 #include "Core/Claims/registrar_choice.h"
+#include "Core/Claims/store_absences.h"
 #include "Core/Common/identifiers.h"
 #include "Core/Common/time.h"
 
@@ -56,7 +56,8 @@
   struct Preparation {
     std::uint64_t epoch = 0;
     std::size_t pending = 0;
-    std::set<EntryName> without_outage;  // always reached the store
+    // Of the instances that have answered.
+    std::map<EntryName, std::vector<StoreAbsence>> absences;
   };
 
   void Poll();
@@ -65,10 +66,10 @@
   void Prepare();
   void OnWitness(std::uint64_t epoch,
                  const EntryName& peer,
+                 MonotonicTime asked_at,
                  const std::optional<Json::Value>& witness);
   void StartEpoch();
   bool AgreedOutage();
-  bool WasWithoutStore() const;
   void Learn(const ClaimRoster& roster, MonotonicTime seen, Duration lasted);
   void Apply(const std::vector<ClaimAction>& actions);
   void Create(const CreateBatch& create);
@@ -84,7 +85,7 @@
   std::map<std::uint64_t, KnownRoster> rosters;
   Preparation preparation;
   std::optional<MonotonicTime> outage_since;
-  std::optional<MonotonicTime> last_without_store;
+  StoreAbsences absences;
 };
 
 }  // namespace daisyroad
--- a/Source/UnitTests/Load/soak_plan.cc
+++ b/Source/UnitTests/Load/soak_plan.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include "Core/Common/random.h"
 #include "UnitTests/Load/test_deployment.h"
@@ -14,6 +16,9 @@
 constexpr int kMostFaults = 10;
 constexpr Milliseconds kShortest{300};
 constexpr Milliseconds kLongest{3000};
+// An instance takes a lost connection to the store for lost until it has a new
+// one, and others go by its last report for three seconds.
+constexpr Milliseconds kReconnectTime{4000};
 // A graceful shutdown takes about a second.
 constexpr Milliseconds kStopTime{2500};
 
@@ -29,6 +34,8 @@
       this->AddFault();
     }
     this->HealAll();
+    this->plan.may_leave_unknown_keys =
+        this->has_end && this->MayAgreeOnOutage();
     std::stable_sort(this->plan.steps.begin(), this->plan.steps.end(),
                      [](const SoakStep& left, const SoakStep& right) {
                        return left.at < right.at;
@@ -55,13 +62,14 @@
         this->Signal(at + length, entry, SIGCONT, "continue");
         return;
       case 1:
-        this->plan.has_kill = true;
         this->Signal(at, entry, SIGKILL, "kill");
         this->Restart(at + length, entry);
+        this->End(entry, at);
         return;
       case 2:
         this->Signal(at, entry, SIGTERM, "stop");
         this->Restart(at + std::max(length, kStopTime), entry);
+        this->End(entry, at);
         return;
       case 3:
         this->Link(at, at + length, entry, "cut");
@@ -81,7 +89,9 @@
                                                  .count()));
         return;
       case 7:
-        this->plan.has_outage = true;
+        for (int i = 0; i < TestDeployment::kEntries; ++i) {
+          this->LoseStore(i, at, at + length);
+        }
         this->Post(at, this->site.store(), "{\"down\":true}");
         this->Post(at + length, this->site.store(), "{\"down\":false}");
         return;
@@ -116,6 +126,7 @@
             Milliseconds until,
             int entry,
             const std::string& command) {
+    this->LoseStore(entry, at, until);
     this->Step(at, command + " link " + std::to_string(entry),
                [entry, command](TestDeployment* deployment) {
                  deployment->store_link(entry)->Tell(command);
@@ -139,6 +150,32 @@
     this->plan.steps.push_back(SoakStep{at, std::move(name), std::move(act)});
   }
 
+  void LoseStore(int entry, Milliseconds from, Milliseconds to) {
+    this->without_store.push_back({entry, from, to + kReconnectTime});
+  }
+
+  // What the instance knew of the store is lost with it.
+  void End(int entry, Milliseconds at) {
+    this->has_end = true;
+    this->LoseStore(entry, Milliseconds(0), at);
+  }
+
+  // Whether more than half of the instances, which are in both zones then, may
+  // have been without the store at one time.
+  bool MayAgreeOnOutage() const {
+    return std::any_of(
+        this->without_store.begin(), this->without_store.end(),
+        [this](const WithoutStore& first) {
+          std::set<int> entries;
+          for (const WithoutStore& other : this->without_store) {
+            if (other.from <= first.from && other.to >= first.from) {
+              entries.insert(other.entry);
+            }
+          }
+          return 2 * entries.size() > TestDeployment::kEntries;
+        });
+  }
+
   void HealAll() {
     for (int i = 0; i < TestDeployment::kEntries; ++i) {
       this->Signal(SoakPlan::kHealedAt, i, SIGCONT, "continue");
@@ -151,9 +188,17 @@
                "{\"down\":false,\"lose_answers\":0}");
   }
 
+  struct WithoutStore {
+    int entry = 0;
+    Milliseconds from{0};
+    Milliseconds to{0};
+  };
+
   Random random;
   const TestDeployment& site;
   SoakPlan plan;
+  std::vector<WithoutStore> without_store;
+  bool has_end = false;
 };
 
 }  // namespace
--- a/Source/UnitTests/Load/soak_plan.h
+++ b/Source/UnitTests/Load/soak_plan.h
@@ -28,11 +28,11 @@
 
   std::vector<ScriptedEvent> events;  // of the stand-ins, and operator calls
   std::vector<SoakStep> steps;        // in order of time
-  // The store was down for all, and an instance was killed: keys that it had
-  // may have been claimed in its memory only, and are answered as unknown
+  // Most instances may have been without the store at one time, and one of them
+  // was killed, or stopped before it could seal its log of claims: keys that it
+  // had may have been claimed in its memory only, and are answered as unknown
   // (design 3.3).
-  bool has_outage = false;
-  bool has_kill = false;
+  bool may_leave_unknown_keys = false;
 };
 
 SoakPlan MakeSoakPlan(std::uint64_t seed, const TestDeployment& site);
