Site: take a worker for over once its machine is in another pool

A machine that is parked in the spare pool names no worker, so the life of the worker that it had could not be judged.

Ruled out: the list of workers (the entry had gone), the margin for machines that a list leaves out (the machine was listed).

Change: a machine that is listed in another pool ends what ran on it there. The new test fails without the change.

--- a/Source/Core/Site/pool_lead_workers.cc
+++ b/Source/Core/Site/pool_lead_workers.cc
@@ -177,7 +177,8 @@
   if (host == this->machine_of.end()) {
     return;
   }
-  const WorkerLife life = JudgeWorkerLife(worker, host->second, machines);
+  const WorkerLife life =
+      JudgeWorkerLife(worker, this->pool, host->second, machines);
   int& absences = this->absences[worker];
   absences = life == WorkerLife::kMachineAbsent ? absences + 1 : 0;
   const bool is_over =
--- a/Source/Core/Site/worker_life.cc
+++ b/Source/Core/Site/worker_life.cc
@@ -5,6 +5,7 @@
 namespace daisyroad {
 
 WorkerLife JudgeWorkerLife(const WorkerName& worker,
+                           const PoolName& pool,
                            const MachineName& machine,
                            const std::vector<Machine>& machines) {
   const std::vector<Machine>::const_iterator found = std::find_if(
@@ -13,6 +14,9 @@
   if (found == machines.end()) {
     return WorkerLife::kMachineAbsent;
   }
+  if (found->pool != pool) {
+    return WorkerLife::kOver;
+  }
   switch (found->state) {
     case MachineState::kMoving:
     case MachineState::kUpkeep:
--- a/Source/Core/Site/worker_life.h
+++ b/Source/Core/Site/worker_life.h
@@ -14,10 +14,12 @@
   kMachineAbsent,  // over, unless the list misses the machine
 };
 
-// `machine` is where the worker lived by an earlier list. Its life is over once
-// the machine moves, is maintained, is down or has another worker. A machine
-// that merely names no worker may be cut off with it.
+// `machine` is where the worker lived by an earlier list, `pool` is the
+// worker's. Its life is over once the machine moves, is in another pool, is
+// maintained, is down or has another worker. A machine that merely names no
+// worker may be cut off with it.
 WorkerLife JudgeWorkerLife(const WorkerName& worker,
+                           const PoolName& pool,
                            const MachineName& machine,
                            const std::vector<Machine>& machines);
 
--- a/Source/UnitTests/Site/worker_life_test.cc
+++ b/Source/UnitTests/Site/worker_life_test.cc
@@ -8,11 +8,14 @@
 
 const WorkerName kWorker("w");
 const MachineName kMachine("m");
+const PoolName kPool("pool");
 
 std::vector<Machine> MachinesWith(MachineState state,
-                                  const WorkerName& worker) {
+                                  const WorkerName& worker,
+                                  const PoolName& pool = kPool) {
   Machine machine;
   machine.name = kMachine;
+  machine.pool = pool;
   machine.state = state;
   machine.worker = worker;
   Machine other;
@@ -21,7 +24,7 @@
 }
 
 WorkerLife Judge(const std::vector<Machine>& machines) {
-  return JudgeWorkerLife(kWorker, kMachine, machines);
+  return JudgeWorkerLife(kWorker, kPool, kMachine, machines);
 }
 
 // Guards against runs that are given up while they may go on.
@@ -46,6 +49,14 @@
         WorkerLife::kOver);
 }
 
+// Guards against LOST at vpl-ajot-grown scale-2 (snapshot 91cace22): machines
+// that had been parked in the spare pool name no worker, and held up the jobs
+// of the pool that they had left for 14 s after a change of its scheduler.
+TEST_CASE("A worker is over once its machine is in another pool") {
+  CHECK(Judge(MachinesWith(MachineState::kUp, WorkerName(),
+                           PoolName("spare"))) == WorkerLife::kOver);
+}
+
 // Guards against LOST at vpl-ajot-grown scale-2: the machine of a worker that
 // had left was no longer listed, and a task that lasts waited 14 s for it after
 // a change of the scheduler.
