--- a/Source/Core/Entry/cell_dispatcher.h
+++ b/Source/Core/Entry/cell_dispatcher.h
@@ -64,9 +64,9 @@
 
   // Tasks whose leases this instance renews at the worker.
   std::vector<TaskId> RunningOn(const WorkerName& worker) const;
-  // True if the worker's clock and answers are needed here: it has tasks of this
-  // cell, or tasks wait for a worker of the cell. Holds whoever owns the cell
-  // by now, since the tasks that came before stay here.
+  // True if the worker's clock and answers are needed here: it has tasks of
+  // this cell, or tasks wait for a worker of the cell. Holds whoever owns the
+  // cell by now, since the tasks that came before stay here.
   bool NeedsWorker(const WorkerInfo& worker) const;
   void OnReport(const WorkerName& worker, const TaskReport& report);
   void OnLeasesRenewed(const WorkerName& worker,
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -217,7 +217,8 @@
 
 std::vector<Order> PoolScheduler::TakeOrders(MonotonicTime now, WallTime wall) {
   while (!this->arrivals.empty() &&
-         this->arrivals.front().first + 2 * this->settings.demand_window < now) {
+         this->arrivals.front().first + 2 * this->settings.demand_window <
+             now) {
     this->arrivals.pop_front();
   }
   this->ExpireLeases(now);
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -227,6 +227,8 @@
              std::int64_t number,
              MonotonicTime now);
   void ReserveWorker(const StepSpec& step, MonotonicTime now);
+
+  // pool_scheduler_load.cc
   // Work that arrived in a window of time, in millicore-seconds a millisecond.
   double ArrivalRate(MonotonicTime from, MonotonicTime to) const;
   // The same by the time at which machines that are ordered now run tasks.
--- a/Source/UnitTests/Routing/selector_test.cc
+++ b/Source/UnitTests/Routing/selector_test.cc
@@ -118,8 +118,8 @@
   }
 }
 
-// Guards against accepted work that waits for a retry until its deadline because
-// no caller has sent anything since.
+// Guards against accepted work that waits for a retry until its deadline
+// because no caller has sent anything since.
 TEST_CASE("A used up retry budget allows a retry a second without requests") {
   RetryBudget budget;
   while (budget.TryRetry(kStart)) {
--- a/Source/UnitTests/Site/leadership_test.cc
+++ b/Source/UnitTests/Site/leadership_test.cc
@@ -128,9 +128,10 @@
   CHECK_FALSE(two.begun[1].is_predecessor_gone);
 }
 
-// Guards against bursts that are lost with their scheduler: with leases of 3 s a
-// pool had none for 3.4 s after its instance lost power (vpl-ajot-grown).
-TEST_CASE("The duties of an instance without power pass on within two seconds") {
+// Guards against bursts that are lost with their scheduler: with leases of 3 s
+// a pool had none for 3.4 s after its instance lost power (vpl-ajot-grown).
+TEST_CASE(
+    "The duties of an instance without power pass on within two seconds") {
   EventLoop loop;
   FakeRevisionStore store(&loop);
   std::unique_ptr<Node> one = std::make_unique<Node>(&store, &loop, "one");
