Jobs: keep no worker free for a task that may not run there

A task of a step that spreads over workers found room nowhere, since both usable workers ran others of its step; one of them was kept free for it all the same, for good, and nothing else was placed there: a task that lasts did not run for 22 s beside 16 free cores.

Ruled out: the change of the scheduler (other tasks of the job had started again), the team's limit (the queue is open to all).

Change: a worker is kept free only for a task that may run there. The new test fails without the change.

--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -207,6 +207,11 @@
               const JobState& job,
               const TaskRef& task,
               const StepSpec& step) const;
+  // Whether the worker may run the task, room aside.
+  bool IsAllowedOn(const WorkerState& worker,
+                   const JobState& job,
+                   const TaskRef& task,
+                   const StepSpec& step) const;
   double CostOn(const WorkerState& worker,
                 const JobState& job,
                 const TaskRef& task,
@@ -226,7 +231,9 @@
              WorkerState* worker,
              std::int64_t number,
              MonotonicTime now);
-  void ReserveWorker(const StepSpec& step, MonotonicTime now);
+  void ReserveWorker(const JobState& job,
+                     const TaskRef& task,
+                     MonotonicTime now);
 
   // pool_scheduler_load.cc
   // Work that arrived in a window of time, in millicore-seconds a millisecond.
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -153,7 +153,7 @@
     }
   }
   if (placement == Placement::kNoRoom && this->reserved_worker.empty()) {
-    this->ReserveWorker(step, now);
+    this->ReserveWorker(*job, task, now);
   }
   return placement == Placement::kPlaced;
 }
@@ -187,10 +187,15 @@
                            const JobState& job,
                            const TaskRef& task,
                            const StepSpec& step) const {
-  if (worker.listing.name == this->reserved_worker ||
-      !ReservedBy(step).FitsIn(worker.listing.capacity - worker.used)) {
-    return false;
-  }
+  return worker.listing.name != this->reserved_worker &&
+         ReservedBy(step).FitsIn(worker.listing.capacity - worker.used) &&
+         this->IsAllowedOn(worker, job, task, step);
+}
+
+bool PoolScheduler::IsAllowedOn(const WorkerState& worker,
+                                const JobState& job,
+                                const TaskRef& task,
+                                const StepSpec& step) const {
   const StepState& state = job.occurrences.at(task.occurrence).steps[task.step];
   if (this->PolicyOf(job).advice &&
       !state.tickets.contains(worker.listing.name)) {
@@ -440,14 +445,19 @@
              job->job.team.str());
 }
 
-void PoolScheduler::ReserveWorker(const StepSpec& step, MonotonicTime now) {
+void PoolScheduler::ReserveWorker(const JobState& job,
+                                  const TaskRef& task,
+                                  MonotonicTime now) {
   // Keeps the emptiest worker that could run the task from filling up with
-  // smaller tasks that come later in the order.
+  // smaller tasks that come later in the order. A worker that may not run it
+  // however empty it gets is left to the others.
+  const StepSpec& step = this->SpecOf(job, task);
   double most_free = -1.0;
   for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
     const WorkerState& worker = entry.second;
     if (!this->IsUsable(worker, now) ||
-        !ReservedBy(step).FitsIn(worker.listing.capacity)) {
+        !ReservedBy(step).FitsIn(worker.listing.capacity) ||
+        !this->IsAllowedOn(worker, job, task, step)) {
       continue;
     }
     const double free = std::min(
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -513,6 +513,23 @@
   CHECK(Select<StopRun>(fixture.Orders()).size() == 1);
 }
 
+// Guards against LOST at vpl-ajot trouble-1 (seed 812201315214): the emptiest
+// worker was kept free for a task that may not run there, since another one of
+// its step does, and nothing else was placed on it.
+TEST_CASE("No worker is kept free for a task that may not run there") {
+  Fixture fixture({Worker("w1"), Worker("w2")});
+  fixture.AnswerAll();
+  fixture.Add(JobBuilder("a").Service(3, 1).Build());
+  for (const StartRun& start : fixture.Starts()) {
+    fixture.Confirm(start);
+    fixture.Answer(start.worker.str(), {AtWork(start)});
+  }
+  AcceptedJob other = JobBuilder("b").Service(4, 1).Build();
+  other.spec.steps[0].max_per_worker = 2;
+  fixture.Add(other);
+  CHECK(fixture.Starts().size() == 4);
+}
+
 // Guards against starts in a zone that operators have taken out.
 TEST_CASE("Nothing starts in a zone that is out") {
   Fixture fixture({Worker("w1", "north"), Worker("w2", "south")});
