Jobs: give no run up for a worker that is gone while another may lead

When the cut healed, the old scheduler heard from the list of machines that the worker was gone before it heard of its successor, and started the task again on a worker that the successor had not reached yet.

Ruled out: leases (given up only by a scheduler without doubt) and ends that were acknowledged late (the worker's fence was the successor's by then).

Change: while another scheduler may lead, news that a worker is gone costs no run; it is asked again. The new test fails without the change.

--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -87,7 +87,9 @@
                 MonotonicTime asked_at,
                 MonotonicTime now);
   void OnReportFailed(const WorkerName& worker, MonotonicTime now);
-  // No life of the worker that this scheduler gave orders to is left.
+  // No life of the worker that this scheduler gave orders to is left. Without
+  // effect on runs while another scheduler may have taken over; to be told
+  // again.
   void OnWorkerGone(const WorkerName& worker, MonotonicTime now);
   // Workers whose silence holds up tasks: they may run what is to be placed.
   std::vector<WorkerName> SilentWorkers(MonotonicTime now) const;
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -142,6 +142,10 @@
     return;
   }
   WorkerState& worker = found->second;
+  // Another scheduler may have seen how the runs ended, and let the machine go.
+  if (!this->is_sole && !worker.runs.empty()) {
+    return;
+  }
   this->Note("worker_gone", TaskRef(), 0, name,
              std::to_string(worker.runs.size()) + " runs lost");
   const std::set<std::pair<TaskRef, std::int64_t>> runs = worker.runs;
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -530,6 +530,25 @@
   CHECK(fixture.Starts().size() == 4);
 }
 
+// Guards against TWICE at vpl-ajot hunt-5678-19: a scheduler that was cut off,
+// and had been replaced, heard from the list of machines that a worker was
+// gone, and started its task again, which had ended under its successor.
+TEST_CASE(
+    "A worker that is gone costs no run while another scheduler may lead") {
+  Fixture fixture({Worker("w1"), Worker("w2")});
+  fixture.AnswerAll();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.Starts();
+  REQUIRE(starts.size() == 1);
+  fixture.Confirm(starts[0]);
+  fixture.scheduler.SetSole(false);
+  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now());
+  CHECK(fixture.Starts().empty());
+  fixture.scheduler.SetSole(true);
+  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now());
+  CHECK(fixture.Starts().size() == 1);
+}
+
 // Guards against starts in a zone that operators have taken out.
 TEST_CASE("Nothing starts in a zone that is out") {
   Fixture fixture({Worker("w1", "north"), Worker("w2", "south")});
