Observability: activity of pool leaders, connections opened, rare log lines kept

Added: event=pool_activity each second (passes, their time and lateness, starts, reports, failures, connections), daisyroad_http_connections_total, and a tenth of the log rate that lines about tasks leave to other channels. The registry of the metrics belongs to the program, so that the HTTP client counts too; its counters are looked up once for each label.

--- a/Source/Core/Common/bounded_line_writer.cc
+++ b/Source/Core/Common/bounded_line_writer.cc
@@ -10,9 +10,11 @@
 BoundedLineWriter::BoundedLineWriter(int descriptor, double per_second)
     : descriptor(descriptor), per_second(per_second), tokens(per_second) {}
 
-void BoundedLineWriter::Write(const std::string& line, MonotonicTime now) {
+void BoundedLineWriter::Write(const std::string& line,
+                              MonotonicTime now,
+                              double reserve) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (!this->TryTakeToken(now) || !this->TryWrite(line)) {
+  if (!this->TryTakeToken(now, reserve) || !this->TryWrite(line)) {
     ++this->dropped_total;
     ++this->dropped_unreported;
     return;
@@ -29,12 +31,12 @@
   return this->dropped_total;
 }
 
-bool BoundedLineWriter::TryTakeToken(MonotonicTime now) {
+bool BoundedLineWriter::TryTakeToken(MonotonicTime now, double reserve) {
   const std::chrono::duration<double> elapsed = now - this->refilled_at;
   this->tokens = std::min(this->per_second,
                           this->tokens + elapsed.count() * this->per_second);
   this->refilled_at = now;
-  if (this->tokens < 1.0) {
+  if (this->tokens < reserve + 1.0) {
     return false;
   }
   this->tokens -= 1.0;
--- a/Source/Core/Common/bounded_line_writer.h
+++ b/Source/Core/Common/bounded_line_writer.h
@@ -17,13 +17,14 @@
   // Allows `per_second` lines on average and as the maximum burst.
   BoundedLineWriter(int descriptor, double per_second);
 
-  // `line` ends with a newline.
-  void Write(const std::string& line, MonotonicTime now);
+  // `line` ends with a newline. It is dropped if fewer than `reserve` lines
+  // would be left, so that frequent lines do not crowd out rare ones.
+  void Write(const std::string& line, MonotonicTime now, double reserve = 0.0);
 
   std::int64_t dropped() const;
 
  private:
-  bool TryTakeToken(MonotonicTime now);
+  bool TryTakeToken(MonotonicTime now, double reserve);
   // Returns false if the line cannot be written without blocking.
   bool TryWrite(const std::string& line) const;
 
--- a/Source/Core/Common/logging.cc
+++ b/Source/Core/Common/logging.cc
@@ -21,6 +21,9 @@
 // Above the rate of an instance at the busiest sites. The limit keeps a fault
 // that logs repeatedly from using up the CPU.
 constexpr double kLinesPerSecond = 2000.0;
+// Lines that the task channel, which has several lines for each run, leaves to
+// the other channels.
+constexpr double kLinesReservedFromTasks = 200.0;
 
 BoundedLineWriter& StandardOutput() {
   static BoundedLineWriter writer(STDOUT_FILENO, kLinesPerSecond);
@@ -42,7 +45,10 @@
       if (g_output == LogOutput::kStandardError) {
         std::cerr << line << std::flush;
       } else {
-        StandardOutput().Write(line, std::chrono::steady_clock::now());
+        const bool is_task_line =
+            data->logMessage()->logger()->id() == kTasksLog;
+        StandardOutput().Write(line, std::chrono::steady_clock::now(),
+                               is_task_line ? kLinesReservedFromTasks : 0.0);
       }
     } catch (...) {
       // A log line that cannot be written must not end the process.
--- a/Source/Core/Site/pool_leader.cc
+++ b/Source/Core/Site/pool_leader.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Core/Common/logging.h"
+#include "Core/Common/metrics_registry.h"
 #include "Core/Site/allotment_manager.h"
 #include "Core/Transport/event_loop.h"
 
@@ -76,7 +77,11 @@
   }
   this->RunPass();
   const std::shared_ptr<State> self = this->shared_from_this();
-  this->context.loop->After(kTickInterval, [self]() { self->Tick(); });
+  const MonotonicTime due = Now() + kTickInterval;
+  this->context.loop->After(kTickInterval, [self, due]() {
+    self->activity.OnPassDue(Now() - due);
+    self->Tick();
+  });
 }
 
 void PoolLeader::State::SchedulePass() {
@@ -117,6 +122,17 @@
     CLOG(INFO, kTasksLog) << line;
   }
   this->last_pass_duration = Now() - now;
+  this->activity.OnPass(this->last_pass_duration);
+  this->LogActivity(now);
+}
+
+void PoolLeader::State::LogActivity(MonotonicTime now) {
+  const std::string line = this->activity.TakeLine(
+      now, this->context.metrics->Counter("daisyroad_http_connections_total",
+                                          "traffic=\"worker\""));
+  if (!line.empty()) {
+    CLOG(INFO, kFleetLog) << "event=pool_activity pool=" << this->pool << line;
+  }
 }
 
 PoolLeader::PoolLeader(const PoolLeaderContext& context,
--- a/Source/Core/Site/pool_leader_orders.cc
+++ b/Source/Core/Site/pool_leader_orders.cc
@@ -44,6 +44,7 @@
   if (worker == nullptr) {
     return;
   }
+  this->activity.OnStartSent();
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.workers->Start(
       *worker, order, this->term.fence,
@@ -56,6 +57,7 @@
         self->Count(
             "daisyroad_run_starts_total",
             std::string("outcome=\"") + ToString(answer.outcome) + "\"");
+        self->activity.OnStartAnswered(answer.outcome);
         if (answer.outcome == StartOutcome::kFenced) {
           self->OnFenced(order.worker);
         }
@@ -126,6 +128,7 @@
         if (self->is_stopped) {
           return;
         }
+        self->activity.OnReportAnswered(report.ok());
         if (report.ok()) {
           self->scheduler.OnReport(order.worker, report.value(), requested_at,
                                    Now());
--- a/Source/Core/Site/pool_leader_state.h
+++ b/Source/Core/Site/pool_leader_state.h
@@ -12,6 +12,7 @@
 #include "Core/Jobs/pool_scheduler.h"
 #include "Core/Platform/machine_client.h"
 #include "Core/Platform/revision_store.h"
+#include "Core/Site/pool_activity.h"
 #include "Core/Site/pool_leader.h"
 #include "Core/Site/prefix_mirror.h"
 
@@ -43,6 +44,7 @@
   void Tick();
   void SchedulePass();
   void RunPass();
+  void LogActivity(MonotonicTime now);
   const WorkerListing* FindWorker(const WorkerName& worker) const;
   void Count(const char* name, const std::string& labels);
   void Send(const Order& order);
@@ -92,6 +94,7 @@
   bool is_inbox_loaded = false;
   bool is_pass_scheduled = false;
   Duration last_pass_duration{0};
+  PoolActivity activity;
   bool is_saving = false;
   bool is_fenced = false;
   bool is_stopped = false;
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -110,7 +110,7 @@
         this->DispatchToLoop(
             [this](const HttpRequest& request, const HttpResponder& respond) {
               respond(request.path == "/metrics"
-                          ? TextResponse(200, this->metrics.Render())
+                          ? TextResponse(200, this->platform.metrics->Render())
                           : this->rpc_server.Handle(request));
             }));
     if (!peers_status.ok()) {
@@ -156,7 +156,6 @@
 
   SitePlatform platform;
   SiteSettings settings;
-  MetricsRegistry metrics;
   RpcClient rpc_client;
   RpcServer rpc_server;
   PrefixMirror site_mirror;
@@ -199,10 +198,11 @@
       const MonotonicTime begun = std::chrono::steady_clock::now();
       handler(request, [this, begun, method = request.method,
                         respond](const HttpResponse& response) {
-        ++this->metrics.Counter("daisyroad_requests_total",
-                                "method=\"" + method + "\",status=\"" +
-                                    std::to_string(response.status) + "\"");
-        LatencyHistogram(&this->metrics, "daisyroad_request_ms",
+        ++this->platform.metrics->Counter(
+            "daisyroad_requests_total", "method=\"" + method + "\",status=\"" +
+                                            std::to_string(response.status) +
+                                            "\"");
+        LatencyHistogram(this->platform.metrics, "daisyroad_request_ms",
                          "method=\"" + method + "\"")
             .Observe(std::chrono::steady_clock::now() - begun);
         respond(response);
@@ -348,7 +348,7 @@
     context.advisor = this->platform.advisor;
     context.loop = this->platform.loop;
     context.allotments = &this->allotments;
-    context.metrics = &this->metrics;
+    context.metrics = this->platform.metrics;
     context.is_lease_valid = [this]() {
       return this->leadership.IsLeaseValid();
     };
@@ -370,7 +370,7 @@
     context.loop = this->platform.loop;
     context.peers = &this->rpc_client;
     context.codec = this->platform.codec;
-    context.metrics = &this->metrics;
+    context.metrics = this->platform.metrics;
     context.leadership = &this->leadership;
     context.find_leader = [this](const PoolName& pool) {
       return this->FindLeader(pool);
--- a/Source/Core/Site/site_instance.h
+++ b/Source/Core/Site/site_instance.h
@@ -16,6 +16,7 @@
 class HttpClient;
 class JobService;
 class MachineClient;
+class MetricsRegistry;
 class RevisionStore;
 class RunClient;
 class SiteCodec;
@@ -30,6 +31,7 @@
   MachineClient* machines = nullptr;
   AdviceClient* advisor = nullptr;
   SiteCodec* codec = nullptr;
+  MetricsRegistry* metrics = nullptr;
 };
 
 // An entry instance: serves callers and performs the duties that it holds.
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -39,6 +39,13 @@
   return url.substr(begin, url.find('/', begin) - begin);
 }
 
+struct TrafficCounters {
+  MetricsRegistry::Value* sent = nullptr;
+  MetricsRegistry::Value* received = nullptr;
+  MetricsRegistry::Value* connections = nullptr;
+  MetricsRegistry::Value* requests = nullptr;
+};
+
 struct Exchange {
   HttpClientRequest request;
   HttpClient::Callback callback;
@@ -357,7 +364,7 @@
     long status = 0;
     curl_easy_getinfo(exchange->handle, CURLINFO_RESPONSE_CODE, &status);
     exchange->response.status = static_cast<int>(status);
-    this->CountBytes(*exchange);
+    this->Count(*exchange);
     Result<HttpResponse> result =
         code == CURLE_OK ? Result<HttpResponse>(std::move(exchange->response))
                          : Result<HttpResponse>(ToError(code, *exchange));
@@ -371,22 +378,40 @@
     });
   }
 
-  void CountBytes(const Exchange& exchange) {
+  void Count(const Exchange& exchange) {
     if (this->metrics == nullptr) {
       return;
     }
     long request_headers = 0;
     long response_headers = 0;
+    long connections = 0;
     curl_easy_getinfo(exchange.handle, CURLINFO_REQUEST_SIZE, &request_headers);
     curl_easy_getinfo(exchange.handle, CURLINFO_HEADER_SIZE, &response_headers);
-    const std::string label = "traffic=\"" + exchange.request.traffic + "\"";
-    this->metrics->Counter("daisyroad_http_sent_bytes_total", label) +=
-        request_headers +
-        static_cast<std::int64_t>(exchange.request.body.size());
-    this->metrics->Counter("daisyroad_http_received_bytes_total", label) +=
-        response_headers +
-        static_cast<std::int64_t>(exchange.response.body.size());
-    ++this->metrics->Counter("daisyroad_http_requests_total", label);
+    curl_easy_getinfo(exchange.handle, CURLINFO_NUM_CONNECTS, &connections);
+    const TrafficCounters& counters =
+        this->CountersOf(exchange.request.traffic);
+    *counters.sent += request_headers +
+                      static_cast<std::int64_t>(exchange.request.body.size());
+    *counters.received += response_headers + static_cast<std::int64_t>(
+                                                 exchange.response.body.size());
+    *counters.connections += connections;
+    ++*counters.requests;
+  }
+
+  const TrafficCounters& CountersOf(const std::string& traffic) {
+    TrafficCounters& counters = this->counters[traffic];
+    if (counters.requests == nullptr) {
+      const std::string label = "traffic=\"" + traffic + "\"";
+      counters.sent =
+          &this->metrics->Counter("daisyroad_http_sent_bytes_total", label);
+      counters.received =
+          &this->metrics->Counter("daisyroad_http_received_bytes_total", label);
+      counters.connections =
+          &this->metrics->Counter("daisyroad_http_connections_total", label);
+      counters.requests =
+          &this->metrics->Counter("daisyroad_http_requests_total", label);
+    }
+    return counters;
   }
 
   Executor executor;
@@ -401,6 +426,7 @@
   std::unordered_map<std::string, std::chrono::steady_clock::time_point>
       retired_at;
   std::unordered_map<CURL*, std::unique_ptr<Exchange>> active;
+  std::unordered_map<std::string, TrafficCounters> counters;  // by label
   std::thread thread;
 };
 
--- a/Source/Core/Transport/http_client.h
+++ b/Source/Core/Transport/http_client.h
@@ -41,8 +41,8 @@
   using Executor = std::function<void(std::function<void()>)>;
 
   // Callbacks run through `executor`. `metrics` may be null; otherwise it
-  // counts requests and the bytes of requests and responses, including HTTP
-  // headers, by traffic label.
+  // counts requests, new connections and the bytes of requests and responses,
+  // including HTTP headers, by traffic label.
   explicit HttpClient(Executor executor, MetricsRegistry* metrics = nullptr);
   // Drops the requests in progress without running their callbacks.
   ~HttpClient();
--- a/Source/UnitTests/Common/bounded_line_writer_test.cc
+++ b/Source/UnitTests/Common/bounded_line_writer_test.cc
@@ -36,6 +36,23 @@
   close(ends[1]);
 }
 
+// Guards against rare lines that are dropped because frequent ones used up the
+// rate.
+TEST_CASE("Lines with a reserve leave room for the others") {
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  BoundedLineWriter writer(ends[1], 10.0);
+  for (int i = 0; i < 25; ++i) {
+    writer.Write("frequent\n", kStart, 2.0);
+  }
+  CHECK(writer.dropped() == 17);
+  writer.Write("rare\n", kStart);
+  CHECK(writer.dropped() == 17);
+  CHECK(ReadAll(ends[0]).find("rare\n") != std::string::npos);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 // Guards against a process that blocks because nothing reads its log.
 TEST_CASE("Writing does not block on a reader that does not read") {
   int ends[2];
