--- a/Source/UnitTests/Site/fake_revision_store.cc
+++ b/Source/UnitTests/Site/fake_revision_store.cc
@@ -76,7 +76,8 @@
                               Milliseconds wait,
                               Callback<StoreChanges> callback) {
   const std::shared_ptr<Watcher> watcher = std::make_shared<Watcher>(
-      Watcher{prefix, after, std::move(callback), false});
+      Watcher{prefix, after, std::move(callback), false,
+              std::chrono::steady_clock::now() + wait + kWatchGrace});
   this->watchers.push_back(watcher);
   this->Respond([this]() { this->NotifyWatchers(); });
   this->loop->After(wait, [this, watcher]() {
@@ -248,6 +249,23 @@
   }
 }
 
+void FakeRevisionStore::DisconnectWatches() {
+  this->history.clear();
+  this->history_begins = this->revision;
+  const std::vector<std::shared_ptr<Watcher>> current =
+      std::exchange(this->watchers, {});
+  for (const std::shared_ptr<Watcher>& watcher : current) {
+    if (!watcher->is_done) {
+      watcher->is_done = true;
+      this->loop->After(
+          watcher->client_timeout_at - std::chrono::steady_clock::now(),
+          [watcher]() {
+            watcher->callback(InjectedError(Errc::kTimeout, "store.watch"));
+          });
+    }
+  }
+}
+
 void FakeRevisionStore::RecordChange(const StoreChange& change) {
   this->history.push_back(change);
 }
--- a/Source/UnitTests/Site/fake_revision_store.h
+++ b/Source/UnitTests/Site/fake_revision_store.h
@@ -44,6 +44,9 @@
   void Expire(StoreLease lease);
   // Closes all watches and drops the changes that they have not delivered.
   void DropHistory();
+  // Cuts all watches without a reset and drops the changes that they have not
+  // delivered, so that they fail only when their client gives up.
+  void DisconnectWatches();
 
   bool is_silent = false;      // calls are neither executed nor answered
   bool loses_answers = false;  // commits are executed but not answered
@@ -59,6 +62,7 @@
     std::int64_t revision = 0;
     Callback<StoreChanges> callback;
     bool is_done = false;
+    MonotonicTime client_timeout_at;
   };
 
   void Respond(std::function<void()> function);
