--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -21,7 +21,7 @@
 
 // Maximum size of a response body; a larger one fails the exchange.
 constexpr std::size_t kMaxResponseBytes = 64U << 20;
-constexpr long kMaxIdleConnections = 512;
+constexpr long kMaxIdleConnections = 2048;
 // A handle takes about 6 KB.
 constexpr std::size_t kMaxIdleHandles = 128;
 
@@ -49,6 +49,7 @@
 struct Exchange {
   HttpClientRequest request;
   HttpClient::Callback callback;
+  MonotonicTime send_before;  // of a request that waits for others
   HttpResponse response;
   curl_slist* header_list = nullptr;
   CURL* handle = nullptr;
@@ -61,6 +62,12 @@
   }
 };
 
+// Requests to one peer that have a limit on the number in progress.
+struct LimitedPeer {
+  int in_progress = 0;
+  std::deque<std::unique_ptr<Exchange>> waiting;
+};
+
 // Pool of the handles of completed exchanges, because creating a handle costs
 // more than a short exchange.
 class HandlePool {
@@ -245,6 +252,7 @@
 
   void Enqueue(HttpClientRequest request, Callback callback) {
     std::unique_ptr<Exchange> exchange = std::make_unique<Exchange>();
+    exchange->send_before = std::chrono::steady_clock::now() + request.timeout;
     exchange->request = std::move(request);
     exchange->callback = std::move(callback);
     {
@@ -309,6 +317,7 @@
                 exchange->request.url,
                 "the connection was retired while the request was in "
                 "progress"});
+      this->ReleaseSlot(*exchange);
     }
   }
 
@@ -334,12 +343,53 @@
       batch.swap(this->queue);
     }
     for (std::unique_ptr<Exchange>& exchange : batch) {
-      exchange->handle = this->handles.Acquire();
-      Configure(exchange.get());
-      this->AvoidRetiredConnections(*exchange);
-      CURL* const handle = exchange->handle;
-      this->active[handle] = std::move(exchange);
-      curl_multi_add_handle(this->multi, handle);
+      const int limit = exchange->request.max_in_progress;
+      if (limit > 0) {
+        LimitedPeer& peer =
+            this->limited_peers[AuthorityOf(exchange->request.url)];
+        if (peer.in_progress >= limit) {
+          peer.waiting.push_back(std::move(exchange));
+          continue;
+        }
+        ++peer.in_progress;
+      }
+      this->StartExchange(std::move(exchange));
+    }
+  }
+
+  void StartExchange(std::unique_ptr<Exchange> exchange) {
+    exchange->handle = this->handles.Acquire();
+    Configure(exchange.get());
+    this->AvoidRetiredConnections(*exchange);
+    CURL* const handle = exchange->handle;
+    this->active[handle] = std::move(exchange);
+    curl_multi_add_handle(this->multi, handle);
+  }
+
+  // Starts the next request that waits for the end of this one.
+  void ReleaseSlot(const Exchange& ended) {
+    if (ended.request.max_in_progress == 0) {
+      return;
+    }
+    const std::unordered_map<std::string, LimitedPeer>::iterator found =
+        this->limited_peers.find(AuthorityOf(ended.request.url));
+    LimitedPeer& peer = found->second;
+    while (!peer.waiting.empty()) {
+      std::unique_ptr<Exchange> next = std::move(peer.waiting.front());
+      peer.waiting.pop_front();
+      if (std::chrono::steady_clock::now() < next->send_before) {
+        this->StartExchange(std::move(next));
+        return;
+      }
+      this->InvokeCallback(
+          next.get(),
+          Error{Errc::kUnavailable, "http." + next->request.method,
+                next->request.url,
+                "not sent within its timeout: too many requests to this peer "
+                "were in progress"});
+    }
+    if (--peer.in_progress == 0) {
+      this->limited_peers.erase(found);
     }
   }
 
@@ -357,6 +407,7 @@
       curl_multi_remove_handle(this->multi, handle);
       exchange->handle = nullptr;
       this->handles.Release(handle);
+      this->ReleaseSlot(*exchange);
     }
   }
 
@@ -426,7 +477,8 @@
   std::unordered_map<std::string, std::chrono::steady_clock::time_point>
       retired_at;
   std::unordered_map<CURL*, std::unique_ptr<Exchange>> active;
-  std::unordered_map<std::string, TrafficCounters> counters;  // by label
+  std::unordered_map<std::string, LimitedPeer> limited_peers;  // by authority
+  std::unordered_map<std::string, TrafficCounters> counters;   // by label
   std::thread thread;
 };
 
--- a/Source/Core/Transport/http_client.h
+++ b/Source/Core/Transport/http_client.h
@@ -25,6 +25,10 @@
   // Opens a new connection and closes it afterwards, to distinguish a silent
   // connection from a silent peer.
   bool fresh_connection = false;
+  // Maximum number of requests to the peer in progress, 0 for no limit. Later
+  // requests wait for one of them to end, so that few connections are opened. A
+  // request that waits longer than its timeout fails with kUnavailable.
+  int max_in_progress = 0;
 };
 
 // Asynchronous HTTP/1.1 client based on libcurl, which runs on its own thread.
