Jobs: ask a worker whose process has ended once a second

Change: a worker known to have ended is not reset again. Test: ended_worker made 1,500 requests in 3 s, makes 4. Class: a retry without a pause.

--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -144,6 +144,9 @@
     return;
   }
   WorkerState& worker = found->second;
+  if (worker.is_gone && worker.runs.empty()) {
+    return;
+  }
   // Another scheduler may have received the ends of these runs and then
   // released the machine.
   if (!this->is_sole_leader && !worker.runs.empty()) {
