Jobs: use a worker that was emptied only after its next report

Cause: a worker is emptied before its machine is moved or maintained. Once the order is given, the worker is no longer in the list of those to empty, but stays listed for three heartbeats; as idle workers are not asked for reports, it counted as usable, and so did its capacity when the pool was sized. Class: an old report taken for the present state. It holds for moves and maintenance, in all pools, for tasks that end and tasks that last.

Change: such a worker is asked for a report and used once it has answered.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -50,8 +50,12 @@
 void PoolScheduler::SetVacating(const std::set<WorkerName>& workers,
                                 const std::set<WorkerName>& due) {
   for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
-    entry.second.is_vacating = workers.contains(entry.first);
-    entry.second.is_vacate_planned = due.contains(entry.first);
+    WorkerState& worker = entry.second;
+    const bool was_vacating = worker.is_vacating;
+    worker.is_vacating = workers.contains(entry.first);
+    worker.is_vacate_planned = due.contains(entry.first);
+    worker.needs_report |=
+        was_vacating && !worker.is_vacating && worker.runs.empty();
   }
 }
 
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -182,8 +182,9 @@
 bool PoolScheduler::IsUsable(const WorkerState& worker,
                              MonotonicTime now) const {
   return worker.has_reported && worker.is_listed && worker.is_remembered &&
-         worker.missed_reports == 0 && !worker.listing.is_draining &&
-         !worker.is_vacating && worker.no_starts_before <= now &&
+         worker.missed_reports == 0 && !worker.needs_report &&
+         !worker.listing.is_draining && !worker.is_vacating &&
+         worker.no_starts_before <= now &&
          !this->zones_out.contains(worker.listing.zone);
 }
 
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -97,6 +97,7 @@
     worker.listing.incarnation = report.incarnation;
   }
   worker.has_reported = true;
+  worker.needs_report = false;
   worker.is_gone = false;
   ++worker.report_count;
   worker.delivered_acknowledgement = worker.sent_acknowledgement;
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -33,8 +33,9 @@
     const bool has_ends_to_acknowledge =
         worker.delivered_acknowledgement < worker.acknowledged_end &&
         now >= worker.last_end_at + this->settings.acknowledge_delay;
-    const bool is_needed = !worker.has_reported || !worker.runs.empty() ||
-                           !worker.IsReachable() || has_ends_to_acknowledge;
+    const bool is_needed = !worker.has_reported || worker.needs_report ||
+                           !worker.runs.empty() || !worker.IsReachable() ||
+                           has_ends_to_acknowledge;
     // A worker with unacknowledged ends answers immediately, so asking it again
     // before they are saved would only repeat them.
     const bool is_awaiting_save =
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -40,6 +40,9 @@
   bool is_gone = false;
   // The worker is being emptied for planned work on its machine.
   bool is_vacating = false;
+  // The worker was emptied, so its process may have ended since its last
+  // report.
+  bool needs_report = false;
   // The worker will be emptied for planned work later.
   bool is_vacate_planned = false;
 
