Site: notice a silent watch for accepted jobs within a second

Cause: the watch of a scheduler's inbox waited for 2 s, and a cut one was given up 0.7 s later. From 6.99 to 9.98 s no job became known, 250 were accepted; the arrivals that size the pool fell to nothing, and 164 machines were given away. Class: silence taken for absence.

Change: the inbox is watched for 300 ms at a time and a watch without an answer is given up 500 ms later. Since an empty answer may also come from a watch that is deaf, it no longer moves the revision from which the next one continues, in all mirrors; a store that has dropped that history says so and the prefix is listed. Test: silent_watch failed, passes.

--- a/Source/Core/Platform/revision_store.h
+++ b/Source/Core/Platform/revision_store.h
@@ -64,7 +64,7 @@
 
 // A watch fails with kTimeout if it is not answered within its wait time and
 // this grace period.
-inline constexpr Milliseconds kWatchGrace{700};
+inline constexpr Milliseconds kWatchGrace{500};
 
 struct TransactionCommitted {
   std::int64_t revision = 0;
--- a/Source/Core/Site/pool_leader.h
+++ b/Source/Core/Site/pool_leader.h
@@ -47,6 +47,10 @@
 // the store and the workers, sends its orders, and stores the progress of jobs.
 class PoolLeader {
  public:
+  // How long the watch for accepted jobs waits. It limits the time for which
+  // jobs stay unknown if the watch is silent.
+  static constexpr Milliseconds kInboxWatchWait{300};
+
   PoolLeader(const PoolLeaderContext& context,
              const PoolName& pool,
              const Term& term);
--- a/Source/Core/Site/pool_leader_store.cc
+++ b/Source/Core/Site/pool_leader_store.cc
@@ -72,7 +72,7 @@
   this->is_progress_loaded = true;
   this->inbox = std::make_unique<PrefixMirror>(
       this->context.store, this->context.loop, InboxPrefix(this->pool),
-      [this](const std::vector<StoreChange>& changes) {
+      kInboxWatchWait, [this](const std::vector<StoreChange>& changes) {
         this->OnInbox(changes);
       });
   this->inbox->Start();
--- a/Source/Core/Site/prefix_mirror.cc
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -9,9 +9,6 @@
 namespace daisyroad {
 namespace {
 
-// Maximum time that a watch waits. A dead connection is detected after this
-// time plus the grace period of the store client.
-constexpr Milliseconds kWatchWait{2000};
 constexpr Milliseconds kListTimeout{1000};
 constexpr Milliseconds kRetryPause{150};
 // Wait time of the watch that fetches changes made during a listing of several
@@ -24,6 +21,7 @@
   RevisionStore* store = nullptr;
   EventLoop* loop = nullptr;
   std::string prefix;
+  Milliseconds watch_wait{0};
   Listener listener;
   Items items;
   Items listed;
@@ -127,7 +125,7 @@
     }
     this->RecordSuccess();
     Apply(changes.value().changes, &this->listed);
-    this->revision = std::max(this->revision, changes.value().store_revision);
+    this->AdvanceRevision(changes.value());
     this->Adopt();
     this->Watch();
   }
@@ -152,9 +150,18 @@
     this->listener(changes);
   }
 
+  // A watch that ended without changes may have been silent. The next one
+  // continues from the same revision, so that the store delivers the changes or
+  // says that it has dropped them.
+  void AdvanceRevision(const StoreChanges& changes) {
+    if (!changes.changes.empty()) {
+      this->revision = std::max(this->revision, changes.store_revision);
+    }
+  }
+
   void Watch() {
     const std::shared_ptr<State> self = this->shared_from_this();
-    this->store->Watch(this->prefix, this->revision, kWatchWait,
+    this->store->Watch(this->prefix, this->revision, this->watch_wait,
                        [self](const Result<StoreChanges>& changes) {
                          self->OnChanges(changes);
                        });
@@ -198,7 +205,7 @@
     }
     const std::vector<StoreChange> newer =
         Apply(changes.value().changes, &this->items);
-    this->revision = std::max(this->revision, changes.value().store_revision);
+    this->AdvanceRevision(changes.value());
     if (!newer.empty()) {
       this->listener(newer);
     }
@@ -209,11 +216,13 @@
 PrefixMirror::PrefixMirror(RevisionStore* store,
                            EventLoop* loop,
                            const std::string& prefix,
+                           Milliseconds watch_wait,
                            Listener listener)
     : state(std::make_shared<State>()) {
   this->state->store = store;
   this->state->loop = loop;
   this->state->prefix = prefix;
+  this->state->watch_wait = watch_wait;
   this->state->listener = std::move(listener);
 }
 
--- a/Source/Core/Site/prefix_mirror.h
+++ b/Source/Core/Site/prefix_mirror.h
@@ -25,10 +25,12 @@
   // items that are new or changed and the deletions that the listing revealed.
   using Listener = std::function<void(const std::vector<StoreChange>&)>;
 
-  // `store` and `loop` must outlive this object.
+  // `store` and `loop` must outlive this object. A watch is renewed after
+  // `watch_wait`; a silent one is noticed kWatchGrace later.
   PrefixMirror(RevisionStore* store,
                EventLoop* loop,
                const std::string& prefix,
+               Milliseconds watch_wait,
                Listener listener);
   ~PrefixMirror();
   PrefixMirror(const PrefixMirror&) = delete;
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -31,6 +31,7 @@
 // read also confirms how recent the keys are.
 constexpr Milliseconds kOperatorInterval{500};
 constexpr Milliseconds kOperatorTimeout{700};
+constexpr Milliseconds kSiteWatchWait{2000};
 // Part of the grace period still left when the process exits on its own.
 constexpr Milliseconds kStopReserve{700};
 // Idle connections of callers are kept open, because the platform's load
@@ -77,6 +78,7 @@
             platform.store,
             platform.loop,
             kSitePrefix,
+            kSiteWatchWait,
             [this](const std::vector<StoreChange>&) { this->OnSiteChange(); }),
         allotments(platform.store),
         workers(platform.store,
--- a/Source/UnitTests/Site/leadership_test.cc
+++ b/Source/UnitTests/Site/leadership_test.cc
@@ -24,6 +24,7 @@
       : mirror(store,
                loop,
                kSitePrefix,
+               Milliseconds(2000),
                [this](const std::vector<StoreChange>&) {
                  this->leadership.OnMirrorChange();
                }),
--- a/Source/UnitTests/Site/prefix_mirror_test.cc
+++ b/Source/UnitTests/Site/prefix_mirror_test.cc
@@ -10,13 +10,15 @@
 namespace daisyroad {
 namespace {
 
+constexpr Milliseconds kWatchWait{2000};
+
 // Guards against missing keys and against keys that remain after deletion.
 TEST_CASE("A mirror follows the changes of its prefix") {
   EventLoop loop;
   FakeRevisionStore store(&loop);
   store.Put("a/1", "one");
   int calls = 0;
-  PrefixMirror mirror(&store, &loop, "a/",
+  PrefixMirror mirror(&store, &loop, "a/", kWatchWait,
                       [&calls](const std::vector<StoreChange>&) { ++calls; });
   mirror.Start();
   loop.RunFor(Milliseconds(20));
@@ -41,7 +43,7 @@
 TEST_CASE("A mirror lists its prefix again when a watch is closed") {
   EventLoop loop;
   FakeRevisionStore store(&loop);
-  PrefixMirror mirror(&store, &loop, "a/",
+  PrefixMirror mirror(&store, &loop, "a/", kWatchWait,
                       [](const std::vector<StoreChange>&) {});
   mirror.Start();
   loop.RunFor(Milliseconds(20));
@@ -67,7 +69,7 @@
     store.Put("a/" + std::to_string(i), "listed");
   }
   std::vector<std::size_t> sizes;
-  PrefixMirror mirror(&store, &loop, "a/",
+  PrefixMirror mirror(&store, &loop, "a/", kWatchWait,
                       [&sizes, &mirror](const std::vector<StoreChange>&) {
                         sizes.push_back(mirror.items().size());
                       });
--- a/Source/UnitTests/Site/silent_watch_test.cc
+++ b/Source/UnitTests/Site/silent_watch_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
+#include "Core/Site/pool_leader.h"
 #include "Core/Site/prefix_mirror.h"
 #include "Core/Transport/event_loop.h"
 #include "UnitTests/Site/fake_revision_store.h"
@@ -20,7 +21,7 @@
 TEST_CASE("A job accepted during a silent watch is known in time to start") {
   EventLoop loop;
   FakeRevisionStore store(&loop);
-  PrefixMirror mirror(&store, &loop, "a/",
+  PrefixMirror mirror(&store, &loop, "a/", PoolLeader::kInboxWatchWait,
                       [](const std::vector<StoreChange>&) {});
   mirror.Start();
   loop.RunFor(Milliseconds(20));
