Transport: handle only the requests that have events

Cause: curl_multi_perform looks at each request in progress, with a poll of its socket, on each event. Class: work that grows with what waits, not with what happens.

Change: libcurl's socket interface with epoll; the thread is woken once for a batch of requests. It serves all instances and all pools.

--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -4,12 +4,14 @@
 #include <sys/socket.h>
 
 #include "Core/Common/metrics_registry.h"
+#include "Core/Transport/socket_poller.h"
 
 #include <algorithm>
 #include <atomic>
 #include <cctype>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <thread>
 #include <unordered_map>
@@ -235,12 +237,16 @@
     static_cast<void>(kGlobalInitResult);
     this->multi = curl_multi_init();
     curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &OnSocketInterest);
+    curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, &this->poller);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
+    curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
     this->thread = std::thread([this]() { this->Run(); });
   }
 
   ~Impl() {
     this->stopping = true;
-    curl_multi_wakeup(this->multi);
+    this->poller.Wake();
     this->thread.join();
     for (const std::pair<CURL* const, std::unique_ptr<Exchange>>& entry :
          this->active) {
@@ -255,11 +261,16 @@
     exchange->send_before = std::chrono::steady_clock::now() + request.timeout;
     exchange->request = std::move(request);
     exchange->callback = std::move(callback);
+    bool was_empty = false;
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
+      was_empty = this->queue.empty();
       this->queue.push_back(std::move(exchange));
     }
-    curl_multi_wakeup(this->multi);
+    // The thread takes the whole queue at once.
+    if (was_empty) {
+      this->poller.Wake();
+    }
   }
 
   void Retire(const std::string& authority) {
@@ -267,7 +278,7 @@
       const std::lock_guard<std::mutex> lock(this->mutex);
       this->pending_retirements.push_back(authority);
     }
-    curl_multi_wakeup(this->multi);
+    this->poller.Wake();
   }
 
  private:
@@ -275,13 +286,52 @@
     while (!this->stopping) {
       this->RetireQueued();
       this->StartQueued();
-      int running = 0;
-      curl_multi_perform(this->multi, &running);
+      this->HandleTimeout();
+      this->CompleteFinished();
+      for (const SocketPoller::Event& event : this->poller.Wait(this->due)) {
+        this->HandleSocket(event);
+      }
       this->CompleteFinished();
-      curl_multi_poll(this->multi, nullptr, 0, 1000, nullptr);
     }
   }
 
+  static int OnSocketInterest(CURL* /*handle*/,
+                              curl_socket_t socket,
+                              int interest,
+                              void* context,
+                              void* /*socket_data*/) {
+    static_cast<SocketPoller*>(context)->SetInterest(
+        socket, (interest & CURL_POLL_IN) != 0 && interest != CURL_POLL_REMOVE,
+        (interest & CURL_POLL_OUT) != 0 && interest != CURL_POLL_REMOVE);
+    return 0;
+  }
+
+  static int OnTimer(CURLM* /*multi*/, long delay_ms, void* context) {
+    std::optional<MonotonicTime>& due = static_cast<Impl*>(context)->due;
+    due.reset();
+    if (delay_ms >= 0) {
+      due = std::chrono::steady_clock::now() + Milliseconds(delay_ms);
+    }
+    return 0;
+  }
+
+  void HandleTimeout() {
+    int running = 0;
+    // Handling a timeout may set the next one, for a new transfer at once.
+    while (this->due && *this->due <= std::chrono::steady_clock::now()) {
+      this->due.reset();
+      curl_multi_socket_action(this->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+  }
+
+  void HandleSocket(const SocketPoller::Event& event) {
+    const int mask = (event.is_readable ? CURL_CSELECT_IN : 0) |
+                     (event.is_writable ? CURL_CSELECT_OUT : 0) |
+                     (event.is_failed ? CURL_CSELECT_ERR : 0);
+    int running = 0;
+    curl_multi_socket_action(this->multi, event.socket, mask, &running);
+  }
+
   void RetireQueued() {
     std::vector<std::string> batch;
     {
@@ -467,7 +517,10 @@
 
   Executor executor;
   MetricsRegistry* metrics;
+  SocketPoller poller;
   CURLM* multi = nullptr;
+  // When libcurl has to be called next, whatever happens to its sockets.
+  std::optional<MonotonicTime> due;
   HandlePool handles;
   std::atomic<bool> stopping = false;
   std::mutex mutex;
