Jobs: a pass looks at steps with free tasks and at usable workers only

Cause: each pass looked at the runs of all tasks of all open jobs, found each job by its id, and checked all workers again for each task.

Change: a step counts its tasks that are done or have runs, open jobs are kept by pointer, and the usable workers are collected once a pass. No decision changes.

--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -61,6 +61,8 @@
 struct StepState {
   std::vector<TaskState> tasks;
   int done = 0;
+  // Number of tasks that are done or have runs.
+  int done_or_running = 0;
   // Tickets by worker, for queues with a placement advisor.
   std::map<WorkerName, std::string> tickets;
   MonotonicTime tickets_valid_until;
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -75,7 +75,7 @@
   if (IsFinal(state.status)) {
     return;
   }
-  this->open_jobs.insert(id);
+  this->open_jobs.emplace(id, &state);
   if (!this->is_sole_leader) {
     state.is_unconfirmed = true;
     this->unconfirmed_jobs.insert(id);
@@ -198,8 +198,8 @@
 
 int PoolScheduler::PendingJobs(const QueueName& queue) const {
   int pending = 0;
-  for (const JobId& id : this->open_jobs) {
-    const JobState& state = this->jobs.at(id);
+  for (const std::pair<const JobId, JobState*>& entry : this->open_jobs) {
+    const JobState& state = *entry.second;
     pending += state.job.queue == queue && !state.has_started;
   }
   return pending;
@@ -232,6 +232,7 @@
     this->StopStalledRuns(now);
     this->RepeatStops(now);
   }
+  this->CollectUsableWorkers(now);
   this->EvictServices(now);
   this->PlaceTasks(now, wall);
   this->AskReports(now);
@@ -288,6 +289,9 @@
                                  const WorkerName& worker,
                                  MonotonicTime now) {
   TaskState* const state = this->FindTask(task);
+  if (state->runs.empty() && !state->is_done) {
+    ++job->occurrences.at(task.occurrence).steps[task.step].done_or_running;
+  }
   RunRecord record;
   record.number = number;
   record.worker = worker;
@@ -330,6 +334,9 @@
   host.latency_target_runs -= step.latency_target.count() > 0;
   this->used[job.job.team] -= step.request;
   state->runs.erase(found);
+  if (state->runs.empty() && !state->is_done) {
+    --job.occurrences.at(task.occurrence).steps[task.step].done_or_running;
+  }
 }
 
 void PoolScheduler::StopRunOf(const TaskRef& task,
@@ -395,6 +402,7 @@
         !step.tasks[i].is_done) {
       step.tasks[i].is_done = true;
       ++step.done;
+      step.done_or_running += step.tasks[i].runs.empty() ? 1 : 0;
     }
   }
   RefreshRemaining(job);
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -206,6 +206,7 @@
                          std::vector<Candidate>* candidates);
   void CollectStep(const Candidate& candidate,
                    std::vector<Candidate>* candidates);
+  void CollectUsableWorkers(MonotonicTime now);
   // Number of tasks of the step that may be placed now.
   int CountPlaceableTasks(const Candidate& candidate) const;
   // Returns false if a task of the step was not placed.
@@ -231,8 +232,7 @@
   // Returns null if no usable worker can take the task.
   WorkerState* ChooseWorker(const JobState& job,
                             const TaskRef& task,
-                            const RackName& rack,
-                            MonotonicTime now);
+                            const RackName& rack);
   // Requests tickets for the step from the advisor if none are valid.
   bool HasTickets(JobState* job, const TaskRef& task, MonotonicTime now);
   bool HasAllotment(const TeamName& team, const Resources& request) const;
@@ -243,9 +243,7 @@
              WorkerState* worker,
              std::int64_t number,
              MonotonicTime now);
-  void ReserveWorker(const JobState& job,
-                     const TaskRef& task,
-                     MonotonicTime now);
+  void ReserveWorker(const JobState& job, const TaskRef& task);
 
   // pool_scheduler_load.cc
   // Work of the jobs that arrived from `from` until `to`, without the largest
@@ -277,11 +275,13 @@
   std::set<ZoneName> zones_out;
   std::map<TeamName, Resources> allotments;
   std::unordered_map<JobId, JobState> jobs;
-  std::set<JobId> open_jobs;
+  std::map<JobId, JobState*> open_jobs;
   std::set<JobId> unconfirmed_jobs;
   std::map<WorkerName, WorkerState> workers;
   std::map<TeamName, Resources> used;
   std::map<TeamName, Resources> unmet;
+  // Workers that may get runs in this pass.
+  std::vector<WorkerState*> usable_workers;
   // Worker kept free in this pass for a task that fits on no worker yet.
   WorkerName reserved_worker;
   std::set<JobId> unsaved;
--- a/Source/Core/Jobs/pool_scheduler_load.cc
+++ b/Source/Core/Jobs/pool_scheduler_load.cc
@@ -48,8 +48,8 @@
   PoolLoad load;
   load.waiting = this->waiting_millicores;
   double needed = 0.0;
-  for (const JobId& id : this->open_jobs) {
-    const JobState& job = this->jobs.at(id);
+  for (const std::pair<const JobId, JobState*>& entry : this->open_jobs) {
+    const JobState& job = *entry.second;
     const Milliseconds left = std::max(
         kMinTimeToObjective,
         std::chrono::duration_cast<Milliseconds>(job.objective - wall));
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -66,12 +66,21 @@
   }
 }
 
+void PoolScheduler::CollectUsableWorkers(MonotonicTime now) {
+  this->usable_workers.clear();
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    if (this->IsUsable(entry.second, now)) {
+      this->usable_workers.push_back(&entry.second);
+    }
+  }
+}
+
 void PoolScheduler::CollectCandidates(MonotonicTime now,
                                       WallTime wall,
                                       std::vector<Candidate>* candidates) {
   const bool is_recovering = this->IsRecovering(now);
-  for (const JobId& id : this->open_jobs) {
-    JobState& job = this->jobs.at(id);
+  for (const std::pair<const JobId, JobState*>& open : this->open_jobs) {
+    JobState& job = *open.second;
     if (job.is_unconfirmed || (job.may_have_unknown_runs && is_recovering)) {
       continue;
     }
@@ -131,6 +140,9 @@
                     [](const TaskState& task) { return task.runs.empty(); });
     return is_free ? spec.task_count : 0;
   }
+  if (!spec.allows_copies) {
+    return spec.task_count - state.done_or_running;
+  }
   return static_cast<int>(std::count_if(state.tasks.begin(), state.tasks.end(),
                                         [this, &spec](const TaskState& task) {
                                           return this->IsPlaceable(task, spec);
@@ -156,7 +168,7 @@
     }
   }
   if (placement == Placement::kNoRoom && this->reserved_worker.empty()) {
-    this->ReserveWorker(*job, task, now);
+    this->ReserveWorker(*job, task);
   }
   return placement == Placement::kPlaced;
 }
@@ -260,21 +272,18 @@
 
 WorkerState* PoolScheduler::ChooseWorker(const JobState& job,
                                          const TaskRef& task,
-                                         const RackName& rack,
-                                         MonotonicTime now) {
+                                         const RackName& rack) {
   const StepSpec& step = this->SpecOf(job, task);
   WorkerState* best = nullptr;
   double best_cost = 0.0;
-  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
-    WorkerState& worker = entry.second;
-    if (!this->IsUsable(worker, now) ||
-        !this->FitsOn(worker, job, task, step) ||
-        (!rack.empty() && worker.listing.rack != rack)) {
+  for (WorkerState* const worker : this->usable_workers) {
+    if (!this->FitsOn(*worker, job, task, step) ||
+        (!rack.empty() && worker->listing.rack != rack)) {
       continue;
     }
-    const double cost = this->CostOn(worker, job, task, step);
+    const double cost = this->CostOn(*worker, job, task, step);
     if (best == nullptr || cost < best_cost) {
-      best = &worker;
+      best = worker;
       best_cost = cost;
     }
   }
@@ -361,7 +370,7 @@
     }
     return Placement::kBlocked;
   }
-  WorkerState* const worker = this->ChooseWorker(*job, task, RackName(), now);
+  WorkerState* const worker = this->ChooseWorker(*job, task, RackName());
   if (worker == nullptr) {
     return Placement::kNoRoom;
   }
@@ -408,7 +417,7 @@
     const std::map<WorkerName, WorkerState> before = this->workers;
     std::vector<std::pair<TaskRef, WorkerName>> chosen;
     for (task.index = 0; task.index < step.task_count; ++task.index) {
-      WorkerState* const worker = this->ChooseWorker(*job, task, wanted, now);
+      WorkerState* const worker = this->ChooseWorker(*job, task, wanted);
       if (worker == nullptr) {
         break;
       }
@@ -417,6 +426,7 @@
       chosen.emplace_back(task, worker->listing.name);
     }
     this->workers = before;
+    this->CollectUsableWorkers(now);
     if (static_cast<int>(chosen.size()) < step.task_count) {
       continue;
     }
@@ -453,28 +463,24 @@
                        job->job.team.str());
 }
 
-void PoolScheduler::ReserveWorker(const JobState& job,
-                                  const TaskRef& task,
-                                  MonotonicTime now) {
+void PoolScheduler::ReserveWorker(const JobState& job, const TaskRef& task) {
   // Reserves the worker with the most free capacity that could run the task, so
   // that smaller tasks later in the order do not fill it. Workers that cannot
   // run the task even when empty are not reserved.
   const StepSpec& step = this->SpecOf(job, task);
   double most_free = -1.0;
-  for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
-    const WorkerState& worker = entry.second;
-    if (!this->IsUsable(worker, now) ||
-        !ReservedBy(step).FitsIn(worker.listing.capacity) ||
-        !this->IsAllowedOn(worker, job, task, step)) {
+  for (const WorkerState* const worker : this->usable_workers) {
+    const Resources& capacity = worker->listing.capacity;
+    if (!ReservedBy(step).FitsIn(capacity) ||
+        !this->IsAllowedOn(*worker, job, task, step)) {
       continue;
     }
     const double free = std::min(
-        FreeFraction(worker.listing.capacity.cpu_millicores,
-                     worker.used.cpu_millicores),
-        FreeFraction(worker.listing.capacity.memory_mb, worker.used.memory_mb));
+        FreeFraction(capacity.cpu_millicores, worker->used.cpu_millicores),
+        FreeFraction(capacity.memory_mb, worker->used.memory_mb));
     if (free > most_free) {
       most_free = free;
-      this->reserved_worker = entry.first;
+      this->reserved_worker = worker->listing.name;
     }
   }
 }
--- a/Source/Core/Jobs/pool_scheduler_services.cc
+++ b/Source/Core/Jobs/pool_scheduler_services.cc
@@ -43,7 +43,7 @@
                                  RunRecord* run,
                                  MonotonicTime now) {
   if (!this->IsDisruptionAllowed(task, now) ||
-      this->ChooseWorker(this->jobs.at(task.job), task, RackName(), now) ==
+      this->ChooseWorker(this->jobs.at(task.job), task, RackName()) ==
           nullptr) {
     return;
   }
