--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -128,10 +128,12 @@
   WorkerState& worker = found->second;
   worker.is_report_pending = false;
   ++worker.missed_reports;
-  const Milliseconds pause = worker.missed_reports < 2 ? Milliseconds(0)
-                             : worker.is_gone ? this->settings.gone_retry_delay
-                                              : this->settings.retry_delay;
-  worker.next_report = now + pause;
+  const Milliseconds pause =
+      std::min((worker.missed_reports - 1) * this->settings.retry_delay,
+               this->settings.max_retry_delay);
+  worker.next_report = now + (worker.is_gone && worker.missed_reports > 1
+                                  ? this->settings.gone_retry_delay
+                                  : pause);
   if (worker.missed_reports == 2) {
     this->RecordDecision("worker_unreachable", TaskRef(), 0, name,
                          "two reports missed");
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -18,8 +18,10 @@
   // Longest time that a report request waits for a run to end. It also limits
   // the time between lease renewals, so several renewals fit into one lease.
   Milliseconds report_wait{1000};
-  // Delay before an unresponsive worker is asked again.
+  // Delay before an unresponsive worker is asked again; it grows by this much
+  // with each missed report, up to the maximum.
   Milliseconds retry_delay{250};
+  Milliseconds max_retry_delay{1000};
   // The same for a worker whose process has ended; a new one may start under
   // the same name.
   Milliseconds gone_retry_delay{1000};
