Transport: fewer system calls for a request on a kept connection

Cause: libcurl ends its interest in a socket with each response, which took a call to register and one to remove for each request, and each response woke the event loop by itself.

Change: an idle connection stays registered until it has an event or is closed; responses that arrive together are handed over together. Own program, 10,000 starts beside 240 held reports: 110 to 93 us of CPU time a start in batches of 80, 183 to 150 us in batches of 20.

--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "Core/Common/metrics_registry.h"
 #include "Core/Transport/socket_poller.h"
@@ -64,6 +65,12 @@
   }
 };
 
+// A request that has ended and whose callback has not run yet.
+struct Completion {
+  HttpClient::Callback callback;
+  Result<HttpResponse> result;
+};
+
 // Requests to one peer that have a limit on the number in progress.
 struct LimitedPeer {
   int in_progress = 0;
@@ -167,7 +174,13 @@
              : CURL_SOCKOPT_ERROR;
 }
 
-void Configure(Exchange* exchange) {
+int OnSocketClosing(void* context, curl_socket_t socket) {
+  static_cast<SocketPoller*>(context)->Forget(socket);
+  return close(socket);
+}
+
+// `poller` watches the sockets of the exchange.
+void Configure(Exchange* exchange, SocketPoller* poller) {
   CURL* handle = exchange->handle;
   const HttpClientRequest& request = exchange->request;
   curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
@@ -193,6 +206,8 @@
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+  curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &OnSocketClosing);
+  curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, poller);
   curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
@@ -288,10 +303,12 @@
       this->StartQueued();
       this->HandleTimeout();
       this->CompleteFinished();
+      this->DeliverCompletions();
       for (const SocketPoller::Event& event : this->poller.Wait(this->due)) {
         this->HandleSocket(event);
       }
       this->CompleteFinished();
+      this->DeliverCompletions();
     }
   }
 
@@ -409,7 +426,7 @@
 
   void StartExchange(std::unique_ptr<Exchange> exchange) {
     exchange->handle = this->handles.Acquire();
-    Configure(exchange.get());
+    Configure(exchange.get(), &this->poller);
     this->AvoidRetiredConnections(*exchange);
     CURL* const handle = exchange->handle;
     this->active[handle] = std::move(exchange);
@@ -473,9 +490,19 @@
   }
 
   void InvokeCallback(Exchange* exchange, Result<HttpResponse> result) {
-    this->executor([callback = std::move(exchange->callback),
-                    result = std::move(result)]() mutable {
-      callback(std::move(result));
+    this->completions.push_back(
+        Completion{std::move(exchange->callback), std::move(result)});
+  }
+
+  // Runs the callbacks of all requests that have ended since the last call.
+  void DeliverCompletions() {
+    if (this->completions.empty()) {
+      return;
+    }
+    this->executor([batch = std::exchange(this->completions, {})]() mutable {
+      for (Completion& completion : batch) {
+        completion.callback(std::move(completion.result));
+      }
     });
   }
 
@@ -530,6 +557,7 @@
   std::unordered_map<std::string, std::chrono::steady_clock::time_point>
       retired_at;
   std::unordered_map<CURL*, std::unique_ptr<Exchange>> active;
+  std::vector<Completion> completions;
   std::unordered_map<std::string, LimitedPeer> limited_peers;  // by authority
   std::unordered_map<std::string, TrafficCounters> counters;   // by label
   std::thread thread;
--- a/Source/Core/Transport/socket_poller.cc
+++ b/Source/Core/Transport/socket_poller.cc
@@ -44,21 +44,17 @@
 }
 
 void SocketPoller::SetInterest(int socket, bool is_reading, bool is_writing) {
-  if (!is_reading && !is_writing) {
-    this->watched.erase(socket);
-    // Fails if the socket is closed already, which also ends the watch.
-    epoll_ctl(this->epoll, EPOLL_CTL_DEL, socket, nullptr);
+  const std::uint32_t wanted =
+      (is_reading ? EPOLLIN : 0U) | (is_writing ? EPOLLOUT : 0U);
+  Watch& watch = this->watches[socket];
+  watch.is_wanted = wanted != 0;
+  if (wanted == 0 || watch.registered == wanted) {
     return;
   }
-  epoll_event event = MakeEvent(
-      socket, (is_reading ? EPOLLIN : 0U) | (is_writing ? EPOLLOUT : 0U));
-  const bool is_new = this->watched.insert(socket).second;
-  if (epoll_ctl(this->epoll, is_new ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket,
-                &event) != 0) {
-    // The descriptor was closed and used again, or is still watched.
-    epoll_ctl(this->epoll, errno == ENOENT ? EPOLL_CTL_ADD : EPOLL_CTL_MOD,
-              socket, &event);
-  }
+  epoll_event event = MakeEvent(socket, wanted);
+  epoll_ctl(this->epoll, watch.registered == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD,
+            socket, &event);
+  watch.registered = wanted;
 }
 
 std::vector<SocketPoller::Event> SocketPoller::Wait(
@@ -81,6 +77,14 @@
     }
     Event event;
     event.socket = received[i].data.fd;
+    const std::unordered_map<int, Watch>::iterator watch =
+        this->watches.find(event.socket);
+    if (watch == this->watches.end() || !watch->second.is_wanted) {
+      // For example, the peer closed an idle connection.
+      epoll_ctl(this->epoll, EPOLL_CTL_DEL, event.socket, nullptr);
+      this->Forget(event.socket);
+      continue;
+    }
     event.is_readable = (received[i].events & (EPOLLIN | EPOLLHUP)) != 0;
     event.is_writable = (received[i].events & EPOLLOUT) != 0;
     event.is_failed = (received[i].events & EPOLLERR) != 0;
--- a/Source/Core/Transport/socket_poller.h
+++ b/Source/Core/Transport/socket_poller.h
@@ -1,8 +1,9 @@
 #ifndef SOURCE_CORE_TRANSPORT_SOCKET_POLLER_H_
 #define SOURCE_CORE_TRANSPORT_SOCKET_POLLER_H_
 
+#include <cstdint>
 #include <optional>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 #include "Core/Common/time.h"
@@ -27,16 +28,25 @@
   SocketPoller(const SocketPoller&) = delete;
   SocketPoller& operator=(const SocketPoller&) = delete;
 
-  // Without any interest, the socket is no longer watched.
+  // Without any interest, the socket has no events.
   void SetInterest(int socket, bool is_reading, bool is_writing);
+  // Must be called when the socket is closed.
+  void Forget(int socket) { this->watches.erase(socket); }
   // Returns when a socket has events, at `due` or after a call of Wake().
   std::vector<Event> Wait(std::optional<MonotonicTime> due);
   void Wake();
 
  private:
+  struct Watch {
+    // Events registered with epoll. They stay registered when the interest
+    // ends, since a kept connection soon has the same one again.
+    std::uint32_t registered = 0;
+    bool is_wanted = false;
+  };
+
   int epoll;
   int wakeup;
-  std::unordered_set<int> watched;
+  std::unordered_map<int, Watch> watches;  // by socket
 };
 
 }  // namespace daisyroad
