--- a/Source/Core/Site/prefix_mirror.cc
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -11,6 +11,7 @@
 
 constexpr Milliseconds kListTimeout{1000};
 constexpr Milliseconds kRetryPause{150};
+constexpr Milliseconds kFailureLineInterval{1000};
 // Wait time of the watch that fetches changes made during a listing of several
 // pages. If there are any, the store answers at once.
 constexpr Milliseconds kCatchUpWait{20};
@@ -29,6 +30,7 @@
   bool is_loaded = false;
   bool is_stopped = false;
   bool has_failed = false;
+  MonotonicTime next_failure_line;
 
   void List(const std::string& after) {
     const std::shared_ptr<State> self = this->shared_from_this();
@@ -52,11 +54,16 @@
   }
 
   void RecordFailure(const Error& error) {
-    if (!this->has_failed) {
-      this->has_failed = true;
-      CLOG(WARNING, kControlLog) << "event=mirror_lost prefix=" << this->prefix
-                                 << " error=\"" << error.ToString() << "\"";
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (this->has_failed && now < this->next_failure_line) {
+      return;
     }
+    CLOG(WARNING, kControlLog)
+        << "event=" << (this->has_failed ? "mirror_not_listed" : "mirror_lost")
+        << " prefix=" << this->prefix << " listed=" << this->listed.size()
+        << " error=\"" << error.ToString() << "\"";
+    this->has_failed = true;
+    this->next_failure_line = now + kFailureLineInterval;
   }
 
   void RecordSuccess() {
--- a/Source/UnitTests/Site/fake_revision_store.cc
+++ b/Source/UnitTests/Site/fake_revision_store.cc
@@ -48,13 +48,16 @@
                              const std::string& after,
                              Milliseconds timeout,
                              Callback<StorePage> callback) {
-  if (this->is_silent) {
+  ++this->pages;
+  const bool is_lost = this->lost_page_interval > 0 &&
+                       this->pages % this->lost_page_interval == 0;
+  if (this->is_silent || is_lost || this->page_duration > timeout) {
     this->loop->After(timeout, [callback]() {
       callback(InjectedError(Errc::kTimeout, "store.list"));
     });
     return;
   }
-  this->Respond([this, prefix, after, callback]() {
+  this->loop->After(this->page_duration, [this, prefix, after, callback]() {
     StorePage page;
     page.store_revision = this->revision;
     for (const std::pair<const std::string, StoreItem>& entry : this->items) {
--- a/Source/UnitTests/Site/fake_revision_store.h
+++ b/Source/UnitTests/Site/fake_revision_store.h
@@ -52,9 +52,12 @@
   bool loses_answers = false;  // commits are executed but not answered
   bool are_watches_suspended = false;  // watches deliver no changes
   std::size_t page_size = 1000;        // maximum number of items per page
+  Milliseconds page_duration{1};       // time until a page has arrived
+  int lost_page_interval = 0;  // every nth page does not arrive; 0: none
   std::map<std::string, StoreItem> items;
   std::map<std::string, StoreLease> lease_by_key;
   int commits = 0;
+  int pages = 0;
 
  private:
   struct Watcher {
