--- a/Source/Core/Machines/machine_planner.cc
+++ b/Source/Core/Machines/machine_planner.cc
@@ -32,9 +32,6 @@
 // Time for which a pool must have surplus machines before it releases them, as
 // long as no other pool lacks machines.
 constexpr Milliseconds kReleaseDelay{1200};
-// A pool keeps the machines that it needed during this time, because its demand
-// also seems to vanish while its scheduler does not learn of new jobs.
-constexpr Milliseconds kNeedMemory{1500};
 
 // Returns the pool with the largest deficit, or an empty name if no pool has
 // one.
@@ -223,25 +220,9 @@
                               capacity_per_machine)));
 }
 
-int MachinePlanner::RecentNeededSize(const PoolName& pool,
-                                     int needed,
-                                     MonotonicTime now) {
-  std::deque<std::pair<MonotonicTime, int>>& sizes = this->recent_sizes[pool];
-  while (!sizes.empty() && sizes.front().first + kNeedMemory <= now) {
-    sizes.pop_front();
-  }
-  sizes.emplace_back(now, needed);
-  int largest = needed;
-  for (const std::pair<MonotonicTime, int>& size : sizes) {
-    largest = std::max(largest, size.second);
-  }
-  return largest;
-}
-
 void MachinePlanner::PlanPoolSizes(Fleet* fleet, MachinePlan* plan) {
   PoolName spare;
   std::map<PoolName, int> sizes;
-  std::map<PoolName, int> recent_needs;
   std::map<PoolName, int> deficits;
   bool has_deficit = false;
   for (const std::pair<const PoolName, PoolReport>& pool : *fleet->pools) {
@@ -251,10 +232,7 @@
       const int size = static_cast<int>(fleet->up[pool.first].size()) +
                        fleet->in_transition[pool.first];
       sizes[pool.first] = size;
-      const int needed = this->NeededSize(pool.first, *fleet);
-      recent_needs[pool.first] =
-          this->RecentNeededSize(pool.first, needed, fleet->now);
-      deficits[pool.first] = needed - size;
+      deficits[pool.first] = this->NeededSize(pool.first, *fleet) - size;
       has_deficit |= deficits[pool.first] > 0;
     }
   }
@@ -279,9 +257,8 @@
     const MonotonicTime since =
         this->surplus_since.emplace(pool.first, fleet->now).first->second;
     if (has_deficit || fleet->now - since >= kReleaseDelay) {
-      const int surplus =
-          std::min(-pool.second, sizes[pool.first] - recent_needs[pool.first]);
-      this->ReleaseSurplus(pool.first, surplus, spare, &deficits, fleet, plan);
+      this->ReleaseSurplus(pool.first, -pool.second, spare, &deficits, fleet,
+                           plan);
     }
   }
 }
--- a/Source/Core/Machines/machine_planner.h
+++ b/Source/Core/Machines/machine_planner.h
@@ -2,10 +2,8 @@
 #define SOURCE_CORE_MACHINES_MACHINE_PLANNER_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <set>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -86,13 +84,9 @@
                       Fleet* fleet,
                       MachinePlan* plan);
   int NeededSize(const PoolName& pool, const Fleet& fleet) const;
-  // Returns the largest size that the pool needed recently, now included.
-  int RecentNeededSize(const PoolName& pool, int needed, MonotonicTime now);
   int HomeSize(const PoolName& pool) const;
 
   std::map<PoolName, int> home_sizes;
-  // Sizes that each pool needed recently, oldest first.
-  std::map<PoolName, std::deque<std::pair<MonotonicTime, int>>> recent_sizes;
   // Time since which each pool has had more machines than it needs.
   std::map<PoolName, MonotonicTime> surplus_since;
 };
