--- a/Source/Core/Site/site_instance.h
+++ b/Source/Core/Site/site_instance.h
@@ -25,7 +25,7 @@
 // the instance.
 struct SitePlatform {
   EventLoop* loop = nullptr;
-  HttpClient* http = nullptr;
+  HttpClient* http = nullptr;  // for calls to other instances
   RevisionStore* store = nullptr;
   RunClient* workers = nullptr;
   MachineClient* machines = nullptr;
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -378,7 +378,7 @@
       this->active.erase(handle);
       // Removing an unfinished transfer closes its connection.
       curl_multi_remove_handle(this->multi, handle);
-      this->InvokeCallback(
+      this->AddCompletion(
           exchange.get(),
           Error{Errc::kTimeout, "http." + exchange->request.method,
                 exchange->request.url,
@@ -448,7 +448,7 @@
         this->StartExchange(std::move(next));
         return;
       }
-      this->InvokeCallback(
+      this->AddCompletion(
           next.get(),
           Error{Errc::kUnavailable, "http." + next->request.method,
                 next->request.url,
@@ -486,10 +486,11 @@
     Result<HttpResponse> result =
         code == CURLE_OK ? Result<HttpResponse>(std::move(exchange->response))
                          : Result<HttpResponse>(ToError(code, *exchange));
-    this->InvokeCallback(exchange, std::move(result));
+    this->AddCompletion(exchange, std::move(result));
   }
 
-  void InvokeCallback(Exchange* exchange, Result<HttpResponse> result) {
+  // The callback runs at the next DeliverCompletions().
+  void AddCompletion(Exchange* exchange, Result<HttpResponse> result) {
     this->completions.push_back(
         Completion{std::move(exchange->callback), std::move(result)});
   }
