--- a/Source/UnitTests/Site/fake_revision_store.cc
+++ b/Source/UnitTests/Site/fake_revision_store.cc
@@ -1,5 +1,6 @@
 #include "UnitTests/Site/fake_revision_store.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -24,6 +25,40 @@
   this->loop->After(kResponseDelay, std::move(function));
 }
 
+void FakeRevisionStore::Send(const std::vector<StoreItem>& response_items,
+                             Milliseconds timeout,
+                             std::function<void()> deliver,
+                             std::function<void()> fail) {
+  std::int64_t bytes = 0;
+  for (const StoreItem& item : response_items) {
+    // Values are sent in base64.
+    bytes +=
+        static_cast<std::int64_t>(item.key.size() + item.value.size() * 4 / 3);
+  }
+  const MonotonicTime now = std::chrono::steady_clock::now();
+  if (this->link_bytes_per_second == 0) {
+    this->sent_bytes += bytes;
+    this->Respond(std::move(deliver));
+    return;
+  }
+  const MonotonicTime begin = std::max(now, this->link_free_at);
+  const MonotonicTime end =
+      begin + Milliseconds(1000 * bytes / this->link_bytes_per_second);
+  if (end <= now + timeout) {
+    this->sent_bytes += bytes;
+    this->link_free_at = end;
+    this->loop->After(end - now + kResponseDelay, std::move(deliver));
+    return;
+  }
+  this->link_free_at = std::max(begin, now + timeout);
+  this->sent_bytes +=
+      this->link_bytes_per_second *
+      std::chrono::duration_cast<Milliseconds>(this->link_free_at - begin)
+          .count() /
+      1000;
+  this->loop->After(timeout, std::move(fail));
+}
+
 void FakeRevisionStore::Get(const std::string& key,
                             Milliseconds timeout,
                             Callback<std::optional<StoreItem>> callback) {
@@ -33,15 +68,18 @@
     });
     return;
   }
-  this->Respond([this, key, callback]() {
-    const std::map<std::string, StoreItem>::const_iterator found =
-        this->items.find(key);
-    std::optional<StoreItem> item;
-    if (found != this->items.end()) {
-      item = found->second;
-    }
-    callback(Result<std::optional<StoreItem>>(item));
-  });
+  const std::map<std::string, StoreItem>::const_iterator found =
+      this->items.find(key);
+  std::optional<StoreItem> item;
+  std::vector<StoreItem> sent;
+  if (found != this->items.end()) {
+    item = found->second;
+    sent.push_back(found->second);
+  }
+  this->Send(
+      sent, timeout,
+      [item, callback]() { callback(Result<std::optional<StoreItem>>(item)); },
+      [callback]() { callback(InjectedError(Errc::kTimeout, "store.get")); });
 }
 
 void FakeRevisionStore::List(const std::string& prefix,
@@ -57,7 +95,8 @@
     });
     return;
   }
-  this->loop->After(this->page_duration, [this, prefix, after, callback]() {
+  this->loop->After(this->page_duration, [this, prefix, after, timeout,
+                                          callback]() {
     StorePage page;
     page.store_revision = this->revision;
     for (const std::pair<const std::string, StoreItem>& entry : this->items) {
@@ -70,7 +109,11 @@
       }
       page.items.push_back(entry.second);
     }
-    callback(page);
+    this->Send(
+        page.items, timeout, [page, callback]() { callback(page); },
+        [callback]() {
+          callback(InjectedError(Errc::kTimeout, "store.list"));
+        });
   });
 }
 
@@ -145,7 +188,7 @@
       conflict.items.push_back(found->second);
     }
   }
-  if (holds) {
+  if (holds && transaction.writes.size() + transaction.deletions.size() > 0) {
     ++this->revision;
     for (const StoreWrite& write : transaction.writes) {
       this->items[write.key] =
@@ -162,10 +205,18 @@
     fail();
     return;
   }
+  if (!holds) {
+    this->Send(
+        conflict.items, timeout,
+        [conflict, callback]() { callback(TransactionResult(conflict)); },
+        [callback]() {
+          callback(InjectedError(Errc::kTimeout, "store.commit"));
+        });
+    return;
+  }
   const TransactionCommitted committed{this->revision};
-  this->Respond([this, holds, conflict, committed, callback]() {
-    callback(holds ? Result<TransactionResult>(TransactionResult(committed))
-                   : Result<TransactionResult>(TransactionResult(conflict)));
+  this->Respond([this, committed, callback]() {
+    callback(TransactionResult(committed));
     this->NotifyWatchers();
   });
 }
--- a/Source/UnitTests/Site/fake_revision_store.h
+++ b/Source/UnitTests/Site/fake_revision_store.h
@@ -54,6 +54,10 @@
   std::size_t page_size = 1000;        // maximum number of items per page
   Milliseconds page_duration{1};       // time until a page has arrived
   int lost_page_interval = 0;  // every nth page does not arrive; 0: none
+  // Bandwidth of the link to the client, which carries one response after the
+  // other; 0: unlimited. Only responses with items take time.
+  std::int64_t link_bytes_per_second = 0;
+  std::int64_t sent_bytes = 0;  // of items
   std::map<std::string, StoreItem> items;
   std::map<std::string, StoreLease> lease_by_key;
   int commits = 0;
@@ -69,12 +73,19 @@
   };
 
   void Respond(std::function<void()> function);
+  // Sends a response with items over the link. Calls `fail` instead if it does
+  // not arrive within the timeout; the link is free from then on.
+  void Send(const std::vector<StoreItem>& response_items,
+            Milliseconds timeout,
+            std::function<void()> deliver,
+            std::function<void()> fail);
   // Expires the lease after its duration unless it is renewed before.
   void ScheduleExpiry(StoreLease lease);
   void RecordChange(const StoreChange& change);
   void NotifyWatchers();
 
   EventLoop* loop;
+  MonotonicTime link_free_at;
   std::int64_t revision = 10;
   std::int64_t history_begins = 0;
   StoreLease next_lease = 1;
