Site: transfer the declaration only when it has changed

Cause: each instance read all operators' entries twice a second, whether they had changed or not, with a timeout of 0.7 s and without waiting for the read before. When operators had added 2,800 queues, a read took longer than 0.7 s over a link of 10 Mbit/s. Every read was given up and begun again, the copies filled the link, and neither the declaration nor the keys were confirmed again: the instance refused every request with a key.

Evidence: store_lost on exactly the 28 instances with slow links, 1.1 s after the operators' change, and no store_regained; their links full (1,168 KB/s) for 87 s; declaration 9 in force there, 21 on the large ones. Ruled out: slow answers (6% of the processor, no call of the store unanswered) and lost records.

Change: OperatorReader confirms the revision of the declaration by a transaction that changes nothing; the store answers with the declaration only if it is another one. One read in progress at a time, and a read that times out is repeated with twice the timeout (GrowingTimeout, shared with the mirror).

--- a/Source/Core/Site/prefix_mirror.cc
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/Common/growing_timeout.h"
 #include "Core/Common/logging.h"
 #include "Core/Transport/event_loop.h"
 
@@ -32,11 +33,11 @@
   bool is_stopped = false;
   bool has_failed = false;
   MonotonicTime next_failure_line;
-  Milliseconds list_timeout = kListTimeout;
+  GrowingTimeout list_timeout{kListTimeout, kMaxListTimeout};
 
   void List(const std::string& after) {
     const std::shared_ptr<State> self = this->shared_from_this();
-    this->store->List(this->prefix, after, this->list_timeout,
+    this->store->List(this->prefix, after, this->list_timeout.value(),
                       [self, after](const Result<StorePage>& page) {
                         self->OnPage(after, page);
                       });
@@ -46,9 +47,7 @@
   // are kept, so that a listing of many pages ends even if some are late.
   void RetryPage(const std::string& after, const Error& error) {
     this->RecordFailure(error);
-    if (error.code == Errc::kTimeout) {
-      this->list_timeout = std::min(2 * this->list_timeout, kMaxListTimeout);
-    }
+    this->list_timeout.OnError(error);
     const std::shared_ptr<State> self = this->shared_from_this();
     this->loop->After(kRetryPause, [self, after]() {
       if (!self->is_stopped) {
@@ -170,7 +169,7 @@
       }
     }
     this->items = std::exchange(this->listed, {});
-    this->list_timeout = kListTimeout;
+    this->list_timeout.OnSuccess();
     this->is_loaded = true;
     this->listener(changes);
   }
--- a/Source/Core/Site/site_codec.h
+++ b/Source/Core/Site/site_codec.h
@@ -19,9 +19,12 @@
   virtual ~SiteCodec() = default;
 
   virtual std::string OperatorPrefix() const = 0;
-  // Updates `state` from all items below the prefix. Unchanged items keep their
-  // decoded form. Items that cannot be decoded are logged, and their previous
-  // state is kept.
+  // Key of the declaration. It sorts before all other operators' entries that
+  // have a meaning here.
+  virtual std::string ConfigKey() const = 0;
+  // Updates `state` from all items below the prefix. The declaration may be
+  // omitted if it has not changed. Items that cannot be decoded are logged, and
+  // their previous state is kept.
   virtual void DecodeOperator(const std::vector<StoreItem>& items,
                               OperatorState* state) = 0;
 
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -12,6 +12,7 @@
 #include "Core/Site/fleet_leader.h"
 #include "Core/Site/job_service.h"
 #include "Core/Site/leadership.h"
+#include "Core/Site/operator_reader.h"
 #include "Core/Site/pool_leader.h"
 #include "Core/Site/pool_load_codec.h"
 #include "Core/Site/prefix_mirror.h"
@@ -27,10 +28,6 @@
 namespace daisyroad {
 namespace {
 
-// How often the operators' entries are read. Unlike a watch without events, a
-// read also confirms how recent the keys are.
-constexpr Milliseconds kOperatorInterval{500};
-constexpr Milliseconds kOperatorTimeout{700};
 constexpr Milliseconds kFailureLineInterval{1000};
 constexpr Milliseconds kSiteWatchWait{2000};
 // Part of the grace period still left when the process exits on its own.
@@ -104,7 +101,20 @@
             &this->rpc_client,
             &this->leadership,
             [this](const PoolName& pool) { return this->FindLeader(pool); },
-            settings.key_withdrawal) {}
+            settings.key_withdrawal),
+        operator_reader(platform.store,
+                        platform.loop,
+                        platform.codec->ConfigKey(),
+                        platform.codec->OperatorPrefix(),
+                        OperatorReader::Listener{
+                            [this](const std::vector<StoreItem>& items,
+                                   BootClock::time_point confirmed_at) {
+                              this->RecordOperatorReadResult("");
+                              this->AdoptOperators(items, confirmed_at);
+                            },
+                            [this](const Error& error) {
+                              this->RecordOperatorReadResult(error.ToString());
+                            }}) {}
 
   Status Run(HttpHandler callers) {
     this->AddMethods();
@@ -142,7 +152,7 @@
     this->site_mirror.Start();
     this->workers.Start();
     this->leadership.Start();
-    this->ReadOperators();
+    this->operator_reader.Start();
     this->platform.loop->Run();
     this->callers_server.Stop();
     this->readiness_server.Stop();
@@ -166,6 +176,7 @@
   WorkerDirectory workers;
   Leadership leadership;
   JobService jobs;
+  OperatorReader operator_reader;
   std::function<void(const SiteConfig&)> config_listener;
   std::function<Result<SiteSettings>()> reload;
 
@@ -240,36 +251,6 @@
         [this]() { this->platform.loop->Stop(); });
   }
 
-  void ReadOperators() {
-    const BootClock::time_point requested_at = BootClock::now();
-    this->ReadOperatorPage("", requested_at, std::make_shared<OperatorItems>());
-    this->platform.loop->After(kOperatorInterval,
-                               [this]() { this->ReadOperators(); });
-  }
-
-  using OperatorItems = std::vector<StoreItem>;
-
-  void ReadOperatorPage(const std::string& after,
-                        BootClock::time_point requested_at,
-                        const std::shared_ptr<OperatorItems>& items) {
-    this->platform.store->List(
-        this->platform.codec->OperatorPrefix(), after, kOperatorTimeout,
-        [this, requested_at, items](const Result<StorePage>& page) {
-          this->RecordOperatorReadResult(page.ok() ? ""
-                                                   : page.error().ToString());
-          if (!page.ok()) {
-            return;
-          }
-          items->insert(items->end(), page.value().items.begin(),
-                        page.value().items.end());
-          if (page.value().has_more && !page.value().items.empty()) {
-            this->ReadOperatorPage(items->back().key, requested_at, items);
-          } else {
-            this->AdoptOperators(*items, requested_at);
-          }
-        });
-  }
-
   void RecordOperatorReadResult(const std::string& error) {
     ++this->platform.metrics->Counter(
         "daisyroad_operator_reads_total",
@@ -304,17 +285,12 @@
         << "\"";
   }
 
-  void AdoptOperators(const OperatorItems& items,
-                      BootClock::time_point requested_at) {
+  void AdoptOperators(const std::vector<StoreItem>& items,
+                      BootClock::time_point confirmed_at) {
     const std::int64_t version =
         this->operators.config ? this->operators.config->version : 0;
-    // Reads may complete out of order; a late one must not undo a newer one.
-    if (requested_at < this->operators_requested_at) {
-      return;
-    }
-    this->operators_requested_at = requested_at;
     this->platform.codec->DecodeOperator(items, &this->operators);
-    this->jobs.SetOperatorState(this->operators, requested_at);
+    this->jobs.SetOperatorState(this->operators, confirmed_at);
     if (!this->operators.config) {
       return;
     }
@@ -456,7 +432,6 @@
   HttpServer readiness_server;
   HttpServer callers_server;
   OperatorState operators;
-  BootClock::time_point operators_requested_at;
   std::map<std::string, std::unique_ptr<PoolLeader>> leaders;
   std::unique_ptr<FleetLeader> fleet_leader;
   bool is_operator_state_current = false;
--- a/Source/UnitTests/Site/large_declaration_test.cc
+++ b/Source/UnitTests/Site/large_declaration_test.cc
@@ -35,6 +35,7 @@
 class FakeCodec : public SiteCodec {
  public:
   std::string OperatorPrefix() const override { return "op/"; }
+  std::string ConfigKey() const override { return kConfigKey; }
   void DecodeOperator(const std::vector<StoreItem>& items,
                       OperatorState* state) override {
     for (const StoreItem& item : items) {
--- a/Source/UnitTests/Site/worker_directory_test.cc
+++ b/Source/UnitTests/Site/worker_directory_test.cc
@@ -14,6 +14,7 @@
 class FakeCodec : public SiteCodec {
  public:
   std::string OperatorPrefix() const override { return "op/"; }
+  std::string ConfigKey() const override { return "op/config"; }
   void DecodeOperator(const std::vector<StoreItem>&, OperatorState*) override {}
   std::string WorkerPrefix() const override { return "worker/"; }
   Result<WorkerListing> DecodeWorker(const std::string& key,
