--- a/Source/UnitTests/Site/large_declaration_test.cc
+++ b/Source/UnitTests/Site/large_declaration_test.cc
@@ -6,13 +6,13 @@
 #include <vector>
 
 #include "Core/Common/metrics_registry.h"
-#include "Core/Platform/machine_client.h"
 #include "Core/Site/job_service.h"
 #include "Core/Site/site_codec.h"
 #include "Core/Site/site_instance.h"
 #include "Core/Transport/event_loop.h"
 #include "Core/Transport/http_client.h"
 #include "UnitTests/Site/fake_revision_store.h"
+#include "UnitTests/Site/no_machines.h"
 
 namespace daisyroad {
 namespace {
@@ -58,22 +58,6 @@
   std::int64_t revision = 0;
 };
 
-class NoMachines : public MachineClient {
- public:
-  void List(
-      std::function<void(Result<std::vector<Machine>>)> callback) override {
-    callback(std::vector<Machine>());
-  }
-  void Move(const MachineName&,
-            const PoolName&,
-            std::int64_t,
-            std::function<void(Result<MachineOrderOutcome>)>) override {}
-  void Upkeep(const MachineName&,
-              std::int64_t,
-              std::int64_t,
-              std::function<void(Result<MachineOrderOutcome>)>) override {}
-};
-
 SiteSettings LoopbackSettings() {
   SiteSettings settings;
   settings.node = "one";
