Site: a late read of the workers is waited for longer, one at a time

What callers would see: a pool whose scheduler knows no workers, on an instance whose link carries a page of entries in more than 0.7 s.

Reads of the workers began every 0.25 s beside those in progress, each with the same timeout, so that on a slow link none of them ended.

Change: one read at a time, and a timeout that doubles up to 4 s.

--- a/Source/Core/Site/worker_directory.cc
+++ b/Source/Core/Site/worker_directory.cc
@@ -16,6 +16,7 @@
 constexpr Milliseconds kInterval{250};
 constexpr std::chrono::microseconds kIntervalPerEntry{1500};
 constexpr Milliseconds kTimeout{700};
+constexpr Milliseconds kMaxTimeout{4000};
 
 }  // namespace
 
@@ -23,7 +24,11 @@
                                  EventLoop* loop,
                                  SiteCodec* codec,
                                  Listener listener)
-    : store(store), loop(loop), codec(codec), listener(std::move(listener)) {}
+    : store(store),
+      loop(loop),
+      codec(codec),
+      listener(std::move(listener)),
+      timeout(kTimeout, kMaxTimeout) {}
 
 void WorkerDirectory::Start() {
   this->loop->After(
@@ -35,6 +40,10 @@
 }
 
 void WorkerDirectory::Refresh() {
+  if (this->is_reading) {
+    return;
+  }
+  this->is_reading = true;
   this->ReadPage("", std::make_shared<std::vector<StoreItem>>());
 }
 
@@ -42,17 +51,21 @@
     const std::string& after,
     const std::shared_ptr<std::vector<StoreItem>>& items) {
   this->store->List(
-      this->codec->WorkerPrefix(), after, kTimeout,
+      this->codec->WorkerPrefix(), after, this->timeout.value(),
       [this, items](const Result<StorePage>& page) {
         this->RecordReadResult(page.ok() ? "" : page.error().ToString());
         if (!page.ok()) {
+          this->timeout.OnError(page.error());
+          this->is_reading = false;
           return;
         }
+        this->timeout.OnSuccess();
         items->insert(items->end(), page.value().items.begin(),
                       page.value().items.end());
         if (page.value().has_more && !page.value().items.empty()) {
           this->ReadPage(items->back().key, items);
         } else {
+          this->is_reading = false;
           this->Adopt(*items);
         }
       });
--- a/Source/Core/Site/worker_directory.h
+++ b/Source/Core/Site/worker_directory.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "Core/Common/growing_timeout.h"
 #include "Core/Common/identifiers.h"
 #include "Core/Common/result.h"
 #include "Core/Common/time.h"
@@ -42,6 +43,7 @@
 
   // Reads the entries now and at regular intervals from then on.
   void Start();
+  // Reads the entries now, unless a read is in progress.
   void Refresh();
 
   const Workers& workers() const { return this->listed; }
@@ -65,6 +67,8 @@
   EventLoop* loop;
   SiteCodec* codec;
   Listener listener;
+  GrowingTimeout timeout;
+  bool is_reading = false;
   Workers listed;
   // The entries of the last read by key, kept because most do not change until
   // the next one and need not be decoded again.
