Site: a term waits longer for progress that is late

What callers would see: a pool without a scheduler for good, on an instance whose link carries a page of progress in more than 1.5 s.

A page of progress, or the record of the workers, that was late was requested again with the same timeout.

Change: the timeout doubles up to 6 s and starts over with each page received.

--- a/Source/Core/Site/pool_leader_store.cc
+++ b/Source/Core/Site/pool_leader_store.cc
@@ -13,7 +13,6 @@
 namespace daisyroad {
 namespace {
 
-constexpr Milliseconds kListTimeout{1500};
 constexpr Milliseconds kSaveTimeout{600};
 constexpr Milliseconds kRetryPause{150};
 // A transaction has one expectation for the record of the term, plus one
@@ -31,12 +30,13 @@
 void PoolLeader::State::LoadProgress(const std::string& after) {
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.store->List(
-      ProgressPrefix(this->pool), after, kListTimeout,
+      ProgressPrefix(this->pool), after, this->load_timeout.value(),
       [self, after](const Result<StorePage>& page) {
         if (self->is_stopped) {
           return;
         }
         if (!page.ok()) {
+          self->load_timeout.OnError(page.error());
           CLOG(WARNING, kTasksLog)
               << "event=progress_not_loaded pool=" << self->pool << " error=\""
               << page.error().ToString() << "\"";
@@ -44,6 +44,7 @@
               kRetryPause, [self, after]() { self->LoadProgress(after); });
           return;
         }
+        self->load_timeout.OnSuccess();
         self->AdoptProgress(page.value());
       });
 }
--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -15,7 +15,6 @@
 namespace daisyroad {
 namespace {
 
-constexpr Milliseconds kListTimeout{1500};
 constexpr Milliseconds kSaveTimeout{600};
 constexpr Milliseconds kRetryPause{150};
 constexpr Milliseconds kMachineCheckInterval{400};
@@ -38,12 +37,13 @@
 void PoolLeader::State::LoadWorkers() {
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.store->Get(
-      WorkersKey(this->pool), kListTimeout,
+      WorkersKey(this->pool), this->load_timeout.value(),
       [self](const Result<std::optional<StoreItem>>& item) {
         if (self->is_stopped) {
           return;
         }
         if (!item.ok()) {
+          self->load_timeout.OnError(item.error());
           CLOG(WARNING, kTasksLog)
               << "event=workers_not_loaded pool=" << self->pool << " error=\""
               << item.error().ToString() << "\"";
@@ -51,6 +51,7 @@
                                     [self]() { self->LoadWorkers(); });
           return;
         }
+        self->load_timeout.OnSuccess();
         if (item.value()) {
           self->AdoptWorkers(*item.value());
         }
