Site: answer questions and cancellations before the caller's deadline

What callers would see: a question or a cancellation that ends without an answer although it was received in time.

Cause: the reads and writes behind an answer had timeouts of their own (0.5 s for the scheduler, 0.6 s for each of two reads, 0.7 s for each write), whatever deadline the caller had set.

Change: no timeout goes beyond the deadline less the time for the answer; a scheduler is given at most half of what is left, so that the store can still be asked.

--- a/Source/Core/Site/job_service.cc
+++ b/Source/Core/Site/job_service.cc
@@ -18,7 +18,7 @@
 
 constexpr Milliseconds kCommitTimeout{700};
 // A request close to its deadline still gets one attempt.
-constexpr Milliseconds kMinCommitTimeout{50};
+constexpr Milliseconds kMinTimeout{50};
 constexpr Milliseconds kReadTimeout{600};
 constexpr Milliseconds kPeerTimeout{500};
 constexpr Milliseconds kRetryPause{60};
@@ -34,6 +34,12 @@
   return std::chrono::steady_clock::now();
 }
 
+// `longest`, but not beyond the deadline.
+Milliseconds TimeoutWithin(MonotonicTime deadline, Milliseconds longest) {
+  return std::clamp(std::chrono::duration_cast<Milliseconds>(deadline - Now()),
+                    kMinTimeout, longest);
+}
+
 // Whether the failed call certainly changed nothing, so that the request can be
 // answered as refused.
 bool HadNoEffect(const Error& error) {
@@ -210,10 +216,8 @@
   StoreTransaction transaction;
   transaction.expected.push_back({key, 0});
   transaction.writes.push_back({key, WriteJson(ToJson(job)), 0});
-  const Milliseconds left =
-      std::chrono::duration_cast<Milliseconds>(deadline - Now());
   this->store->Commit(
-      transaction, std::clamp(left, kMinCommitTimeout, kCommitTimeout),
+      transaction, TimeoutWithin(deadline, kCommitTimeout),
       [this, job, deadline, is_first,
        callback](const Result<TransactionResult>& result) {
         if (result.ok()) {
@@ -261,7 +265,7 @@
     return;
   }
   this->store->Get(
-      JobKey(pool, job), kReadTimeout,
+      JobKey(pool, job), TimeoutWithin(deadline, kReadTimeout),
       [this, pool, job, deadline,
        callback](const Result<std::optional<StoreItem>>& item) {
         if (!item.ok()) {
@@ -282,7 +286,7 @@
   StoreTransaction transaction;
   transaction.writes.push_back({CancelKey(pool, job), "", 0});
   this->store->Commit(
-      transaction, kCommitTimeout,
+      transaction, TimeoutWithin(deadline, kCommitTimeout),
       [this, pool, job, deadline,
        callback](const Result<TransactionResult>& result) {
         if (result.ok()) {
@@ -308,27 +312,31 @@
   }
   const PoolName pool = admission.queue.pool;
   const JobId job = request.job;
+  const MonotonicTime deadline = request.deadline - kAnswerReserve;
   const PoolLeader* const leader = this->find_leader(pool);
   if (leader != nullptr) {
     const std::optional<JobStatus> status = leader->StatusOf(job);
     if (status) {
       callback(JobStatusAnswer{*status});
     } else {
-      this->ReadProgressStatus(pool, job, callback);
+      this->ReadProgressStatus(pool, job, deadline, callback);
     }
     return;
   }
   const std::string peer = this->leadership->LeaderAddress(PoolDuty(pool));
   if (peer.empty()) {
-    this->ReadProgressStatus(pool, job, callback);
+    this->ReadProgressStatus(pool, job, deadline, callback);
     return;
   }
   Json::Value params;
   params["pool"] = pool.str();
   params["job"] = job.str();
+  // If the scheduler does not answer, the store is asked in the time left.
+  const MonotonicTime scheduler_deadline = Now() + (deadline - Now()) / 2;
   this->peers->Call(
-      peer, "job.status", params, kPeerTimeout,
-      [this, pool, job, callback](const Result<Json::Value>& result) {
+      peer, "job.status", params,
+      TimeoutWithin(scheduler_deadline, kPeerTimeout),
+      [this, pool, job, deadline, callback](const Result<Json::Value>& result) {
         std::optional<JobStatus> status;
         if (result.ok() && result.value().isObject() &&
             result.value()["status"].isString()) {
@@ -337,17 +345,18 @@
         if (status) {
           callback(JobStatusAnswer{*status});
         } else {
-          this->ReadProgressStatus(pool, job, callback);
+          this->ReadProgressStatus(pool, job, deadline, callback);
         }
       });
 }
 
 void JobService::ReadProgressStatus(const PoolName& pool,
                                     const JobId& job,
+                                    MonotonicTime deadline,
                                     const Callback& callback) {
   this->store->Get(
-      ProgressKey(pool, job), kReadTimeout,
-      [this, pool, job,
+      ProgressKey(pool, job), TimeoutWithin(deadline, kReadTimeout),
+      [this, pool, job, deadline,
        callback](const Result<std::optional<StoreItem>>& item) {
         if (!item.ok()) {
           LogUnanswered("status", job, item.error());
@@ -367,15 +376,16 @@
             return;
           }
         }
-        this->ReadAcceptedStatus(pool, job, callback);
+        this->ReadAcceptedStatus(pool, job, deadline, callback);
       });
 }
 
 void JobService::ReadAcceptedStatus(const PoolName& pool,
                                     const JobId& job,
+                                    MonotonicTime deadline,
                                     const Callback& callback) {
   this->store->Get(
-      JobKey(pool, job), kReadTimeout,
+      JobKey(pool, job), TimeoutWithin(deadline, kReadTimeout),
       [job, callback](const Result<std::optional<StoreItem>>& item) {
         if (!item.ok()) {
           LogUnanswered("status", job, item.error());
@@ -411,7 +421,8 @@
   params["pool"] = pool.str();
   params["queue"] = request.queue.str();
   this->peers->Call(
-      peer, "queue.pending", params, kPeerTimeout,
+      peer, "queue.pending", params,
+      TimeoutWithin(request.deadline - kAnswerReserve, kPeerTimeout),
       [callback](const Result<Json::Value>& result) {
         if (result.ok() && result.value().isObject() &&
             result.value()["jobs"].isInt()) {
--- a/Source/Core/Site/job_service.h
+++ b/Source/Core/Site/job_service.h
@@ -81,9 +81,11 @@
                  const Callback& callback);
   void ReadProgressStatus(const PoolName& pool,
                           const JobId& job,
+                          MonotonicTime deadline,
                           const Callback& callback);
   void ReadAcceptedStatus(const PoolName& pool,
                           const JobId& job,
+                          MonotonicTime deadline,
                           const Callback& callback);
   void WriteCancel(const PoolName& pool,
                    const JobId& job,
