Site: a lost confirmation of the declaration does not age the keys

What callers would see: 503 for some seconds from an instance whose store loses the answers of writes.

Cause: since the declaration is confirmed by a transaction, which such a store counts as a write. Its timeout of 2 s, doubled with each lost answer, was longer than the keys may age.

Evidence: a store that loses the answers of all transactions: the keys were too old in 64 of the checks, one in 50 ms, of 8 s.

Change: a confirmation is given 400 ms; after that the declaration is read, which no lost write affects and which waits for a large answer.

--- a/Source/Core/Site/operator_reader.cc
+++ b/Source/Core/Site/operator_reader.cc
@@ -17,6 +17,9 @@
 constexpr Milliseconds kListInterval{1000};
 // Pause after a read that took longer than the interval.
 constexpr Milliseconds kMinPause{20};
+// A confirmation without the declaration arrives within milliseconds, or within
+// 200 ms from a store that is slow.
+constexpr Milliseconds kConfirmationTimeout{400};
 // The largest declaration takes 1.2 s over a link of 10 Mbit/s.
 constexpr Milliseconds kConfigTimeout{2000};
 constexpr Milliseconds kMaxConfigTimeout{8000};
@@ -40,6 +43,7 @@
   BootClock::time_point confirmed_at;
   GrowingTimeout config_timeout{kConfigTimeout, kMaxConfigTimeout};
   GrowingTimeout list_timeout{kListTimeout, kMaxListTimeout};
+  bool is_confirmation_lost = false;  // the last one got no answer
   bool is_stopped = false;
 
   // Runs the function at `time`, unless stopped by then.
@@ -54,11 +58,6 @@
                       });
   }
 
-  void Fail(const Error& error, GrowingTimeout* timeout) {
-    timeout->OnError(error);
-    this->listener.on_failure(error);
-  }
-
   void Publish() {
     if (this->config_revision == 0 || !this->others) {
       return;
@@ -70,47 +69,65 @@
     this->listener.on_read(items, this->confirmed_at);
   }
 
+  // Confirms the declaration, or reads it if it is not known or the last
+  // confirmation got no answer.
   void ReadConfig() {
     const MonotonicTime begun = std::chrono::steady_clock::now();
+    if (this->config_revision == 0 || this->is_confirmation_lost) {
+      this->GetConfig(begun);
+    } else {
+      this->ConfirmConfig(begun);
+    }
+  }
+
+  void GetConfig(MonotonicTime begun) {
     const BootClock::time_point requested_at = BootClock::now();
     const std::shared_ptr<State> self = this->shared_from_this();
-    if (this->config_revision == 0) {
-      this->store->Get(this->config_key, this->config_timeout.value(),
-                       [self, begun, requested_at](
-                           const Result<std::optional<StoreItem>>& item) {
-                         if (self->is_stopped) {
-                           return;
-                         }
-                         if (!item.ok()) {
-                           self->Fail(item.error(), &self->config_timeout);
-                         } else if (item.value()) {
-                           self->AdoptConfig(*item.value(), requested_at);
-                         }
-                         self->Schedule(begun + kConfigInterval,
-                                        [self]() { self->ReadConfig(); });
-                       });
-      return;
-    }
-    // A transaction that changes nothing: the answer has the declaration only
-    // if its revision is another one.
+    this->store->Get(this->config_key, this->config_timeout.value(),
+                     [self, begun, requested_at](
+                         const Result<std::optional<StoreItem>>& item) {
+                       if (self->is_stopped) {
+                         return;
+                       }
+                       if (!item.ok()) {
+                         self->config_timeout.OnError(item.error());
+                         self->listener.on_failure(item.error());
+                       } else if (item.value()) {
+                         self->config_timeout.OnSuccess();
+                         self->is_confirmation_lost = false;
+                         self->AdoptConfig(*item.value(), requested_at);
+                       }
+                       self->Schedule(begun + kConfigInterval,
+                                      [self]() { self->ReadConfig(); });
+                     });
+  }
+
+  // A transaction that changes nothing: the answer has the declaration only if
+  // its revision is another one.
+  void ConfirmConfig(MonotonicTime begun) {
     StoreTransaction confirmation;
     confirmation.expected.push_back({this->config_key, this->config_revision});
+    const BootClock::time_point requested_at = BootClock::now();
+    const std::shared_ptr<State> self = this->shared_from_this();
     this->store->Commit(
-        confirmation, this->config_timeout.value(),
+        confirmation, kConfirmationTimeout,
         [self, begun, requested_at](const Result<TransactionResult>& result) {
           if (self->is_stopped) {
             return;
           }
           self->OnConfirmation(result, requested_at);
-          self->Schedule(begun + kConfigInterval,
-                         [self]() { self->ReadConfig(); });
+          // The answer may have been lost, or be too large for the timeout.
+          self->is_confirmation_lost = !result.ok();
+          self->Schedule(
+              self->is_confirmation_lost ? begun : begun + kConfigInterval,
+              [self]() { self->ReadConfig(); });
         });
   }
 
   void OnConfirmation(const Result<TransactionResult>& result,
                       BootClock::time_point requested_at) {
     if (!result.ok()) {
-      this->Fail(result.error(), &this->config_timeout);
+      this->listener.on_failure(result.error());
       return;
     }
     const TransactionConflict* const conflict =
@@ -125,19 +142,20 @@
         return;
       }
     }
-    this->Fail(Error{Errc::kNotFound, "operators.read", this->config_key,
-                     "the declaration is missing in the store"},
-               &this->config_timeout);
+    this->listener.on_failure(Error{Errc::kNotFound, "operators.read",
+                                    this->config_key,
+                                    "the declaration is missing in the store"});
   }
 
   void AdoptConfig(const StoreItem& item, BootClock::time_point requested_at) {
-    this->config_revision = item.revision;
-    this->new_config = item;
+    if (item.revision != this->config_revision) {
+      this->config_revision = item.revision;
+      this->new_config = item;
+    }
     this->Confirm(requested_at);
   }
 
   void Confirm(BootClock::time_point requested_at) {
-    this->config_timeout.OnSuccess();
     this->confirmed_at = requested_at;
     this->Publish();
   }
@@ -158,7 +176,8 @@
             return;
           }
           if (!page.ok()) {
-            self->Fail(page.error(), &self->list_timeout);
+            self->list_timeout.OnError(page.error());
+            self->listener.on_failure(page.error());
             self->Schedule(begun + kListInterval,
                            [self]() { self->ListOthers(); });
             return;
--- a/Source/UnitTests/Site/large_declaration_test.cc
+++ b/Source/UnitTests/Site/large_declaration_test.cc
@@ -140,5 +140,16 @@
   CHECK(slow.store.sent_bytes < 2 * 50'000 * 4 / 3);
 }
 
+// Guards against instances that refuse all callers while the store loses the
+// answers of transactions.
+TEST_CASE("Keys stay fresh while the answers of transactions are lost") {
+  SlowLinkInstance slow;
+  slow.store.Put(kConfigKey, Declaration(1, 50'000));
+  slow.At(Milliseconds(2000), [&slow]() { slow.store.loses_answers = true; });
+  slow.WatchKeysFrom(Milliseconds(1000));
+  slow.RunFor(Milliseconds(9000));
+  CHECK(slow.stale_checks == 0);
+}
+
 }  // namespace
 }  // namespace daisyroad
