--- a/Source/UnitTests/Site/fake_revision_store.cc
+++ b/Source/UnitTests/Site/fake_revision_store.cc
@@ -9,8 +9,6 @@
 namespace daisyroad {
 namespace {
 
-constexpr Milliseconds kResponseDelay{1};
-
 Error InjectedError(Errc code, const std::string& step) {
   return Error{code, step, "fake store", "set by the test"};
 }
@@ -22,7 +20,7 @@
 }
 
 void FakeRevisionStore::Respond(std::function<void()> function) {
-  this->loop->After(kResponseDelay, std::move(function));
+  this->loop->After(this->response_delay, std::move(function));
 }
 
 void FakeRevisionStore::Send(const std::vector<StoreItem>& response_items,
@@ -35,6 +33,10 @@
     bytes +=
         static_cast<std::int64_t>(item.key.size() + item.value.size() * 4 / 3);
   }
+  if (this->response_delay > timeout) {
+    this->loop->After(timeout, std::move(fail));
+    return;
+  }
   const MonotonicTime now = std::chrono::steady_clock::now();
   if (this->link_bytes_per_second == 0) {
     this->sent_bytes += bytes;
@@ -47,7 +49,7 @@
   if (end <= now + timeout) {
     this->sent_bytes += bytes;
     this->link_free_at = end;
-    this->loop->After(end - now + kResponseDelay, std::move(deliver));
+    this->loop->After(end - now + this->response_delay, std::move(deliver));
     return;
   }
   this->link_free_at = std::max(begin, now + timeout);
@@ -215,10 +217,15 @@
     return;
   }
   const TransactionCommitted committed{this->revision};
-  this->Respond([this, committed, callback]() {
-    callback(TransactionResult(committed));
-    this->NotifyWatchers();
-  });
+  this->Send(
+      {}, timeout,
+      [this, committed, callback]() {
+        callback(TransactionResult(committed));
+        this->NotifyWatchers();
+      },
+      [callback]() {
+        callback(InjectedError(Errc::kTimeout, "store.commit"));
+      });
 }
 
 void FakeRevisionStore::GrantLease(Milliseconds duration,
--- a/Source/UnitTests/Site/fake_revision_store.h
+++ b/Source/UnitTests/Site/fake_revision_store.h
@@ -53,6 +53,7 @@
   bool are_watches_suspended = false;  // watches deliver no changes
   std::size_t page_size = 1000;        // maximum number of items per page
   Milliseconds page_duration{1};       // time until a page has arrived
+  Milliseconds response_delay{1};      // until a response begins to arrive
   int lost_page_interval = 0;  // every nth page does not arrive; 0: none
   // Bandwidth of the link to the client, which carries one response after the
   // other; 0: unlimited. Only responses with items take time.
--- a/Source/UnitTests/Site/large_declaration_test.cc
+++ b/Source/UnitTests/Site/large_declaration_test.cc
@@ -23,6 +23,7 @@
 constexpr std::size_t kLargestValueBytes = 1 << 20;
 // Time until a declaration is in force.
 constexpr Milliseconds kInForceLimit{3000};
+constexpr Milliseconds kSiteInForceLimit{2000};  // the same at small sites
 constexpr char kConfigKey[] = "op/config";
 
 std::string Declaration(std::int64_t version, std::size_t bytes) {
@@ -96,6 +97,10 @@
       });
     });
   }
+  void SilenceStore(Milliseconds begin, Milliseconds duration) {
+    this->At(begin, [this]() { this->store.is_silent = true; });
+    this->At(begin + duration, [this]() { this->store.is_silent = false; });
+  }
   void RunFor(Milliseconds duration) {
     this->At(duration, [this]() { this->loop.Stop(); });
     const Status status =
@@ -140,6 +145,41 @@
   CHECK(slow.store.sent_bytes < 2 * 50'000 * 4 / 3);
 }
 
+// Guards against reads whose timeout, made longer for large declarations,
+// outlasts the silence of a store.
+TEST_CASE("A silent store delays keys and declaration only while it lasts") {
+  constexpr Milliseconds kShortSilence{2600};
+  constexpr Milliseconds kLongSilence{9000};
+  SlowLinkInstance brief;
+  brief.store.Put(kConfigKey, Declaration(1, 50'000));
+  brief.WatchKeysFrom(Milliseconds(1000));
+  brief.SilenceStore(Milliseconds(2000), kShortSilence);
+  brief.RunFor(Milliseconds(7000));
+  CHECK(brief.stale_checks == 0);
+
+  SlowLinkInstance lasting;
+  lasting.store.Put(kConfigKey, Declaration(1, 50'000));
+  lasting.SilenceStore(Milliseconds(1000), kLongSilence);
+  lasting.At(Milliseconds(1000) + kLongSilence, [&lasting]() {
+    lasting.store.Put(kConfigKey, Declaration(2, 50'000));
+  });
+  lasting.RunFor(Milliseconds(1000) + kLongSilence + kSiteInForceLimit);
+  CHECK(lasting.in_force.contains(2));
+}
+
+// Guards against a declaration that is read whole again and again because the
+// store takes longer than usual to answer.
+TEST_CASE("An unchanged declaration is not read from a slow store") {
+  SlowLinkInstance slow;
+  slow.store.Put(kConfigKey, Declaration(1, 50'000));
+  slow.At(Milliseconds(1000),
+          [&slow]() { slow.store.response_delay = Milliseconds(450); });
+  slow.WatchKeysFrom(Milliseconds(1000));
+  slow.RunFor(Milliseconds(7000));
+  CHECK(slow.stale_checks == 0);
+  CHECK(slow.store.sent_bytes < 2 * 50'000 * 4 / 3);
+}
+
 // Guards against instances that refuse all callers while the store loses the
 // answers of transactions.
 TEST_CASE("Keys stay fresh while the answers of transactions are lost") {
