Transport: a large answer is given up when it stops arriving, not after a fixed time

What callers would see: 503, and a declaration of before, for up to 5.5 s after a silence of the store is over; a link that carries the declaration again and again while the store is slow.

Cause: a fixed timeout cannot tell a large answer from a silent peer. One that is long enough for the first is too long for the second, and one that is short enough for the second repeats the first.

Change: HttpClient has a limit for the time in which no part of a response arrives. Reads of the declaration and of the other entries count apart in the log.

--- a/Source/Core/Platform/revision_store.h
+++ b/Source/Core/Platform/revision_store.h
@@ -62,8 +62,8 @@
 
 inline constexpr std::size_t kMostTransactionEntries = 32;
 
-// A watch fails with kTimeout if it is not answered within its wait time and
-// this grace period.
+// A watch fails with kTimeout if its answer does not begin to arrive within its
+// wait time and this grace period.
 inline constexpr Milliseconds kWatchGrace{500};
 
 struct TransactionCommitted {
@@ -80,7 +80,10 @@
 //
 // Errors: kUnavailable and kResourceExhausted mean that nothing was changed,
 // and kNotFound that the lease has ended. After any other error the change may
-// have been applied or may still be applied later.
+// have been applied or may still be applied later. List, Watch and Commit,
+// whose answers may be large, fail with kTimeout if no part of the answer
+// arrives for `timeout`; Get and the calls for leases fail if they take longer
+// altogether.
 class RevisionStore {
  public:
   template <typename T>
--- a/Source/Core/Site/operator_reader.cc
+++ b/Source/Core/Site/operator_reader.cc
@@ -4,7 +4,6 @@
 #include <optional>
 #include <utility>
 
-#include "Core/Common/growing_timeout.h"
 #include "Core/Transport/event_loop.h"
 
 namespace daisyroad {
@@ -17,14 +16,7 @@
 constexpr Milliseconds kListInterval{1000};
 // Pause after a read that took longer than the interval.
 constexpr Milliseconds kMinPause{20};
-// A confirmation without the declaration arrives within milliseconds, or within
-// 200 ms from a store that is slow.
-constexpr Milliseconds kConfirmationTimeout{400};
-// The largest declaration takes 1.2 s over a link of 10 Mbit/s.
-constexpr Milliseconds kConfigTimeout{2000};
-constexpr Milliseconds kMaxConfigTimeout{8000};
-constexpr Milliseconds kListTimeout{700};
-constexpr Milliseconds kMaxListTimeout{4000};
+constexpr Milliseconds kTimeout{700};
 
 }  // namespace
 
@@ -41,8 +33,9 @@
   std::optional<StoreItem> new_config;
   std::optional<std::vector<StoreItem>> others;  // empty until listed
   BootClock::time_point confirmed_at;
-  GrowingTimeout config_timeout{kConfigTimeout, kMaxConfigTimeout};
-  GrowingTimeout list_timeout{kListTimeout, kMaxListTimeout};
+  // Whether the last read of each kind succeeded.
+  bool is_config_current = false;
+  bool are_others_current = false;
   bool is_confirmation_lost = false;  // the last one got no answer
   bool is_stopped = false;
 
@@ -74,32 +67,30 @@
   void ReadConfig() {
     const MonotonicTime begun = std::chrono::steady_clock::now();
     if (this->config_revision == 0 || this->is_confirmation_lost) {
-      this->GetConfig(begun);
+      this->ListConfig(begun);
     } else {
       this->ConfirmConfig(begun);
     }
   }
 
-  void GetConfig(MonotonicTime begun) {
+  void ListConfig(MonotonicTime begun) {
     const BootClock::time_point requested_at = BootClock::now();
     const std::shared_ptr<State> self = this->shared_from_this();
-    this->store->Get(this->config_key, this->config_timeout.value(),
-                     [self, begun, requested_at](
-                         const Result<std::optional<StoreItem>>& item) {
-                       if (self->is_stopped) {
-                         return;
-                       }
-                       if (!item.ok()) {
-                         self->config_timeout.OnError(item.error());
-                         self->listener.on_failure(item.error());
-                       } else if (item.value()) {
-                         self->config_timeout.OnSuccess();
-                         self->is_confirmation_lost = false;
-                         self->AdoptConfig(*item.value(), requested_at);
-                       }
-                       self->Schedule(begun + kConfigInterval,
-                                      [self]() { self->ReadConfig(); });
-                     });
+    this->store->List(
+        this->config_key, "", kTimeout,
+        [self, begun, requested_at](const Result<StorePage>& page) {
+          if (self->is_stopped) {
+            return;
+          }
+          if (page.ok()) {
+            self->is_confirmation_lost = false;
+            self->AdoptConfigFrom(page.value().items, requested_at);
+          } else {
+            self->FailConfig(page.error());
+          }
+          self->Schedule(begun + kConfigInterval,
+                         [self]() { self->ReadConfig(); });
+        });
   }
 
   // A transaction that changes nothing: the answer has the declaration only if
@@ -110,13 +101,13 @@
     const BootClock::time_point requested_at = BootClock::now();
     const std::shared_ptr<State> self = this->shared_from_this();
     this->store->Commit(
-        confirmation, kConfirmationTimeout,
+        confirmation, kTimeout,
         [self, begun, requested_at](const Result<TransactionResult>& result) {
           if (self->is_stopped) {
             return;
           }
           self->OnConfirmation(result, requested_at);
-          // The answer may have been lost, or be too large for the timeout.
+          // A store that loses the answers of transactions may answer a read.
           self->is_confirmation_lost = !result.ok();
           self->Schedule(
               self->is_confirmation_lost ? begun : begun + kConfigInterval,
@@ -127,7 +118,7 @@
   void OnConfirmation(const Result<TransactionResult>& result,
                       BootClock::time_point requested_at) {
     if (!result.ok()) {
-      this->listener.on_failure(result.error());
+      this->FailConfig(result.error());
       return;
     }
     const TransactionConflict* const conflict =
@@ -136,15 +127,24 @@
       this->Confirm(requested_at);
       return;
     }
-    for (const StoreItem& item : conflict->items) {
+    this->AdoptConfigFrom(conflict->items, requested_at);
+  }
+
+  void AdoptConfigFrom(const std::vector<StoreItem>& items,
+                       BootClock::time_point requested_at) {
+    for (const StoreItem& item : items) {
       if (item.key == this->config_key) {
         this->AdoptConfig(item, requested_at);
         return;
       }
     }
-    this->listener.on_failure(Error{Errc::kNotFound, "operators.read",
-                                    this->config_key,
-                                    "the declaration is missing in the store"});
+    this->FailConfig(Error{Errc::kNotFound, "operators.read", this->config_key,
+                           "the store has no declaration"});
+  }
+
+  void FailConfig(const Error& error) {
+    this->is_config_current = false;
+    this->listener.on_failure(error);
   }
 
   void AdoptConfig(const StoreItem& item, BootClock::time_point requested_at) {
@@ -157,6 +157,7 @@
 
   void Confirm(BootClock::time_point requested_at) {
     this->confirmed_at = requested_at;
+    this->is_config_current = true;
     this->Publish();
   }
 
@@ -170,19 +171,18 @@
                 const std::shared_ptr<std::vector<StoreItem>>& items) {
     const std::shared_ptr<State> self = this->shared_from_this();
     this->store->List(
-        this->prefix, after, this->list_timeout.value(),
+        this->prefix, after, kTimeout,
         [self, begun, items](const Result<StorePage>& page) {
           if (self->is_stopped) {
             return;
           }
           if (!page.ok()) {
-            self->list_timeout.OnError(page.error());
+            self->are_others_current = false;
             self->listener.on_failure(page.error());
             self->Schedule(begun + kListInterval,
                            [self]() { self->ListOthers(); });
             return;
           }
-          self->list_timeout.OnSuccess();
           items->insert(items->end(), page.value().items.begin(),
                         page.value().items.end());
           if (page.value().has_more && !page.value().items.empty()) {
@@ -190,6 +190,7 @@
             return;
           }
           self->others = std::move(*items);
+          self->are_others_current = true;
           self->Publish();
           self->Schedule(begun + kListInterval,
                          [self]() { self->ListOthers(); });
@@ -214,6 +215,10 @@
   this->state->is_stopped = true;
 }
 
+bool OperatorReader::is_current() const {
+  return this->state->is_config_current && this->state->are_others_current;
+}
+
 void OperatorReader::Start() {
   this->state->ReadConfig();
   this->state->ListOthers();
--- a/Source/Core/Site/operator_reader.h
+++ b/Source/Core/Site/operator_reader.h
@@ -42,6 +42,9 @@
   OperatorReader& operator=(const OperatorReader&) = delete;
 
   void Start();
+  // Whether the last reads of the declaration and of the other entries both
+  // succeeded.
+  bool is_current() const;
 
  private:
   struct State;
--- a/Source/Core/Site/pool_leader_state.h
+++ b/Source/Core/Site/pool_leader_state.h
@@ -8,7 +8,6 @@
 #include <string>
 #include <vector>
 
-#include "Core/Common/growing_timeout.h"
 #include "Core/Common/latency_histogram.h"
 #include "Core/Common/result.h"
 #include "Core/Jobs/pool_scheduler.h"
@@ -24,9 +23,8 @@
 // are defined in pool_leader.cc (scheduling passes and timers),
 // pool_leader_store.cc, pool_leader_workers.cc and pool_leader_orders.cc.
 struct PoolLeader::State : std::enable_shared_from_this<State> {
-  // Timeouts of the reads with which a term begins.
+  // Timeout of the reads with which a term begins.
   static constexpr Milliseconds kLoadTimeout{1500};
-  static constexpr Milliseconds kMaxLoadTimeout{6000};
 
   State(const PoolLeaderContext& context,
         const PoolName& pool,
@@ -96,7 +94,6 @@
   std::map<JobId, MonotonicTime> final_since;
   MonotonicTime next_deletion;
   MonotonicTime vacate_until;
-  GrowingTimeout load_timeout{kLoadTimeout, kMaxLoadTimeout};
   bool is_progress_loaded = false;
   bool is_inbox_loaded = false;
   bool is_pass_scheduled = false;
--- a/Source/Core/Site/pool_leader_store.cc
+++ b/Source/Core/Site/pool_leader_store.cc
@@ -30,13 +30,12 @@
 void PoolLeader::State::LoadProgress(const std::string& after) {
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.store->List(
-      ProgressPrefix(this->pool), after, this->load_timeout.value(),
+      ProgressPrefix(this->pool), after, kLoadTimeout,
       [self, after](const Result<StorePage>& page) {
         if (self->is_stopped) {
           return;
         }
         if (!page.ok()) {
-          self->load_timeout.OnError(page.error());
           CLOG(WARNING, kTasksLog)
               << "event=progress_not_loaded pool=" << self->pool << " error=\""
               << page.error().ToString() << "\"";
@@ -44,7 +43,6 @@
               kRetryPause, [self, after]() { self->LoadProgress(after); });
           return;
         }
-        self->load_timeout.OnSuccess();
         self->AdoptProgress(page.value());
       });
 }
--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -37,13 +37,12 @@
 void PoolLeader::State::LoadWorkers() {
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.store->Get(
-      WorkersKey(this->pool), this->load_timeout.value(),
+      WorkersKey(this->pool), kLoadTimeout,
       [self](const Result<std::optional<StoreItem>>& item) {
         if (self->is_stopped) {
           return;
         }
         if (!item.ok()) {
-          self->load_timeout.OnError(item.error());
           CLOG(WARNING, kTasksLog)
               << "event=workers_not_loaded pool=" << self->pool << " error=\""
               << item.error().ToString() << "\"";
@@ -51,7 +50,6 @@
                                     [self]() { self->LoadWorkers(); });
           return;
         }
-        self->load_timeout.OnSuccess();
         if (item.value()) {
           self->AdoptWorkers(*item.value());
         }
--- a/Source/Core/Site/prefix_mirror.cc
+++ b/Source/Core/Site/prefix_mirror.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "Core/Common/growing_timeout.h"
 #include "Core/Common/logging.h"
 #include "Core/Transport/event_loop.h"
 
@@ -33,11 +32,11 @@
   bool is_stopped = false;
   bool has_failed = false;
   MonotonicTime next_failure_line;
-  GrowingTimeout list_timeout{kListTimeout, kMaxListTimeout};
+  Milliseconds list_timeout = kListTimeout;
 
   void List(const std::string& after) {
     const std::shared_ptr<State> self = this->shared_from_this();
-    this->store->List(this->prefix, after, this->list_timeout.value(),
+    this->store->List(this->prefix, after, this->list_timeout,
                       [self, after](const Result<StorePage>& page) {
                         self->OnPage(after, page);
                       });
@@ -47,7 +46,9 @@
   // are kept, so that a listing of many pages ends even if some are late.
   void RetryPage(const std::string& after, const Error& error) {
     this->RecordFailure(error);
-    this->list_timeout.OnError(error);
+    if (error.code == Errc::kTimeout) {
+      this->list_timeout = std::min(2 * this->list_timeout, kMaxListTimeout);
+    }
     const std::shared_ptr<State> self = this->shared_from_this();
     this->loop->After(kRetryPause, [self, after]() {
       if (!self->is_stopped) {
@@ -169,7 +170,7 @@
       }
     }
     this->items = std::exchange(this->listed, {});
-    this->list_timeout.OnSuccess();
+    this->list_timeout = kListTimeout;
     this->is_loaded = true;
     this->listener(changes);
   }
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -109,7 +109,9 @@
                         OperatorReader::Listener{
                             [this](const std::vector<StoreItem>& items,
                                    BootClock::time_point confirmed_at) {
-                              this->RecordOperatorReadResult("");
+                              if (this->operator_reader.is_current()) {
+                                this->RecordOperatorReadResult("");
+                              }
                               this->AdoptOperators(items, confirmed_at);
                             },
                             [this](const Error& error) {
--- a/Source/Core/Site/worker_directory.cc
+++ b/Source/Core/Site/worker_directory.cc
@@ -16,7 +16,6 @@
 constexpr Milliseconds kInterval{250};
 constexpr std::chrono::microseconds kIntervalPerEntry{1500};
 constexpr Milliseconds kTimeout{700};
-constexpr Milliseconds kMaxTimeout{4000};
 
 }  // namespace
 
@@ -24,11 +23,7 @@
                                  EventLoop* loop,
                                  SiteCodec* codec,
                                  Listener listener)
-    : store(store),
-      loop(loop),
-      codec(codec),
-      listener(std::move(listener)),
-      timeout(kTimeout, kMaxTimeout) {}
+    : store(store), loop(loop), codec(codec), listener(std::move(listener)) {}
 
 void WorkerDirectory::Start() {
   this->loop->After(
@@ -51,15 +46,13 @@
     const std::string& after,
     const std::shared_ptr<std::vector<StoreItem>>& items) {
   this->store->List(
-      this->codec->WorkerPrefix(), after, this->timeout.value(),
+      this->codec->WorkerPrefix(), after, kTimeout,
       [this, items](const Result<StorePage>& page) {
         this->RecordReadResult(page.ok() ? "" : page.error().ToString());
         if (!page.ok()) {
-          this->timeout.OnError(page.error());
           this->is_reading = false;
           return;
         }
-        this->timeout.OnSuccess();
         items->insert(items->end(), page.value().items.begin(),
                       page.value().items.end());
         if (page.value().has_more && !page.value().items.empty()) {
--- a/Source/Core/Site/worker_directory.h
+++ b/Source/Core/Site/worker_directory.h
@@ -10,7 +10,6 @@
 #include <string>
 #include <vector>
 
-#include "Core/Common/growing_timeout.h"
 #include "Core/Common/identifiers.h"
 #include "Core/Common/result.h"
 #include "Core/Common/time.h"
@@ -67,7 +66,6 @@
   EventLoop* loop;
   SiteCodec* codec;
   Listener listener;
-  GrowingTimeout timeout;
   bool is_reading = false;
   Workers listed;
   // The entries of the last read by key, kept because most do not change until
--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -53,10 +54,21 @@
   HttpClientRequest request;
   HttpClient::Callback callback;
   MonotonicTime send_before;  // of a request that waits for others
+  // When a part of the response arrived last, or the exchange began.
+  MonotonicTime last_progress;
   HttpResponse response;
   curl_slist* header_list = nullptr;
   CURL* handle = nullptr;
 
+  bool HasSilenceLimit() const {
+    return this->request.silence_timeout.count() > 0;
+  }
+  void RecordProgress() {
+    if (this->HasSilenceLimit()) {
+      this->last_progress = std::chrono::steady_clock::now();
+    }
+  }
+
   ~Exchange() {
     curl_slist_free_all(this->header_list);
     if (this->handle != nullptr) {
@@ -112,6 +124,7 @@
 
 std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* context) {
   Exchange* exchange = static_cast<Exchange*>(context);
+  exchange->RecordProgress();
   if (exchange->response.body.size() + size * n > kMaxResponseBytes) {
     return 0;
   }
@@ -124,6 +137,7 @@
                      std::size_t n,
                      void* context) {
   Exchange* exchange = static_cast<Exchange*>(context);
+  exchange->RecordProgress();
   const std::string_view line(data, size * n);
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
@@ -302,9 +316,11 @@
       this->RetireQueued();
       this->StartQueued();
       this->HandleTimeout();
+      this->FailSilent();
       this->CompleteFinished();
       this->DeliverCompletions();
-      for (const SocketPoller::Event& event : this->poller.Wait(this->due)) {
+      for (const SocketPoller::Event& event :
+           this->poller.Wait(this->NextDue())) {
         this->HandleSocket(event);
       }
       this->CompleteFinished();
@@ -373,21 +389,61 @@
       }
     }
     for (CURL* const handle : handles) {
-      const std::unique_ptr<Exchange> exchange =
-          std::move(this->active[handle]);
-      this->active.erase(handle);
-      // Removing an unfinished transfer closes its connection.
-      curl_multi_remove_handle(this->multi, handle);
-      this->AddCompletion(
-          exchange.get(),
-          Error{Errc::kTimeout, "http." + exchange->request.method,
-                exchange->request.url,
-                "the connection was retired while the request was in "
-                "progress"});
-      this->ReleaseSlot(*exchange);
+      const HttpClientRequest& request = this->active.at(handle)->request;
+      this->Abort(handle,
+                  Error{Errc::kTimeout, "http." + request.method, request.url,
+                        "the connection was retired while the request "
+                        "was in progress"});
     }
   }
 
+  void Abort(CURL* handle, Error error) {
+    const std::unique_ptr<Exchange> exchange = std::move(this->active[handle]);
+    this->active.erase(handle);
+    this->silence_limited.erase(handle);
+    // Removing an unfinished transfer closes its connection.
+    curl_multi_remove_handle(this->multi, handle);
+    this->AddCompletion(exchange.get(), std::move(error));
+    this->ReleaseSlot(*exchange);
+  }
+
+  // Fails the exchanges whose peer has been silent for too long.
+  void FailSilent() {
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (!this->next_silence_check || now < *this->next_silence_check) {
+      return;
+    }
+    this->next_silence_check.reset();
+    std::vector<CURL*> silent;
+    for (CURL* const handle : this->silence_limited) {
+      const Exchange& exchange = *this->active.at(handle);
+      const MonotonicTime limit =
+          exchange.last_progress + exchange.request.silence_timeout;
+      if (limit <= now) {
+        silent.push_back(handle);
+      } else {
+        this->ScheduleSilenceCheck(limit);
+      }
+    }
+    for (CURL* const handle : silent) {
+      this->Abort(handle,
+                  ToError(CURLE_OPERATION_TIMEDOUT, *this->active.at(handle)));
+    }
+  }
+
+  void ScheduleSilenceCheck(MonotonicTime time) {
+    this->next_silence_check =
+        std::min(time, this->next_silence_check.value_or(time));
+  }
+
+  std::optional<MonotonicTime> NextDue() const {
+    if (!this->next_silence_check) {
+      return this->due;
+    }
+    return std::min(*this->next_silence_check,
+                    this->due.value_or(*this->next_silence_check));
+  }
+
   void AvoidRetiredConnections(const Exchange& exchange) {
     const std::unordered_map<
         std::string, std::chrono::steady_clock::time_point>::iterator found =
@@ -429,6 +485,12 @@
     Configure(exchange.get(), &this->poller);
     this->AvoidRetiredConnections(*exchange);
     CURL* const handle = exchange->handle;
+    if (exchange->HasSilenceLimit()) {
+      exchange->RecordProgress();
+      this->silence_limited.insert(handle);
+      this->ScheduleSilenceCheck(exchange->last_progress +
+                                 exchange->request.silence_timeout);
+    }
     this->active[handle] = std::move(exchange);
     curl_multi_add_handle(this->multi, handle);
   }
@@ -470,6 +532,7 @@
       CURL* const handle = message->easy_handle;
       std::unique_ptr<Exchange> exchange = std::move(this->active[handle]);
       this->active.erase(handle);
+      this->silence_limited.erase(handle);
       this->Complete(code, exchange.get());
       curl_multi_remove_handle(this->multi, handle);
       exchange->handle = nullptr;
@@ -558,6 +621,8 @@
   std::unordered_map<std::string, std::chrono::steady_clock::time_point>
       retired_at;
   std::unordered_map<CURL*, std::unique_ptr<Exchange>> active;
+  std::unordered_set<CURL*> silence_limited;  // exchanges with such a limit
+  std::optional<MonotonicTime> next_silence_check;
   std::vector<Completion> completions;
   std::unordered_map<std::string, LimitedPeer> limited_peers;  // by authority
   std::unordered_map<std::string, TrafficCounters> counters;   // by label
--- a/Source/Core/Transport/http_client.h
+++ b/Source/Core/Transport/http_client.h
@@ -20,6 +20,10 @@
   std::string body;
   Milliseconds connect_timeout{500};
   Milliseconds timeout{2000};  // of the whole exchange, including connecting
+  // If not 0, the exchange also fails with kTimeout when no part of the
+  // response arrives for this time. Allows a long `timeout` for responses that
+  // may be large, without delaying the detection of a silent peer.
+  Milliseconds silence_timeout{0};
   // Label of the request and byte counters, for example "store".
   std::string traffic = "other";
   // Opens a new connection and closes it afterwards, to distinguish a silent
--- a/Source/UnitTests/Site/fake_revision_store.cc
+++ b/Source/UnitTests/Site/fake_revision_store.cc
@@ -46,19 +46,13 @@
   const MonotonicTime begin = std::max(now, this->link_free_at);
   const MonotonicTime end =
       begin + Milliseconds(1000 * bytes / this->link_bytes_per_second);
-  if (end <= now + timeout) {
-    this->sent_bytes += bytes;
-    this->link_free_at = end;
-    this->loop->After(end - now + this->response_delay, std::move(deliver));
+  if (begin > now + timeout) {
+    this->loop->After(timeout, std::move(fail));
     return;
   }
-  this->link_free_at = std::max(begin, now + timeout);
-  this->sent_bytes +=
-      this->link_bytes_per_second *
-      std::chrono::duration_cast<Milliseconds>(this->link_free_at - begin)
-          .count() /
-      1000;
-  this->loop->After(timeout, std::move(fail));
+  this->sent_bytes += bytes;
+  this->link_free_at = end;
+  this->loop->After(end - now + this->response_delay, std::move(deliver));
 }
 
 void FakeRevisionStore::Get(const std::string& key,
--- a/Source/UnitTests/Site/fake_revision_store.h
+++ b/Source/UnitTests/Site/fake_revision_store.h
@@ -75,7 +75,7 @@
 
   void Respond(std::function<void()> function);
   // Sends a response with items over the link. Calls `fail` instead if it does
-  // not arrive within the timeout; the link is free from then on.
+  // not begin to arrive within the timeout.
   void Send(const std::vector<StoreItem>& response_items,
             Milliseconds timeout,
             std::function<void()> deliver,
