--- /dev/null
+++ b/Source/UnitTests/Jobs/crashing_task_test.cc
@@ -0,0 +1,168 @@
+#include <catch2/catch.hpp>
+
+#include "UnitTests/Jobs/crashing_pool.h"
+#include "UnitTests/Jobs/job_builder.h"
+
+namespace daisyroad {
+namespace {
+
+constexpr int kWorkers = 8;
+constexpr Milliseconds kLongEnough{60000};
+// Starts that a task is allowed after three workers have crashed under it.
+constexpr int kStartsAllowed = 2;
+
+const TaskRef kTask{JobId("bad"), 0, 0, 0};
+
+void AddOtherJobs(CrashingPool* pool, int count) {
+  for (int i = 0; i < count; ++i) {
+    pool->AddJob(JobBuilder("other" + std::to_string(i)).Step(2).Build());
+  }
+}
+
+// Guards against a task that crashes worker after worker (issue 22).
+TEST_CASE("A task that crashes its workers is given up") {
+  CrashingPool pool(kWorkers);
+  pool.AddJob(JobBuilder("bad").Step(1).Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(300));
+  AddOtherJobs(&pool, 20);
+  pool.RunFor(kLongEnough);
+  CHECK(pool.Crashes(kTask) >= 2);
+  CHECK(pool.StartsAfterThreeCrashes(kTask) <= kStartsAllowed);
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+  CHECK(pool.JobsCompleted() == 20);
+}
+
+TEST_CASE("A task that crashes its workers before they answer is given up") {
+  CrashingPool pool(kWorkers);
+  pool.AddJob(JobBuilder("bad").Step(1).Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(0));
+  pool.RunFor(kLongEnough);
+  CHECK(pool.Crashes(kTask) >= 2);
+  CHECK(pool.StartsAfterThreeCrashes(kTask) <= kStartsAllowed);
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+}
+
+TEST_CASE("A service task that crashes its workers is given up") {
+  CrashingPool pool(kWorkers);
+  pool.AddJob(JobBuilder("bad").Service(2, 1).Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(1200));
+  AddOtherJobs(&pool, 20);
+  pool.RunFor(kLongEnough);
+  CHECK(pool.Crashes(kTask) >= 2);
+  CHECK(pool.StartsAfterThreeCrashes(kTask) <= kStartsAllowed);
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+  CHECK(pool.JobsCompleted() == 20);
+}
+
+TEST_CASE("Crashes that only the next process of a worker shows are counted") {
+  const Milliseconds restart_delay =
+      GENERATE(Milliseconds(20), Milliseconds(200), Milliseconds(2000),
+               // Longer than the leases of the lost runs.
+               Milliseconds(9000));
+  CrashingPool pool(kWorkers);
+  pool.SetCrashesListed(false);
+  pool.SetRestartDelay(restart_delay);
+  pool.AddJob(JobBuilder("bad").Step(1).Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(300));
+  pool.RunFor(2 * kLongEnough);
+  INFO("restart after " << restart_delay.count() << " ms");
+  CHECK(pool.Crashes(kTask) >= 2);
+  CHECK(pool.StartsAfterThreeCrashes(kTask) <= kStartsAllowed);
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+}
+
+TEST_CASE("Each task of a step that crashes its workers stays in bounds") {
+  CrashingPool pool(kWorkers);
+  pool.AddJob(JobBuilder("bad").Step(6).Build());
+  for (int i = 0; i < 6; ++i) {
+    pool.CrashWorkersOf(TaskRef{JobId("bad"), 0, 0, i},
+                        Milliseconds(100 + 50 * i));
+  }
+  AddOtherJobs(&pool, 20);
+  pool.RunFor(kLongEnough);
+  for (int i = 0; i < 6; ++i) {
+    const TaskRef task{JobId("bad"), 0, 0, i};
+    CHECK(pool.StartsAfterThreeCrashes(task) <= kStartsAllowed);
+  }
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+  CHECK(pool.JobsCompleted() == 20);
+}
+
+TEST_CASE("A gang that crashes a worker of each run is given up") {
+  CrashingPool pool(kWorkers);
+  JobBuilder gang("bad");
+  gang.Step(3).Last().is_gang = true;
+  pool.AddJob(gang.Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(300));
+  pool.RunFor(kLongEnough);
+  CHECK(pool.StartsAfterThreeCrashes(kTask) <= kStartsAllowed);
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+}
+
+TEST_CASE("A new scheduler knows the crashes that earlier ones have seen") {
+  CrashingPool pool(kWorkers);
+  pool.AddJob(JobBuilder("bad").Step(1).Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(300));
+  for (int crashes = 1; crashes <= 12; ++crashes) {
+    for (int i = 0; pool.Crashes(kTask) < crashes && i < 2000; ++i) {
+      pool.RunFor(Milliseconds(10));
+    }
+    // Long enough for the crash to be seen and saved, and too short for a start
+    // that crashes the next worker.
+    pool.RunFor(Milliseconds(100));
+    pool.EndScheduler();
+    pool.BeginScheduler();
+  }
+  pool.RunFor(kLongEnough);
+  CHECK(pool.StartsAfterThreeCrashes(kTask) <= kStartsAllowed);
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+}
+
+TEST_CASE("A crash without a scheduler counts if the task crashed before") {
+  const int first_start = GENERATE(2, 3);
+  CrashingPool pool(kWorkers);
+  pool.AddJob(JobBuilder("bad").Step(1).Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(200));
+  pool.EndSchedulerAtStartsOf(kTask, first_start, Milliseconds(1000));
+  pool.RunFor(2 * kLongEnough);
+  INFO("from start " << first_start << " on");
+  CHECK(pool.Crashes(kTask) >= 2);
+  CHECK(pool.StartsAfterThreeCrashes(kTask) <= kStartsAllowed);
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+}
+
+// Guards against a start whose crash a new scheduler would not know of.
+TEST_CASE("A task whose crash is not saved yet is not started") {
+  CrashingPool pool(kWorkers);
+  pool.AddJob(JobBuilder("bad").Step(1).Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(300));
+  pool.RunFor(Milliseconds(200));
+  REQUIRE(pool.Starts(kTask) == 1);
+  pool.SetStoreAvailable(false);
+  pool.RunFor(Milliseconds(5000));
+  CHECK(pool.Crashes(kTask) == 1);
+  CHECK(pool.Starts(kTask) == 1);
+}
+
+// Guards against a job that is kept alive by its other tasks until the pool has
+// lost most of its workers.
+TEST_CASE("Many tasks that crash their workers leave the others room") {
+  CrashingPool pool(kWorkers);
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "bad" + std::to_string(i);
+    pool.AddJob(JobBuilder(id).Step(2).Build());
+    pool.CrashWorkersOf(TaskRef{JobId(id), 0, 0, 0}, Milliseconds(300));
+  }
+  AddOtherJobs(&pool, 40);
+  pool.RunFor(2 * kLongEnough);
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "bad" + std::to_string(i);
+    const TaskRef task{JobId(id), 0, 0, 0};
+    CHECK(pool.StartsAfterThreeCrashes(task) <= kStartsAllowed);
+    CHECK(pool.StatusOf(id) == JobStatus::kFailed);
+  }
+  CHECK(pool.JobsCompleted() == 40);
+}
+
+}  // namespace
+}  // namespace daisyroad
