Jobs: give up a task that crashes each worker that starts it

Callers saw a pool lose worker after worker: one task was started up to 354 times, each start took a worker for three seconds, and the tasks beside it were lost.

Cause: a run lost with its worker left no trace, so the next start was as free as the first one.

--- a/Source/Core/Jobs/job_codec.cc
+++ b/Source/Core/Jobs/job_codec.cc
@@ -108,6 +108,21 @@
     }
     json["failures"].append(row);
   }
+  for (const std::pair<const TaskRef, CrashRecord>& entry : progress.crashes) {
+    Json::Value row = TaskToJson(entry.first);
+    row.append(Json::Int64(entry.second.open_start));
+    for (const std::int64_t run : entry.second.runs) {
+      row.append(Json::Int64(run));
+    }
+    json["crashes"].append(row);
+    Json::Value uncertain = TaskToJson(entry.first);
+    for (const std::int64_t run : entry.second.uncertain_runs) {
+      uncertain.append(Json::Int64(run));
+    }
+    if (uncertain.size() > kTaskRefColumns) {
+      json["uncertain_crashes"].append(uncertain);
+    }
+  }
   return json;
 }
 
@@ -149,6 +164,35 @@
       progress.failures[task].insert(row[i].asInt64());
     }
   }
+  for (const Json::Value& row : json["crashes"]) {
+    TaskRef task;
+    if (!ReadTask(job, row, &task) || row.size() <= kTaskRefColumns) {
+      return BadRecord(job, "malformed entry in the list of crashes");
+    }
+    for (Json::ArrayIndex i = kTaskRefColumns; i < row.size(); ++i) {
+      if (!row[i].isInt64()) {
+        return BadRecord(job, "malformed entry in the list of crashes");
+      }
+    }
+    CrashRecord& record = progress.crashes[task];
+    record.open_start = row[kTaskRefColumns].asInt64();
+    for (Json::ArrayIndex i = kTaskRefColumns + 1; i < row.size(); ++i) {
+      record.runs.insert(row[i].asInt64());
+    }
+  }
+  for (const Json::Value& row : json["uncertain_crashes"]) {
+    TaskRef task;
+    if (!ReadTask(job, row, &task)) {
+      return BadRecord(job, "malformed entry in the list of uncertain crashes");
+    }
+    for (Json::ArrayIndex i = kTaskRefColumns; i < row.size(); ++i) {
+      if (!row[i].isInt64()) {
+        return BadRecord(job,
+                         "malformed entry in the list of uncertain crashes");
+      }
+      progress.crashes[task].uncertain_runs.insert(row[i].asInt64());
+    }
+  }
   return progress;
 }
 
--- a/Source/Core/Jobs/job_progress.h
+++ b/Source/Core/Jobs/job_progress.h
@@ -19,6 +19,21 @@
 const char* ToString(JobStatus status);
 bool IsFinal(JobStatus status);
 
+// The crashes of workers that ran a task.
+struct CrashRecord {
+  // Numbers of the runs that were lost. As with failed runs, the numbers keep a
+  // crash from being counted twice.
+  std::set<std::int64_t> runs;
+  // Those of `runs` that may have ended, or never started, before the crash.
+  std::set<std::int64_t> uncertain_runs;
+  // A run of a task with crashes; that of a trial is stored before its start
+  // order is sent. Zero once its end is known.
+  std::int64_t open_start = 0;
+
+  bool empty() const { return this->runs.empty() && this->open_start == 0; }
+  friend bool operator==(const CrashRecord&, const CrashRecord&) = default;
+};
+
 // The part of a job's state that is kept in the store for later schedulers. It
 // covers all run ends that workers were told to discard.
 struct JobProgress {
@@ -28,6 +43,7 @@
   // that has not acknowledged it, and the number keeps it from being counted
   // twice.
   std::map<TaskRef, std::set<std::int64_t>> failures;
+  std::map<TaskRef, CrashRecord> crashes;
 };
 
 Json::Value ToJson(const JobProgress& progress);
--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -40,10 +40,13 @@
   std::optional<MonotonicTime> adoption_uncertain_until;
   // Time of the first report that shows the run at full speed.
   std::optional<MonotonicTime> ready_since;
+  // The process of the worker that got the start order has crashed.
+  bool is_process_lost = false;
   // Number of the last report from the worker that contains the run.
   std::int64_t last_report_seen = 0;
   // Time of the first report in the current unbroken series without load.
   std::optional<MonotonicTime> idle_since;
+  std::optional<MonotonicTime> last_seen_at;
   int percent = 100;
   int target_percent = 100;
   std::int64_t load = 0;  // see ActiveRun::load
@@ -55,6 +58,11 @@
   std::int64_t last_run = 0;
   std::string checkpoint;
   WorkerName failed_on;  // worker of the last run that failed or stalled
+  CrashRecord crashes;
+  // Revision of the job that contains `crashes`.
+  std::int64_t crash_revision = 0;
+  // Crashes of workers that were lost together are disregarded once.
+  bool was_in_joint_loss = false;
   std::vector<RunRecord> runs;
 };
 
--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -108,6 +108,9 @@
         if (!tasks[i].failed_runs.empty()) {
           progress.failures[ref] = tasks[i].failed_runs;
         }
+        if (!tasks[i].is_done && !tasks[i].crashes.empty()) {
+          progress.crashes[ref] = tasks[i].crashes;
+        }
       }
     }
   }
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -100,6 +100,16 @@
       task->failed_runs = entry.second;
     }
   }
+  for (const std::pair<const TaskRef, CrashRecord>& entry : progress.crashes) {
+    if (TaskState* const task = this->FindTask(entry.first)) {
+      task->crashes = entry.second;
+      task->last_run = std::max(task->last_run, entry.second.open_start);
+      this->suspects.insert(entry.first);
+      if (entry.second.open_start != 0) {
+        this->jobs_with_open_starts.insert(id);
+      }
+    }
+  }
   for (const TaskRef& task : progress.done) {
     state.has_started = true;
     this->FinishTask(&state, task, now);
@@ -124,13 +134,17 @@
   this->open_jobs.erase(job);
   this->unconfirmed_jobs.erase(job);
   this->unsaved.erase(job);
+  this->jobs_with_open_starts.erase(job);
+  std::erase_if(this->suspects,
+                [&job](const TaskRef& task) { return task.job == job; });
 }
 
 std::vector<std::pair<JobId, JobProgress>> PoolScheduler::TakeUnsaved(
     std::size_t max_jobs,
     MonotonicTime now) {
   std::vector<std::pair<JobId, JobProgress>> batch;
-  if (!this->has_unsaved_final && now < this->next_save) {
+  if (!this->has_unsaved_final && !this->has_unsaved_crash &&
+      now < this->next_save) {
     return batch;
   }
   std::vector<JobId> ids(this->unsaved.begin(), this->unsaved.end());
@@ -145,6 +159,7 @@
     this->unsaved.erase(id);
   }
   this->next_save = now + this->settings.save_interval;
+  this->has_unsaved_crash &= !this->unsaved.empty();
   this->has_unsaved_final = std::any_of(
       this->unsaved.begin(), this->unsaved.end(),
       [this](const JobId& id) { return IsFinal(this->jobs.at(id).status); });
@@ -233,6 +248,8 @@
     this->RepeatStops(now);
   }
   this->CollectUsableWorkers(now);
+  this->SettleOpenStarts(now);
+  this->ReviewSuspects(now);
   this->EvictServices(now);
   this->PlaceTasks(now, wall);
   this->AskReports(now);
@@ -265,6 +282,10 @@
   return &step.tasks[task.index];
 }
 
+const TaskState* PoolScheduler::FindTask(const TaskRef& task) const {
+  return const_cast<PoolScheduler*>(this)->FindTask(task);
+}
+
 const StepSpec& PoolScheduler::SpecOf(const JobState& job,
                                       const TaskRef& task) const {
   return job.job.spec.steps[task.step];
@@ -334,6 +355,7 @@
   host.latency_target_runs -= step.latency_target.count() > 0;
   this->used[job.job.team] -= step.request;
   state->runs.erase(found);
+  this->CloseStart(task, state, number);
   if (state->runs.empty() && !state->is_done) {
     --job.occurrences.at(task.occurrence).steps[task.step].done_or_running;
   }
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,6 +23,7 @@
 #include "Core/Jobs/run_report.h"
 #include "Core/Jobs/scheduler_settings.h"
 #include "Core/Jobs/start_outcome.h"
+#include "Core/Jobs/worker_end.h"
 #include "Core/Jobs/worker_listing.h"
 #include "Core/Jobs/worker_state.h"
 
@@ -91,9 +93,12 @@
                 MonotonicTime now);
   void OnReportFailed(const WorkerName& worker, MonotonicTime now);
   // Called when every process of the worker that got orders from this scheduler
-  // has ended. Ignored if the worker has runs and another scheduler may have
-  // taken over, so the caller must repeat the call.
-  void OnWorkerGone(const WorkerName& worker, MonotonicTime now);
+  // has ended. Ignored if
+  // the worker has runs and another scheduler may have taken over, so the
+  // caller must repeat the call.
+  void OnWorkerGone(const WorkerName& worker,
+                    MonotonicTime now,
+                    WorkerEnd end = WorkerEnd::kUnknown);
   // Workers that missed a report and may have runs, so tasks wait for them.
   std::vector<WorkerName> SilentWorkers(MonotonicTime now) const;
   void OnStart(const StartRun& order,
@@ -111,7 +116,7 @@
   std::vector<Order> TakeOrders(MonotonicTime now, WallTime wall);
 
   // Returns job progress to be saved, closed jobs first. Empty unless a job was
-  // closed or the save interval has passed.
+  // closed, a crash was counted or the save interval has passed.
   std::vector<std::pair<JobId, JobProgress>> TakeUnsaved(std::size_t max_jobs,
                                                          MonotonicTime now);
   void OnSaved(const std::vector<JobId>& jobs);
@@ -133,7 +138,18 @@
 
  private:
   // kBlocked: the team's allotment is used up or the step has no valid tickets.
-  enum class Placement { kPlaced, kNoRoom, kBlocked };
+  // kWaiting: the task has crashes and waits for its trial, or until its start
+  // is stored.
+  enum class Placement { kPlaced, kNoRoom, kBlocked, kWaiting };
+
+  using RunKey = std::pair<TaskRef, std::int64_t>;
+
+  // A worker that crashed, and the runs that were counted for it.
+  struct Crash {
+    MonotonicTime time;
+    WorkerListing worker;
+    std::set<RunKey> counted;
+  };
 
   // A step that has tasks to place.
   struct Candidate {
@@ -148,6 +164,7 @@
   const QueuePolicy& PolicyOf(const JobState& job) const;
   TaskState* FindTask(const TaskRef& task);
   const StepSpec& SpecOf(const JobState& job, const TaskRef& task) const;
+  const TaskState* FindTask(const TaskRef& task) const;
   RunRecord* FindRun(const TaskRef& task, std::int64_t run);
   RunRecord* AddRun(JobState* job,
                     const TaskRef& task,
@@ -184,7 +201,9 @@
                        const ActiveRun& active,
                        MonotonicTime now);
   // Removes the runs that the last report should contain and does not.
-  void DropMissingRuns(WorkerState* worker, MonotonicTime asked_at);
+  void DropMissingRuns(WorkerState* worker,
+                       MonotonicTime asked_at,
+                       MonotonicTime now);
   void AcknowledgeSavedEnds(WorkerState* worker);
 
   // pool_scheduler_workers.cc
@@ -245,6 +264,46 @@
              MonotonicTime now);
   void ReserveWorker(const JobState& job, const TaskRef& task);
 
+  // pool_scheduler_crashes.cc
+  bool IsEndPlanned(const WorkerState& worker, MonotonicTime now) const;
+  // Counts a crash of the worker for the tasks of the runs that it lost.
+  void HandleCrash(WorkerState* worker,
+                   std::set<RunKey> lost,
+                   MonotonicTime now);
+  // Returns false if the run does not count for its task.
+  bool CountCrash(const RunKey& run, bool is_on_trial, MonotonicTime now);
+  // Whether the worker confirmed the run shortly before `now`.
+  bool WasSeenLately(const RunRecord& run, MonotonicTime now) const;
+  int CountCrashes(const JobState& job, const TaskRef& task) const;
+  // Disregards the crashes of workers that were lost together.
+  void ReviewJointLoss();
+  bool IsJointLoss(
+      const std::function<bool(const WorkerListing&)>& is_there) const;
+  void DisregardCrash(Crash* crash);
+  void MarkCrashesUnsaved(const TaskRef& task, TaskState* state);
+  // Notes that the end of the run is known.
+  void CloseStart(const TaskRef& task, TaskState* state, std::int64_t run);
+  // Counts the stored starts of earlier schedulers of which neither the run nor
+  // its end was found.
+  void SettleOpenStarts(MonotonicTime now);
+  // Records a start of a task with crashes for the next scheduler. Returns
+  // whether the run may be started; trials are stored first.
+  bool IsStartStored(JobState* job, const TaskRef& task, std::int64_t run);
+  bool NeedsTrial(const TaskRef& task) const;
+  // Whether the run has been active for `duration`.
+  bool HasLasted(const RunRecord& run,
+                 Milliseconds duration,
+                 MonotonicTime now) const;
+  // Updates the tasks with crashes and the workers in use for trials.
+  void ReviewSuspects(MonotonicTime now);
+  void PlaceTrials(const std::vector<Candidate>& candidates, MonotonicTime now);
+  void PlaceTrial(JobState* job, const TaskRef& task, MonotonicTime now);
+  // Expected time until the worker can run a trial of the task, zero if it can
+  // at once.
+  Milliseconds TrialDelay(const WorkerState& worker,
+                          const StepSpec& step,
+                          MonotonicTime now) const;
+
   // pool_scheduler_load.cc
   // Work of the jobs that arrived from `from` until `to`, without the largest
   // job, in millicore-seconds per millisecond of the demand window.
@@ -284,8 +343,18 @@
   std::vector<WorkerState*> usable_workers;
   // Worker kept free in this pass for a task that fits on no worker yet.
   WorkerName reserved_worker;
+  // Tasks of open jobs with crashes.
+  std::set<TaskRef> suspects;
+  // Jobs whose stored progress has starts without a known end.
+  std::set<JobId> jobs_with_open_starts;
+  std::deque<Crash> crashes;
+  // Number of workers in use for trials in this pass.
+  int trials = 0;
+  // Some workers are marked as used by tasks with crashes.
+  bool has_suspect_marks = false;
   std::set<JobId> unsaved;
   bool has_unsaved_final = false;
+  bool has_unsaved_crash = false;
   MonotonicTime next_save;
   bool is_fenced = false;
   bool is_sole_leader = true;
--- /dev/null
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -0,0 +1,394 @@
+// Tasks under which workers crashed: counting the crashes, trials, and giving
+// up tasks that crash the workers that run them.
+
+#include <algorithm>
+#include <utility>
+
+#include "Core/Jobs/objective.h"
+#include "Core/Jobs/pool_scheduler.h"
+
+namespace daisyroad {
+namespace {
+
+// Expected time until a worker has room for a trial if it has none now, in
+// multiples of the duration of a trial.
+constexpr int kTrialsUntilRoom = 3;
+constexpr Milliseconds kShortestTrialDelay{10};
+
+}  // namespace
+
+bool PoolScheduler::IsEndPlanned(const WorkerState& worker,
+                                 MonotonicTime now) const {
+  return worker.planned_end_at &&
+         now - *worker.planned_end_at <= this->settings.planned_end_window;
+}
+
+bool PoolScheduler::HasLasted(const RunRecord& run,
+                              Milliseconds duration,
+                              MonotonicTime now) const {
+  // The worker may have crashed any time after its last report.
+  return run.confirmed_at && run.last_seen_at && *run.last_seen_at <= now &&
+         *run.last_seen_at - *run.confirmed_at >= duration;
+}
+
+bool PoolScheduler::WasSeenLately(const RunRecord& run,
+                                  MonotonicTime now) const {
+  if (!run.confirmed_at) {
+    return false;
+  }
+  const MonotonicTime seen_at =
+      std::max(*run.confirmed_at, run.last_seen_at.value_or(*run.confirmed_at));
+  return now - seen_at <= this->settings.crash_notice_window;
+}
+
+void PoolScheduler::HandleCrash(WorkerState* worker,
+                                std::set<RunKey> lost,
+                                MonotonicTime now) {
+  std::erase_if(lost, [this, worker, now](const RunKey& key) {
+    // Nothing starts on a worker that is being emptied, so a run that was
+    // ordered later shows that the planned work was called off.
+    const RunRecord* const run = this->FindRun(key.first, key.second);
+    return this->IsEndPlanned(*worker, now) &&
+           (run == nullptr || run->ordered_at <= *worker->planned_end_at);
+  });
+  if (lost.empty()) {
+    return;
+  }
+  const std::set<RunKey>::const_iterator tried = std::find_if(
+      lost.begin(), lost.end(), [this, worker, now](const RunKey& key) {
+        const RunRecord* const run = this->FindRun(key.first, key.second);
+        return worker->trial == key.first && run != nullptr &&
+               !this->HasLasted(*run, this->settings.trial_duration, now);
+      });
+  const bool is_trial = tried != lost.end();
+  const std::set<RunKey> suspected = is_trial ? std::set<RunKey>{*tried} : lost;
+  Crash crash;
+  crash.time = now;
+  crash.worker = worker->listing;
+  for (const RunKey& run : suspected) {
+    if (this->CountCrash(run, is_trial, now)) {
+      crash.counted.insert(run);
+    }
+  }
+  std::erase_if(this->crashes, [this, now](const Crash& earlier) {
+    return now - earlier.time > this->settings.joint_loss_window;
+  });
+  this->crashes.push_back(std::move(crash));
+  this->ReviewJointLoss();
+}
+
+bool PoolScheduler::CountCrash(const RunKey& key,
+                               bool is_on_trial,
+                               MonotonicTime now) {
+  const TaskRef& task = key.first;
+  TaskState* const state = this->FindTask(task);
+  if (state == nullptr || state->is_done) {
+    return false;
+  }
+  JobState& job = this->jobs.at(task.job);
+  const RunRecord* const run = this->FindRun(task, key.second);
+  const bool has_lasted =
+      run != nullptr && this->HasLasted(*run, this->settings.crash_memory, now);
+  if (IsFinal(job.status) || has_lasted ||
+      !state->crashes.runs.insert(key.second).second) {
+    return false;
+  }
+  const bool is_certain = run != nullptr && this->WasSeenLately(*run, now);
+  if (!is_certain) {
+    state->crashes.uncertain_runs.insert(key.second);
+  }
+  if (state->crashes.open_start == key.second) {
+    state->crashes.open_start = 0;
+  }
+  this->suspects.insert(task);
+  this->MarkCrashesUnsaved(task, state);
+  const int count = this->CountCrashes(job, task);
+  this->RecordDecision("crash_counted", task, key.second,
+                       run == nullptr ? WorkerName() : run->worker,
+                       std::to_string(count) + " crashes");
+  // The members of a gang run on several workers, so it has no trials.
+  const int certain =
+      count - static_cast<int>(state->crashes.uncertain_runs.size());
+  const bool is_proof = is_on_trial && !this->SpecOf(job, task).is_gang &&
+                        certain >= this->settings.crashes_before_failure;
+  if (is_proof || count >= this->settings.uncertain_crashes_before_failure) {
+    this->RecordDecision("task_given_up", task, key.second,
+                         run == nullptr ? WorkerName() : run->worker,
+                         std::to_string(count) + " workers crashed under it");
+    this->CloseJob(&job, JobStatus::kFailed, now);
+  }
+  return true;
+}
+
+int PoolScheduler::CountCrashes(const JobState& job,
+                                const TaskRef& task) const {
+  const StepState& step = job.occurrences.at(task.occurrence).steps[task.step];
+  if (!this->SpecOf(job, task).is_gang) {
+    return static_cast<int>(step.tasks[task.index].crashes.runs.size());
+  }
+  // Members of a gang share run numbers, so a run of the gang counts once.
+  std::set<std::int64_t> runs;
+  for (const TaskState& member : step.tasks) {
+    runs.insert(member.crashes.runs.begin(), member.crashes.runs.end());
+  }
+  return static_cast<int>(runs.size());
+}
+
+void PoolScheduler::ReviewJointLoss() {
+  const WorkerListing last = this->crashes.back().worker;
+  const std::function<bool(const WorkerListing&)> is_in_rack =
+      [&last](const WorkerListing& worker) {
+        return !last.rack.empty() && worker.rack == last.rack;
+      };
+  const std::function<bool(const WorkerListing&)> is_in_zone =
+      [&last](const WorkerListing& worker) {
+        return !last.zone.empty() && worker.zone == last.zone;
+      };
+  for (const std::function<bool(const WorkerListing&)>& is_there :
+       {is_in_rack, is_in_zone}) {
+    if (!this->IsJointLoss(is_there)) {
+      continue;
+    }
+    for (Crash& crash : this->crashes) {
+      if (is_there(crash.worker)) {
+        this->DisregardCrash(&crash);
+      }
+    }
+  }
+}
+
+bool PoolScheduler::IsJointLoss(
+    const std::function<bool(const WorkerListing&)>& is_there) const {
+  std::set<WorkerName> lost;
+  for (const Crash& crash : this->crashes) {
+    if (is_there(crash.worker)) {
+      lost.insert(crash.worker.name);
+    }
+  }
+  if (static_cast<int>(lost.size()) < this->settings.min_joint_loss) {
+    return false;
+  }
+  const std::ptrdiff_t all = std::count_if(
+      this->workers.begin(), this->workers.end(),
+      [&is_there](const std::pair<const WorkerName, WorkerState>& entry) {
+        return is_there(entry.second.listing);
+      });
+  return static_cast<double>(lost.size()) >=
+         this->settings.min_joint_loss_share * static_cast<double>(all);
+}
+
+void PoolScheduler::DisregardCrash(Crash* crash) {
+  for (const RunKey& key : std::exchange(crash->counted, {})) {
+    TaskState* const state = this->FindTask(key.first);
+    if (state == nullptr || state->was_in_joint_loss ||
+        IsFinal(this->jobs.at(key.first.job).status)) {
+      continue;
+    }
+    state->was_in_joint_loss = true;
+    state->crashes.runs.erase(key.second);
+    state->crashes.uncertain_runs.erase(key.second);
+    this->MarkCrashesUnsaved(key.first, state);
+    this->RecordDecision("crash_disregarded", key.first, key.second,
+                         crash->worker.name,
+                         "all workers of the rack or zone were lost");
+  }
+}
+
+void PoolScheduler::MarkCrashesUnsaved(const TaskRef& task, TaskState* state) {
+  JobState& job = this->jobs.at(task.job);
+  this->MarkUnsaved(&job);
+  state->crash_revision = job.revision;
+  this->has_unsaved_crash = true;
+}
+
+void PoolScheduler::CloseStart(const TaskRef& task,
+                               TaskState* state,
+                               std::int64_t run) {
+  if (state->crashes.open_start != run || run == 0) {
+    return;
+  }
+  state->crashes.open_start = 0;
+  if (!IsFinal(this->jobs.at(task.job).status)) {
+    this->MarkCrashesUnsaved(task, state);
+  }
+}
+
+void PoolScheduler::SettleOpenStarts(MonotonicTime now) {
+  if (this->jobs_with_open_starts.empty() || this->IsRecovering(now)) {
+    return;
+  }
+  const std::set<TaskRef> tasks = this->suspects;
+  for (const TaskRef& task : tasks) {
+    if (!this->jobs_with_open_starts.contains(task.job)) {
+      continue;
+    }
+    const TaskState* const state = this->FindTask(task);
+    const std::int64_t run = state->crashes.open_start;
+    if (run != 0 && this->FindRun(task, run) == nullptr) {
+      this->CountCrash({task, run}, false, now);
+    }
+  }
+  this->jobs_with_open_starts.clear();
+}
+
+bool PoolScheduler::IsStartStored(JobState* job,
+                                  const TaskRef& task,
+                                  std::int64_t run) {
+  TaskState* const state = this->FindTask(task);
+  if (state->crashes.runs.empty()) {
+    return true;
+  }
+  if (state->crashes.open_start != run) {
+    state->crashes.open_start = run;
+    this->MarkCrashesUnsaved(task, state);
+  }
+  // Most tasks with one crash were merely beside the cause, so they do not wait
+  // for the store.
+  return static_cast<int>(state->crashes.runs.size()) <
+             this->settings.crashes_before_trial ||
+         job->saved_revision >= state->crash_revision;
+}
+
+bool PoolScheduler::NeedsTrial(const TaskRef& task) const {
+  const TaskState* const state = this->FindTask(task);
+  return static_cast<int>(state->crashes.runs.size()) >=
+             this->settings.crashes_before_trial &&
+         !this->SpecOf(this->jobs.at(task.job), task).is_gang;
+}
+
+void PoolScheduler::ReviewSuspects(MonotonicTime now) {
+  if (this->suspects.empty() && !this->has_suspect_marks) {
+    return;
+  }
+  this->trials = 0;
+  this->has_suspect_marks = !this->suspects.empty();
+  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    entry.second.trial.reset();
+    entry.second.suspect_runs = 0;
+  }
+  std::erase_if(this->suspects, [this, now](const TaskRef& task) {
+    TaskState* const state = this->FindTask(task);
+    if (state == nullptr || state->is_done ||
+        IsFinal(this->jobs.at(task.job).status)) {
+      return true;
+    }
+    const bool is_cleared = std::any_of(
+        state->runs.begin(), state->runs.end(),
+        [this, now](const RunRecord& run) {
+          return this->HasLasted(run, this->settings.crash_memory, now);
+        });
+    if (is_cleared) {
+      this->RecordDecision("crashes_cleared", task, state->last_run,
+                           state->runs.front().worker, "the run has lasted");
+      state->crashes = CrashRecord();
+      this->MarkCrashesUnsaved(task, state);
+    }
+    for (const RunRecord& run : state->runs) {
+      WorkerState& worker = this->workers.at(run.worker);
+      ++worker.suspect_runs;
+      if (this->NeedsTrial(task) &&
+          !this->HasLasted(run, this->settings.trial_duration, now)) {
+        worker.trial = task;
+        this->trials += worker.missed_reports == 0;
+      }
+    }
+    return state->crashes.empty();
+  });
+}
+
+void PoolScheduler::PlaceTrials(const std::vector<Candidate>& candidates,
+                                MonotonicTime now) {
+  const int limit =
+      std::max(1, static_cast<int>(this->settings.max_trial_share *
+                                   static_cast<double>(this->workers.size())));
+  for (const Candidate& candidate : candidates) {
+    if (this->suspects.empty()) {
+      return;
+    }
+    const StepSpec& step = candidate.job->job.spec.steps[candidate.step];
+    const TaskRef first{candidate.job->job.id, candidate.occurrence,
+                        candidate.step, 0};
+    for (std::set<TaskRef>::const_iterator task =
+             this->suspects.lower_bound(first);
+         task != this->suspects.end() && task->job == first.job &&
+         task->occurrence == first.occurrence && task->step == first.step;
+         ++task) {
+      if (this->trials >= limit) {
+        return;
+      }
+      if (this->NeedsTrial(*task) &&
+          this->IsPlaceable(*this->FindTask(*task), step)) {
+        this->PlaceTrial(candidate.job, *task, now);
+      }
+    }
+  }
+}
+
+void PoolScheduler::PlaceTrial(JobState* job,
+                               const TaskRef& task,
+                               MonotonicTime now) {
+  const StepSpec& step = this->SpecOf(*job, task);
+  if (!this->HasTickets(job, task, now) ||
+      !this->HasAllotment(job->job.team, step.request)) {
+    return;
+  }
+  WorkerState* best = nullptr;
+  std::pair<Milliseconds, std::size_t> best_cost;
+  for (WorkerState* const worker : this->usable_workers) {
+    if (worker->trial || !ReservedBy(step).FitsIn(worker->listing.capacity) ||
+        !this->IsAllowedOn(*worker, *job, task, step)) {
+      continue;
+    }
+    // Of equal workers, the one that would lose the fewest runs in a crash.
+    const std::pair<Milliseconds, std::size_t> cost(
+        this->TrialDelay(*worker, step, now), worker->runs.size());
+    if (best == nullptr || cost < best_cost) {
+      best = worker;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return;
+  }
+  best->trial = task;
+  ++this->trials;
+  const std::int64_t number =
+      std::max(this->FindTask(task)->last_run + 1, this->first_run);
+  // The start is not stored while the trial waits: a later scheduler would take
+  // it for one that crashed its worker.
+  if (best_cost.first.count() == 0 && this->IsStartStored(job, task, number)) {
+    this->RecordDecision("trial_started", task, number, best->listing.name,
+                         std::to_string(best->runs.size()) + " other runs");
+    this->Start(job, task, best, number, now);
+  }
+}
+
+Milliseconds PoolScheduler::TrialDelay(const WorkerState& worker,
+                                       const StepSpec& step,
+                                       MonotonicTime now) const {
+  Milliseconds delay =
+      now - worker.last_report_at <= this->settings.fresh_trial_report_window
+          ? Milliseconds(0)
+          : kShortestTrialDelay;
+  for (const RunKey& key : worker.runs) {
+    const TaskState* const state = this->FindTask(key.first);
+    for (const RunRecord& run : state->runs) {
+      if (run.number != key.second ||
+          this->HasLasted(run, this->settings.trial_duration, now)) {
+        continue;
+      }
+      const Milliseconds age = run.confirmed_at
+                                   ? std::chrono::duration_cast<Milliseconds>(
+                                         now - *run.confirmed_at)
+                                   : Milliseconds(0);
+      delay = std::max(
+          {delay, kShortestTrialDelay, this->settings.trial_duration - age});
+    }
+  }
+  if (!ReservedBy(step).FitsIn(worker.listing.capacity - worker.used)) {
+    delay += kTrialsUntilRoom * this->settings.trial_duration;
+  }
+  return delay;
+}
+
+}  // namespace daisyroad
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -23,6 +23,9 @@
 constexpr double kInterferenceCost = 2.0;
 constexpr double kRepeatMoveCost = 1.0;
 constexpr double kPreviousFailureCost = 8.0;
+// Tasks with crashes are kept apart, and where a crash would cost little.
+constexpr double kSuspectNeighborCost = 8.0;
+constexpr double kCrashLossCost = 2.0;
 
 // The advisor accepts at most this many workers in one request.
 constexpr std::size_t kMaxWorkersPerAdvice = 100;
@@ -53,6 +56,9 @@
                std::tie(right.tier, right.priority, right.job->remaining_work,
                         right.job->job.id, right.occurrence, right.step);
       });
+  if (now >= this->no_starts_before) {
+    this->PlaceTrials(candidates, now);
+  }
   int consecutive_unplaced =
       now < this->no_starts_before ? kMaxConsecutiveUnplaced : 0;
   for (const Candidate& candidate : candidates) {
@@ -69,6 +75,11 @@
 void PoolScheduler::CollectUsableWorkers(MonotonicTime now) {
   this->usable_workers.clear();
   for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+    if (entry.second.is_vacating || entry.second.listing.is_draining) {
+      entry.second.planned_end_at = now;
+    }
+    entry.second.is_report_fresh =
+        now - entry.second.last_report_at <= this->settings.fresh_report_window;
     if (this->IsUsable(entry.second, now)) {
       this->usable_workers.push_back(&entry.second);
     }
@@ -159,8 +170,10 @@
   } else {
     const StepState& state =
         job->occurrences.at(candidate.occurrence).steps[candidate.step];
-    // The tasks of a step are identical: if one cannot be placed, none can.
-    for (; task.index < step.task_count && placement == Placement::kPlaced;
+    // The tasks of a step are identical: if one cannot be placed, none can,
+    // unless it waits because of its crashes.
+    for (; task.index < step.task_count && (placement == Placement::kPlaced ||
+                                            placement == Placement::kWaiting);
          ++task.index) {
       if (this->IsPlaceable(state.tasks[task.index], step)) {
         placement = this->PlaceTask(job, task, now);
@@ -168,9 +181,10 @@
     }
   }
   if (placement == Placement::kNoRoom && this->reserved_worker.empty()) {
+    task.index = 0;
     this->ReserveWorker(*job, task);
   }
-  return placement == Placement::kPlaced;
+  return placement == Placement::kPlaced || placement == Placement::kWaiting;
 }
 
 bool PoolScheduler::IsPlaceable(const TaskState& task,
@@ -182,8 +196,10 @@
     return true;
   }
   // A task that allows copies does not wait for a run that may not exist or is
-  // on an unreachable worker.
+  // on an unreachable worker, unless it may have crashed all these workers.
+  const std::size_t suspected = task.crashes.runs.size() + task.runs.size();
   return step.allows_copies &&
+         static_cast<int>(suspected) < this->settings.crashes_before_failure &&
          std::all_of(task.runs.begin(), task.runs.end(),
                      [this](const RunRecord& run) {
                        return run.state == RunState::kStartUncertain ||
@@ -204,7 +220,7 @@
                            const JobState& job,
                            const TaskRef& task,
                            const StepSpec& step) const {
-  return worker.listing.name != this->reserved_worker &&
+  return worker.listing.name != this->reserved_worker && !worker.trial &&
          ReservedBy(step).FitsIn(worker.listing.capacity - worker.used) &&
          this->IsAllowedOn(worker, job, task, step);
 }
@@ -214,6 +230,10 @@
                                 const TaskRef& task,
                                 const StepSpec& step) const {
   const StepState& state = job.occurrences.at(task.occurrence).steps[task.step];
+  if (!worker.is_report_fresh &&
+      !state.tasks[task.index].crashes.runs.empty()) {
+    return false;
+  }
   if (this->PolicyOf(job).advice &&
       !state.tickets.contains(worker.listing.name)) {
     return false;
@@ -267,6 +287,10 @@
   if (state.failed_on == worker.listing.name) {
     cost += kPreviousFailureCost;
   }
+  if (!state.crashes.runs.empty()) {
+    cost += kCrashLossCost * (1.0 - free);
+    cost += kSuspectNeighborCost * worker.suspect_runs;
+  }
   return cost;
 }
 
@@ -370,13 +394,16 @@
     }
     return Placement::kBlocked;
   }
+  const std::int64_t number =
+      std::max(this->FindTask(task)->last_run + 1, this->first_run);
+  if (this->NeedsTrial(task) || !this->IsStartStored(job, task, number)) {
+    return Placement::kWaiting;
+  }
   WorkerState* const worker = this->ChooseWorker(*job, task, RackName());
   if (worker == nullptr) {
     return Placement::kNoRoom;
   }
-  this->Start(job, task, worker,
-              std::max(this->FindTask(task)->last_run + 1, this->first_run),
-              now);
+  this->Start(job, task, worker, number, now);
   return Placement::kPlaced;
 }
 
@@ -399,6 +426,13 @@
     this->unmet[job->job.team] += request;
     return Placement::kBlocked;
   }
+  bool is_stored = true;
+  for (task.index = 0; task.index < step.task_count; ++task.index) {
+    is_stored &= this->IsStartStored(job, task, number);
+  }
+  if (!is_stored) {
+    return Placement::kWaiting;
+  }
   std::set<RackName> racks{RackName()};
   if (step.same_rack) {
     racks.clear();
@@ -459,6 +493,7 @@
     order.ticket = ticket->second;
   }
   this->orders.emplace_back(std::move(order));
+  worker->suspect_runs += !this->FindTask(task)->crashes.runs.empty();
   this->RecordDecision("run_started", task, number, worker->listing.name,
                        job->job.team.str());
 }
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -2,6 +2,7 @@
 // active runs and run ends.
 
 #include <algorithm>
+#include <utility>
 
 #include "Core/Jobs/objective.h"
 #include "Core/Jobs/pool_scheduler.h"
@@ -96,6 +97,11 @@
     }
     worker.listing.incarnation = report.incarnation;
   }
+  worker.expired_runs.clear();
+  if (worker.planned_end_at && *worker.planned_end_at <= asked_at &&
+      !worker.is_vacating && !worker.listing.is_draining) {
+    worker.planned_end_at.reset();
+  }
   worker.has_reported = true;
   worker.needs_report = false;
   worker.is_gone = false;
@@ -113,7 +119,7 @@
     this->HandleActiveRun(&worker, active, now);
   }
   if (report.ended.size() < kMaxEndsPerReport) {
-    this->DropMissingRuns(&worker, asked_at);
+    this->DropMissingRuns(&worker, asked_at, now);
   }
   this->AcknowledgeSavedEnds(&worker);
   this->ThrottleIdleCapacityRuns(&worker);
@@ -140,7 +146,9 @@
   }
 }
 
-void PoolScheduler::OnWorkerGone(const WorkerName& name, MonotonicTime now) {
+void PoolScheduler::OnWorkerGone(const WorkerName& name,
+                                 MonotonicTime now,
+                                 WorkerEnd end) {
   const std::map<WorkerName, WorkerState>::iterator found =
       this->workers.find(name);
   if (found == this->workers.end()) {
@@ -155,9 +163,17 @@
   if (!this->is_sole_leader && !worker.runs.empty()) {
     return;
   }
-  this->RecordDecision("worker_gone", TaskRef(), 0, name,
-                       std::to_string(worker.runs.size()) + " runs lost");
+  this->RecordDecision(
+      "worker_gone", TaskRef(), 0, name,
+      std::to_string(worker.runs.size()) + " runs lost" +
+          (end == WorkerEnd::kPlanned ? ", planned work" : ""));
+  if (end == WorkerEnd::kPlanned) {
+    worker.planned_end_at = now;
+  } else if (end == WorkerEnd::kDown && !worker.listing.is_draining) {
+    worker.planned_end_at.reset();
+  }
   const std::set<std::pair<TaskRef, std::int64_t>> runs = worker.runs;
+  this->HandleCrash(&worker, runs, now);
   for (const std::pair<TaskRef, std::int64_t>& run : runs) {
     this->RemoveRun(run.first, run.second);
   }
@@ -182,6 +198,14 @@
   worker->has_reported = false;
   worker->missed_reports = 0;
   worker->next_report = now;
+  for (const std::pair<TaskRef, std::int64_t>& key : worker->runs) {
+    this->FindRun(key.first, key.second)->is_process_lost =
+        !worker->planned_end_at || !this->IsEndPlanned(*worker, now) ||
+        this->FindRun(key.first, key.second)->ordered_at >
+            *worker->planned_end_at;
+  }
+  this->HandleCrash(worker, std::exchange(worker->expired_runs, {}), now);
+  worker->planned_end_at.reset();
 }
 
 std::vector<WorkerName> PoolScheduler::SilentWorkers(MonotonicTime now) const {
@@ -229,6 +253,7 @@
       if (run->state == RunState::kStartSent) {
         run->state = RunState::kActive;
       }
+      run->is_process_lost = false;
       return;
     case StartOutcome::kUnknown:
       this->RecordDecision("start_unknown", order.task, order.run, order.worker,
@@ -325,6 +350,7 @@
   if (run != nullptr && run->worker == worker->listing.name) {
     this->RemoveRun(end.task, end.run);
   }
+  this->CloseStart(end.task, task, end.run);
   task->last_run = std::max(task->last_run, end.run);
   job.has_started = true;
   if (!end.checkpoint.empty()) {
@@ -393,7 +419,9 @@
   } else if (run->state == RunState::kStartUncertain) {
     run->state = RunState::kStopping;
   }
+  run->is_process_lost = false;
   run->last_report_seen = worker->report_count;
+  run->last_seen_at = now;
   run->percent = active.percent;
   run->load = active.load;
   const bool is_idle =
@@ -413,8 +441,10 @@
 }
 
 void PoolScheduler::DropMissingRuns(WorkerState* worker,
-                                    MonotonicTime asked_at) {
+                                    MonotonicTime asked_at,
+                                    MonotonicTime now) {
   std::vector<std::pair<TaskRef, std::int64_t>> missing;
+  std::set<std::pair<TaskRef, std::int64_t>> lost;
   for (const std::pair<TaskRef, std::int64_t>& key : worker->runs) {
     const RunRecord* const run = this->FindRun(key.first, key.second);
     if (run->last_report_seen == worker->report_count) {
@@ -429,8 +459,14 @@
           "run_missing", key.first, key.second, worker->listing.name,
           is_stop_confirmed ? "stopped before it started" : "not reported");
       missing.push_back(key);
+      if (run->is_process_lost) {
+        lost.insert(key);
+      }
     }
   }
+  if (!lost.empty()) {
+    this->HandleCrash(worker, lost, now);
+  }
   for (const std::pair<TaskRef, std::int64_t>& key : missing) {
     this->RemoveRun(key.first, key.second);
   }
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -24,6 +24,7 @@
     for (const std::pair<TaskRef, std::int64_t>& run : runs) {
       this->RemoveRun(run.first, run.second);
     }
+    worker.expired_runs.insert(runs.begin(), runs.end());
   }
 }
 
@@ -33,9 +34,13 @@
     const bool has_ends_to_acknowledge =
         worker.delivered_acknowledgement < worker.acknowledged_end &&
         now >= worker.last_end_at + this->settings.acknowledge_delay;
+    const bool must_be_fresh =
+        (!this->suspects.empty() && !worker.is_report_fresh) ||
+        (worker.trial &&
+         now >= worker.last_report_at + this->settings.trial_report_wait);
     const bool is_needed = !worker.has_reported || worker.needs_report ||
                            !worker.runs.empty() || !worker.IsReachable() ||
-                           has_ends_to_acknowledge;
+                           has_ends_to_acknowledge || must_be_fresh;
     // A worker with unacknowledged ends answers immediately, so asking it again
     // before they are saved would only repeat them.
     const bool is_awaiting_save =
@@ -53,7 +58,8 @@
     worker.sent_acknowledgement = ask.acknowledged;
     if (worker.has_reported && worker.missed_reports == 0 &&
         !worker.runs.empty() && !this->AwaitsStopConfirmation(worker)) {
-      ask.wait = this->settings.report_wait;
+      ask.wait = worker.trial ? this->settings.trial_report_wait
+                              : this->settings.report_wait;
     }
     // A worker whose answers are lost may still receive requests. Its leases
     // are not renewed, so that they expire.
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -63,6 +63,37 @@
   // A worker that refused a run for lack of capacity gets no new runs for this
   // long; the next report shows its load.
   Milliseconds full_worker_delay{200};
+
+  // A task under which this many workers have crashed runs on trial: on a
+  // worker without other runs that may be the cause of a crash.
+  int crashes_before_trial = 2;
+  // A task is given up after this many certain crashes if the last one was on
+  // trial, and after `uncertain_crashes_before_failure` of any kind otherwise.
+  int crashes_before_failure = 3;
+  int uncertain_crashes_before_failure = 4;
+  // Largest share of the workers that are used for trials at a time. One trial
+  // is always allowed.
+  double max_trial_share = 0.25;
+  // A crash is certain if the worker confirmed the run this shortly before the
+  // crash is noticed. Otherwise the run may have ended, or not have started.
+  Milliseconds crash_notice_window{1500};
+  // A run that has lasted this long has passed its trial.
+  Milliseconds trial_duration{500};
+  // Tasks with crashes only start on workers whose last report is not older.
+  Milliseconds fresh_report_window{1500};
+  Milliseconds fresh_trial_report_window{500};
+  // Longest time that a report request waits at a worker used for a trial.
+  Milliseconds trial_report_wait{200};
+  // A run that has lasted this long clears its task of all crashes.
+  Milliseconds crash_memory{5000};
+  // A worker that was draining, or about to be emptied for planned work, within
+  // this time before its end has not crashed.
+  Milliseconds planned_end_window{5000};
+  // If this many workers of one rack or zone, and this share of its workers,
+  // crash within the window, they were lost together.
+  int min_joint_loss = 3;
+  double min_joint_loss_share = 0.75;
+  Milliseconds joint_loss_window{200};
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -81,6 +81,19 @@
   MonotonicTime last_end_at;
   std::deque<UnsavedEnd> unsaved_ends;
 
+  // When the worker was last draining or being emptied.
+  std::optional<MonotonicTime> planned_end_at;
+  // Runs that were dropped when their lease expired, until the next report
+  // shows whether the worker's process went on.
+  std::set<std::pair<TaskRef, std::int64_t>> expired_runs;
+  // The task whose trial the worker is kept free for or runs.
+  std::optional<TaskRef> trial;
+  // The worker has reported lately. Whether a start that gets no answer crashed
+  // its worker is only known on such a worker.
+  bool is_report_fresh = false;
+  // Number of runs of tasks with crashes.
+  int suspect_runs = 0;
+
   int consecutive_failures = 0;
   MonotonicTime no_starts_before;
 
--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -191,7 +191,8 @@
                         << " absences=" << absences << " over=" << is_over;
   if (is_over) {
     this->absences.erase(worker);
-    this->scheduler.OnWorkerGone(worker, Now());
+    this->scheduler.OnWorkerGone(
+        worker, Now(), ClassifyWorkerEnd(this->pool, host->second, machines));
   }
 }
 
--- a/Source/Core/Site/worker_liveness.cc
+++ b/Source/Core/Site/worker_liveness.cc
@@ -31,6 +31,23 @@
              : WorkerLiveness::kTerminated;
 }
 
+WorkerEnd ClassifyWorkerEnd(const PoolName& pool,
+                            const MachineName& machine,
+                            const std::vector<Machine>& machines) {
+  const std::vector<Machine>::const_iterator found = std::find_if(
+      machines.begin(), machines.end(),
+      [&machine](const Machine& listed) { return listed.name == machine; });
+  if (found == machines.end()) {
+    return WorkerEnd::kUnknown;
+  }
+  if (found->pool != pool || found->state == MachineState::kMoving ||
+      found->state == MachineState::kUpkeep) {
+    return WorkerEnd::kPlanned;
+  }
+  return found->state == MachineState::kDown ? WorkerEnd::kDown
+                                             : WorkerEnd::kUnknown;
+}
+
 const char* ToString(WorkerLiveness life) {
   switch (life) {
     case WorkerLiveness::kMayBeRunning:
--- a/Source/Core/Site/worker_liveness.h
+++ b/Source/Core/Site/worker_liveness.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "Core/Jobs/worker_end.h"
 #include "Core/Platform/machine_client.h"
 
 namespace daisyroad {
@@ -23,6 +24,13 @@
                                       const MachineName& machine,
                                       const std::vector<Machine>& machines);
 
+// Why the worker of the machine has ended. Only this system moves machines and
+// takes them into maintenance, but a machine that is to be moved may also
+// crash.
+WorkerEnd ClassifyWorkerEnd(const PoolName& pool,
+                            const MachineName& machine,
+                            const std::vector<Machine>& machines);
+
 const char* ToString(WorkerLiveness life);
 
 }  // namespace daisyroad
--- a/Source/UnitTests/Jobs/crashing_pool.cc
+++ b/Source/UnitTests/Jobs/crashing_pool.cc
@@ -10,6 +10,8 @@
 constexpr WallTime kWallStart(std::chrono::hours(1000));
 constexpr Milliseconds kTick{10};
 constexpr int kWorkersPerRack = 4;
+// Time from a crash until the list of machines shows it.
+constexpr Milliseconds kListDelay{200};
 constexpr std::int64_t kRunNumbersPerTerm = 100;
 // Longest time for which runs of an earlier scheduler go on.
 constexpr Milliseconds kUnknownRuns{6300};
@@ -123,6 +125,12 @@
     names.insert(listing.name);
   }
   this->scheduler->SetRemembered(names);
+  for (const WorkerName& worker : this->scheduler->SilentWorkers(this->Now())) {
+    const Host& host = this->hosts.at(worker);
+    if (host.down_listed_at && *host.down_listed_at <= this->Now()) {
+      this->scheduler->OnWorkerGone(worker, this->Now());
+    }
+  }
   this->CarryOut(
       this->scheduler->TakeOrders(this->Now(), kWallStart + this->elapsed));
   this->Save();
@@ -148,9 +156,29 @@
       ++this->histories[run.first].crashes;
     }
   }
+  const std::map<TaskRef, FakeWorker::Run> lost = host->worker->runs();
   host->worker.reset();
+  for (const std::pair<const TaskRef, FakeWorker::Run>& run : lost) {
+    this->BreakGangOf(run.first);
+  }
   host->restart_at = this->Now() + this->restart_delay;
-  host->is_down_listed = this->is_crash_listed;
+  if (this->is_crash_listed) {
+    host->down_listed_at = this->Now() + kListDelay;
+  }
+}
+
+void CrashingPool::BreakGangOf(const TaskRef& task) {
+  if (!this->jobs.at(task.job).spec.steps.at(task.step).is_gang) {
+    return;
+  }
+  for (std::pair<const WorkerName, Host>& host : this->hosts) {
+    for (const TaskRef& member : this->RunsOn(host.first)) {
+      if (member.job == task.job && member.occurrence == task.occurrence &&
+          member.step == task.step) {
+        host.second.worker->BreakRun(member, this->Now());
+      }
+    }
+  }
 }
 
 void CrashingPool::CrashWorker(const WorkerName& worker) {
@@ -167,7 +195,7 @@
     if (host.worker == nullptr && host.restart_at <= this->Now()) {
       host.worker = std::make_unique<FakeWorker>(this->Now());
       host.listing.is_draining = false;
-      host.is_down_listed = false;
+      host.down_listed_at.reset();
     }
   }
 }
@@ -260,9 +288,6 @@
     return;
   }
   this->scheduler->OnReportFailed(order.worker, this->Now());
-  if (host.worker == nullptr && host.is_down_listed) {
-    this->scheduler->OnWorkerGone(order.worker, this->Now());
-  }
 }
 
 void CrashingPool::Save() {
--- a/Source/UnitTests/Jobs/crashing_pool.h
+++ b/Source/UnitTests/Jobs/crashing_pool.h
@@ -69,7 +69,7 @@
     std::unique_ptr<FakeWorker> worker;  // null while it is down
     MonotonicTime restart_at;
     MonotonicTime unreachable_until;
-    bool is_down_listed = false;
+    std::optional<MonotonicTime> down_listed_at;
   };
   struct History {
     int starts = 0;
@@ -82,6 +82,8 @@
   bool IsReachable(const Host& host) const;
   void Step();
   void EndProcess(Host* host, bool is_planned);
+  // Ends the other members of the gang that the task belongs to.
+  void BreakGangOf(const TaskRef& task);
   void RestartWorkers();
   void CarryOut(const std::vector<Order>& orders);
   void CarryOutStart(const StartRun& order);
--- a/Source/UnitTests/Jobs/fake_worker.cc
+++ b/Source/UnitTests/Jobs/fake_worker.cc
@@ -97,6 +97,15 @@
   return true;
 }
 
+void FakeWorker::BreakRun(const TaskRef& task, MonotonicTime now) {
+  this->Advance(now);
+  const std::map<TaskRef, Run>::iterator found = this->active.find(task);
+  if (found != this->active.end()) {
+    this->End(found->first, found->second, EndKind::kBroken);
+    this->active.erase(found);
+  }
+}
+
 std::optional<RunReport> FakeWorker::Report(const AskReport& order,
                                             std::int64_t fence,
                                             MonotonicTime now) {
--- a/Source/UnitTests/Jobs/fake_worker.h
+++ b/Source/UnitTests/Jobs/fake_worker.h
@@ -39,6 +39,8 @@
                      MonotonicTime now);
   // Returns false if a later fence was seen before.
   bool Stop(const StopRun& order, std::int64_t fence, MonotonicTime now);
+  // Ends a run because another member of its gang ended.
+  void BreakRun(const TaskRef& task, MonotonicTime now);
   std::optional<RunReport> Report(const AskReport& order,
                                   std::int64_t fence,
                                   MonotonicTime now);
