Jobs: tasks that crash their workers in the randomized pool simulation

Each seed has tasks that crash every worker that starts them; the simulation checks that no more than two starts follow three crashes that a scheduler can know of, and that no other job fails unless two workers crashed under a task of it. The list of machines shows crashed workers after 200 ms.

--- a/Source/UnitTests/Jobs/pool_schedule_test.cc
+++ b/Source/UnitTests/Jobs/pool_schedule_test.cc
@@ -21,13 +21,18 @@
   });
   INFO("starts " << totals.starts << ", late orders " << totals.late_orders
                  << ", terms " << totals.terms << ", crashes " << totals.crashes
-                 << ", partitions " << totals.partitions);
+                 << ", partitions " << totals.partitions
+                 << ", crashes by tasks " << totals.crashes_by_tasks
+                 << ", jobs given up " << totals.crashing_jobs_failed
+                 << ", of others " << totals.bystanders_failed);
   CHECK(failure == "");
   if (runner.count() >= 100) {
     CHECK(totals.late_orders > 100);
     CHECK(totals.terms > 500);
     CHECK(totals.partitions > 100);
     CHECK(totals.crashes > 100);
+    CHECK(totals.crashes_by_tasks > 100);
+    CHECK(totals.crashing_jobs_failed > 100);
   }
 }
 
--- a/Source/UnitTests/Jobs/pool_simulation.cc
+++ b/Source/UnitTests/Jobs/pool_simulation.cc
@@ -17,6 +17,14 @@
 constexpr int kWorkers = 4;
 constexpr int kJobs = 25;
 constexpr Milliseconds kOutageGrace{3000};
+constexpr double kCrashingJobShare = 0.08;
+// Starts that a task is allowed after three workers have crashed under it.
+constexpr int kStartsAllowed = 2;
+constexpr int kMaxAttempts = 3;
+constexpr int kCrashesBeforeFailure = 2;
+// Time within which a scheduler notices a crash by the list of machines.
+constexpr Milliseconds kListDelay{200};
+constexpr Milliseconds kCrashNoticed{1000};
 
 }  // namespace
 
@@ -59,6 +67,9 @@
       builder.Step(1 + static_cast<int>(this->random.Below(3))).After(0);
     }
     const AcceptedJob job = builder.Build();
+    if (this->random.Chance(kCrashingJobShare)) {
+      this->crashing_jobs.insert(job.id);
+    }
     this->queue.After(Milliseconds(this->random.Below(20000)), [this, job]() {
       this->jobs.push_back(job);
       this->scheduler->AddJob(job, JobProgress(), false,
@@ -75,6 +86,15 @@
     const std::optional<JobStatus> status = this->scheduler->StatusOf(job.id);
     if (status == JobStatus::kCompleted || status == JobStatus::kFailed) {
       ++sums->jobs_complete;
+      sums->crashing_jobs_failed +=
+          this->crashing_jobs.contains(job.id) && status == JobStatus::kFailed;
+      sums->bystanders_failed += status == JobStatus::kFailed &&
+                                 !this->crashing_jobs.contains(job.id) &&
+                                 !this->HasUsedAttempts(job.id);
+      if (status == JobStatus::kFailed && !this->MayFail(job.id) &&
+          this->failure.empty()) {
+        this->failure = job.id.str() + " failed without cause";
+      }
     } else if (this->failure.empty()) {
       this->failure =
           job.id.str() + " was not complete at the end of the simulation";
@@ -125,9 +145,15 @@
           }
           Host& host = this->hosts.at(start->worker);
           if (this->IsReachable(host)) {
+            FakeWorker::RunPlan run_plan{Milliseconds(500), EndKind::kDone};
+            if (this->IsCrashing(start->task)) {
+              run_plan.duration.reset();
+            }
             const StartOutcome outcome = host.worker->Start(
-                *start, old_term, {Milliseconds(500), EndKind::kDone},
-                kStart + this->queue.now());
+                *start, old_term, run_plan, kStart + this->queue.now());
+            if (outcome == StartOutcome::kStarted) {
+              this->CrashLater(start->task, &host);
+            }
             old->OnStart(*start, outcome, std::nullopt,
                          kStart + this->queue.now());
           }
@@ -189,10 +215,22 @@
   FakeWorker::RunPlan run_plan{
       Milliseconds(100 + this->random.Below(1500)),
       this->random.Chance(0.03) ? EndKind::kFailed : EndKind::kDone};
+  if (this->IsCrashing(order.task)) {
+    run_plan.duration.reset();
+  }
   const MonotonicTime now = kStart + this->queue.now();
   if (host.worker->Start(order, fence, run_plan, now) ==
       StartOutcome::kStarted) {
     ++this->totals->starts;
+    this->failing_starts[order.task] += run_plan.end == EndKind::kFailed;
+    this->CrashLater(order.task, &host);
+    if (this->crashes[order.task] >= 3 && this->IsCrashing(order.task) &&
+        ++this->starts_after_three_crashes[order.task] > kStartsAllowed &&
+        this->failure.empty()) {
+      this->failure = "start of " + order.task.ToString() + " after " +
+                      std::to_string(this->crashes[order.task]) +
+                      " workers crashed under it";
+    }
     if (this->acknowledged_done.contains(order.task)) {
       this->failure = "start of " + order.task.ToString() +
                       " after its completion was acknowledged";
@@ -286,11 +324,24 @@
                                            now);
                         } else {
                           sender->OnReportFailed(order.worker, now);
+                          this->CheckMachine(order.worker, sender);
                         }
                       });
   });
 }
 
+void PoolSimulation::CheckMachine(
+    const WorkerName& worker,
+    const std::shared_ptr<PoolScheduler>& sender) {
+  const int start_count = this->hosts.at(worker).start_count;
+  this->queue.After(kListDelay, [this, worker, sender, start_count]() {
+    const Host& host = this->hosts.at(worker);
+    if (host.worker == nullptr && host.start_count == start_count) {
+      sender->OnWorkerGone(worker, kStart + this->queue.now());
+    }
+  });
+}
+
 void PoolSimulation::InjectFault() {
   const MonotonicTime now = kStart + this->queue.now();
   Host& host =
@@ -298,15 +349,7 @@
   switch (this->random.Below(4)) {
     case 0:
       ++this->totals->crashes;
-      host.worker.reset();
-      ++host.start_count;
-      this->queue.After(
-          Milliseconds(this->random.Below(3000)), [this, &host]() {
-            if (host.worker == nullptr) {
-              host.worker =
-                  std::make_unique<FakeWorker>(kStart + this->queue.now());
-            }
-          });
+      this->CrashWorker(&host);
       return;
     case 1:
       ++this->totals->partitions;
@@ -320,6 +363,75 @@
   }
 }
 
+void PoolSimulation::CrashWorker(Host* host) {
+  if (host->worker != nullptr) {
+    host->worker->Advance(kStart + this->queue.now());
+    for (const std::pair<const TaskRef, FakeWorker::Run>& run :
+         host->worker->runs()) {
+      this->CountCrash(run.first);
+    }
+  }
+  host->worker.reset();
+  ++host->start_count;
+  this->queue.After(Milliseconds(this->random.Below(3000)), [this, host]() {
+    if (host->worker == nullptr) {
+      host->worker = std::make_unique<FakeWorker>(kStart + this->queue.now());
+    }
+  });
+}
+
+void PoolSimulation::CountCrash(const TaskRef& task) {
+  ++this->lost_runs[task];
+  if (this->stored[task.job].crashes.contains(task)) {
+    ++this->crashes[task];
+    return;
+  }
+  // The first crash is lost with the scheduler if that ends before it sees it.
+  const std::int64_t term_of_crash = this->term;
+  this->queue.After(kCrashNoticed, [this, task, term_of_crash]() {
+    this->crashes[task] += this->term == term_of_crash;
+  });
+}
+
+bool PoolSimulation::IsCrashing(const TaskRef& task) const {
+  return this->crashing_jobs.contains(task.job) && task.step == 0 &&
+         task.index == 0;
+}
+
+void PoolSimulation::CrashLater(const TaskRef& task, Host* host) {
+  if (!this->IsCrashing(task)) {
+    return;
+  }
+  const int start_count = host->start_count;
+  this->queue.After(Milliseconds(this->random.Below(300)),
+                    [this, host, task, start_count]() {
+                      if (host->start_count == start_count &&
+                          host->worker->runs().contains(task)) {
+                        ++this->totals->crashes_by_tasks;
+                        this->CrashWorker(host);
+                      }
+                    });
+}
+
+bool PoolSimulation::MayFail(const JobId& job) const {
+  // Another task may be given up if two workers have crashed under it.
+  return this->crashing_jobs.contains(job) ||
+         std::any_of(this->lost_runs.begin(), this->lost_runs.end(),
+                     [&job](const std::pair<const TaskRef, int>& lost) {
+                       return lost.first.job == job &&
+                              lost.second >= kCrashesBeforeFailure;
+                     }) ||
+         this->HasUsedAttempts(job);
+}
+
+bool PoolSimulation::HasUsedAttempts(const JobId& job) const {
+  return std::any_of(this->failing_starts.begin(), this->failing_starts.end(),
+                     [&job](const std::pair<const TaskRef, int>& starts) {
+                       return starts.first.job == job &&
+                              starts.second >= kMaxAttempts;
+                     });
+}
+
 void PoolSimulation::Check() {
   std::map<TaskRef, WorkerName> running;
   for (std::pair<const WorkerName, Host>& host : this->hosts) {
--- a/Source/UnitTests/Jobs/pool_simulation.h
+++ b/Source/UnitTests/Jobs/pool_simulation.h
@@ -18,7 +18,8 @@
 // Simulates one pool with random faults: workers crash, restart and become
 // unreachable; orders are lost, answered late or executed late; schedulers are
 // replaced with or without the predecessor knowing; the worker list omits
-// unreachable workers. Checks the runs on the workers.
+// unreachable workers; some tasks crash each worker that starts them. Checks
+// the runs on the workers.
 class PoolSimulation {
  public:
   struct Totals {
@@ -29,6 +30,9 @@
     int crashes = 0;
     int partitions = 0;
     int jobs_complete = 0;
+    int crashes_by_tasks = 0;
+    int crashing_jobs_failed = 0;
+    int bystanders_failed = 0;
   };
 
   explicit PoolSimulation(std::uint64_t seed);
@@ -53,6 +57,17 @@
   void ExecuteStart(const StartRun& order, std::int64_t fence);
   void Save();
   void InjectFault();
+  void CrashWorker(Host* host);
+  // Tells the scheduler if the list of machines shows the worker as down.
+  void CheckMachine(const WorkerName& worker,
+                    const std::shared_ptr<PoolScheduler>& sender);
+  void CountCrash(const TaskRef& task);
+  // Ends the worker soon if the task crashes its workers.
+  void CrashLater(const TaskRef& task, Host* host);
+  bool IsCrashing(const TaskRef& task) const;
+  // Whether the job may be shown as failed.
+  bool MayFail(const JobId& job) const;
+  bool HasUsedAttempts(const JobId& job) const;
   void Check();
   std::map<WorkerName, WorkerListing> Listing() const;
   bool IsReachable(const Host& host) const;
@@ -66,6 +81,15 @@
   std::vector<WorkerListing> remembered;
   std::shared_ptr<PoolScheduler> scheduler;
   std::int64_t term = 0;
+  // Jobs whose first task crashes each worker that starts it.
+  std::set<JobId> crashing_jobs;
+  // Crashes of workers that ran the task, as far as schedulers can know them.
+  std::map<TaskRef, int> crashes;
+  // The same, and those that no scheduler has seen.
+  std::map<TaskRef, int> lost_runs;
+  std::map<TaskRef, int> starts_after_three_crashes;
+  // Starts of runs that end as failed.
+  std::map<TaskRef, int> failing_starts;
   // Tasks whose `done` end was acknowledged to a worker.
   std::set<TaskRef> acknowledged_done;
   Totals* totals = nullptr;
