Jobs: a new scheduler opens all occurrences that the stored progress implies

A scheduled job whose second occurrence ended before its first one lost the first one when the scheduler changed, and failed or crashed runs of an occurrence without a completed task were forgotten: only occurrences with a completed task were recreated, and the number of those present was taken for the next one to open. Found by reading; scheduled_progress fails in both cases without the change.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -85,12 +85,22 @@
   if (state.job.spec.occurrences == 0) {
     this->OpenDueOccurrences(&state, WallTime::max());
   } else {
-    // Recreate the occurrences that the stored progress refers to.
+    // Recreate the occurrences that the stored progress refers to, and those
+    // before them.
+    int last = -1;
     for (const TaskRef& task : progress.done) {
-      state.occurrences[task.occurrence];
+      last = std::max(last, task.occurrence);
     }
-    for (std::pair<const int, OccurrenceState>& entry : state.occurrences) {
-      entry.second = NewOccurrence(state.job.spec);
+    for (const std::pair<const TaskRef, std::set<std::int64_t>>& entry :
+         progress.failures) {
+      last = std::max(last, entry.first.occurrence);
+    }
+    for (const std::pair<const TaskRef, CrashRecord>& entry :
+         progress.crashes) {
+      last = std::max(last, entry.first.occurrence);
+    }
+    for (int i = 0; i <= last; ++i) {
+      state.occurrences[i] = NewOccurrence(state.job.spec);
     }
     RefreshRemaining(&state);
   }
