Common: the error of an unreadable text is one printable line

What operators saw: the line about an unreadable entry had several lines and the raw bytes of the entry, terminal codes among them, up to the whole entry: a number of 100,000 digits was repeated in full.

Each reader of entries logs such errors (declaration, waves, jobs, progress), so the cause is removed where texts are parsed.

--- a/Source/Core/Common/json.cc
+++ b/Source/Core/Common/json.cc
@@ -6,6 +6,8 @@
 #include <memory>
 #include <sstream>
 
+#include "Core/Common/printable.h"
+
 namespace daisyroad {
 namespace {
 
@@ -14,6 +16,20 @@
                "\"" + name + "\" must be " + expected};
 }
 
+// The messages of the library have several lines and repeat parts of the text.
+std::string OnOneLine(const std::string& messages) {
+  std::string line;
+  for (const char c : messages) {
+    const bool is_space = c == '\n' || c == ' ';
+    if (!is_space) {
+      line.push_back(c);
+    } else if (!line.empty() && line.back() != ' ') {
+      line.push_back(' ');
+    }
+  }
+  return Printable(line.substr(0, line.find_last_not_of(' ') + 1));
+}
+
 std::unique_ptr<Json::CharReader> NewReader() {
   Json::CharReaderBuilder builder;
   Json::CharReaderBuilder::strictMode(&builder.settings_);
@@ -43,7 +59,7 @@
   } catch (const Json::Exception& exception) {
     errors = exception.what();
   }
-  return Error{Errc::kInvalidArgument, "json.parse", "", errors};
+  return Error{Errc::kInvalidArgument, "json.parse", "", OnOneLine(errors)};
 }
 
 std::string WriteJson(const Json::Value& value) {
--- a/Source/Core/Common/json.h
+++ b/Source/Core/Common/json.h
@@ -11,7 +11,7 @@
 namespace daisyroad {
 
 // Parses strict JSON: no comments, duplicate keys or text after the value. The
-// error contains the position.
+// error is one line with the position.
 Result<Json::Value> ParseJson(std::string_view text);
 
 // Returns compact JSON on one line.
--- a/Source/UnitTests/Common/common_test.cc
+++ b/Source/UnitTests/Common/common_test.cc
@@ -5,6 +5,7 @@
 #include "Core/Common/json.h"
 #include "Core/Common/log_decision.h"
 #include "Core/Common/metrics_registry.h"
+#include "Core/Common/printable.h"
 
 namespace daisyroad {
 namespace {
@@ -48,6 +49,25 @@
   CHECK_FALSE(ParseJson(text).ok());
 }
 
+// Guards against log lines that a text from outside breaks or fills.
+TEST_CASE("A text from outside is printable and bounded") {
+  CHECK(Printable("a b\n\x1b\xff~") == "a b\\x0a\\x1b\\xff~");
+  CHECK(Printable(std::string("a\0b", 3)) == "a\\x00b");
+  const std::string fitting(kMaxPrintableBytes - 7, 'a');
+  CHECK(Printable(fitting) == fitting);
+  for (const char c : {'a', '\n'}) {
+    const std::string cut = Printable(std::string(100000, c));
+    CHECK(cut.size() <= kMaxPrintableBytes);
+    CHECK(cut.ends_with("..."));
+  }
+}
+
+// Guards against parse errors that hide where the text is wrong.
+TEST_CASE("A parse error is one line with the position") {
+  CHECK(ParseJson("{\n\"a\": x}").error().detail ==
+        "* Line 2, Column 6 Syntax error: value, object or array expected.");
+}
+
 // Guards against log injection through caller-supplied text.
 TEST_CASE("A decision line escapes values") {
   const std::string line =
