Site: an entry that the codec throws on does not hold up the list of workers

What callers saw: nothing yet; no entry is known on which the codec throws.

Cause: an exception of the codec left the read of the list. By reading the code, a Json::Exception would be caught with the answer and fail each read while the entry stays, so that the list is followed no more, and any other would end the process.

Evidence: odd_worker_listing_throwing failed, the exception left the loop.

Change: an exception counts as an entry that is not readable.

Result: the test passes.

--- a/Source/Core/Site/worker_directory.cc
+++ b/Source/Core/Site/worker_directory.cc
@@ -1,6 +1,7 @@
 #include "Core/Site/worker_directory.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "Core/Common/logging.h"
@@ -17,6 +18,15 @@
 constexpr std::chrono::microseconds kIntervalPerEntry{1500};
 constexpr Milliseconds kTimeout{700};
 
+// An exception would leave the list as it was for as long as the entry stays.
+Result<WorkerListing> DecodeOrError(SiteCodec* codec, const StoreItem& item) {
+  try {
+    return codec->DecodeWorker(item.key, item.value);
+  } catch (const std::exception& exception) {
+    return Error{Errc::kInternal, "worker.decode", "", exception.what()};
+  }
+}
+
 }  // namespace
 
 WorkerDirectory::WorkerDirectory(RevisionStore* store,
@@ -96,8 +106,7 @@
 }
 
 std::optional<WorkerListing> WorkerDirectory::Decode(const StoreItem& item) {
-  const Result<WorkerListing> worker =
-      this->codec->DecodeWorker(item.key, item.value);
+  const Result<WorkerListing> worker = DecodeOrError(this->codec, item);
   if (worker.ok()) {
     return worker.value();
   }
