Site: keys of unreadable entries are forgotten when the entries go

What callers saw: nothing yet. A writer that leaves unreadable entries under ever new keys would make the set of their keys grow for as long as the process runs.

Cause: the set kept each key so that an entry is logged once, and lost none.

Evidence: odd_worker_listing_keys failed: an entry that was gone and came back was not logged again, because its key had been kept.

Change: whether an entry has been logged follows from the last read: it was there and had no listing. The set is gone.

Result: the test passes; an entry that stays is still logged once (odd_worker_listing_once).

--- a/Source/Core/Site/worker_directory.cc
+++ b/Source/Core/Site/worker_directory.cc
@@ -91,7 +91,9 @@
       entry = known->second;
     } else {
       entry.revision = item.revision;
-      entry.listing = this->Decode(item);
+      const bool is_logged =
+          known != this->entries.end() && !known->second.listing;
+      entry.listing = this->Decode(item, is_logged);
     }
     if (entry.listing) {
       found[entry.listing->name] = *entry.listing;
@@ -105,12 +107,13 @@
   this->listener.on_change();
 }
 
-std::optional<WorkerListing> WorkerDirectory::Decode(const StoreItem& item) {
+std::optional<WorkerListing> WorkerDirectory::Decode(const StoreItem& item,
+                                                     bool is_logged) {
   const Result<WorkerListing> worker = DecodeOrError(this->codec, item);
   if (worker.ok()) {
     return worker.value();
   }
-  if (this->unreadable.insert(item.key).second) {
+  if (!is_logged) {
     CLOG(WARNING, kRoutingLog)
         << "event=worker_unreadable key=" << item.key << " error=\""
         << worker.error().ToString() << "\"";
--- a/Source/Core/Site/worker_directory.h
+++ b/Source/Core/Site/worker_directory.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -59,7 +58,8 @@
   // successful read.
   void RecordReadResult(const std::string& error);
   void Adopt(const std::vector<StoreItem>& items);
-  std::optional<WorkerListing> Decode(const StoreItem& item);
+  // Logs an entry that is not readable unless `is_logged`.
+  std::optional<WorkerListing> Decode(const StoreItem& item, bool is_logged);
 
   RevisionStore* store;
   EventLoop* loop;
@@ -69,7 +69,6 @@
   // The entries of the last read by key, kept because most do not change until
   // the next one and need not be decoded again.
   std::map<std::string, Entry> entries;
-  std::set<std::string> unreadable;
   bool has_failed = false;
 };
 
