Site: the line about an unreadable entry has no raw bytes of its key

What operators saw: a key with line breaks or terminal codes stood in the log as it was.

Cause: the key and the error of the codec were logged as they came.

Evidence: odd_worker_listing_raw failed.

Change: both go through Printable().

Result: the test passes.

--- a/Source/Core/Site/worker_directory.cc
+++ b/Source/Core/Site/worker_directory.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Core/Common/logging.h"
+#include "Core/Common/printable.h"
 #include "Core/Site/site_codec.h"
 #include "Core/Transport/event_loop.h"
 
@@ -115,8 +116,8 @@
   }
   if (!is_logged) {
     CLOG(WARNING, kRoutingLog)
-        << "event=worker_unreadable key=" << item.key << " error=\""
-        << worker.error().ToString() << "\"";
+        << "event=worker_unreadable key=" << Printable(item.key) << " error=\""
+        << Printable(worker.error().ToString()) << "\"";
   }
   return std::nullopt;
 }
