--- a/Source/UnitTests/Izarra/odd_worker_program_test.cc
+++ b/Source/UnitTests/Izarra/odd_worker_program_test.cc
@@ -39,16 +39,32 @@
 constexpr Milliseconds kLease{6000};
 constexpr int kNestingDepth = 100000;
 
-std::uint16_t FreePort() {
+bool IsFree(std::uint16_t port) {
   const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
-  ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  const bool is_bound = ::bind(listener, reinterpret_cast<sockaddr*>(&address),
+                               sizeof(address)) == 0;
   ::close(listener);
-  return ntohs(address.sin_port);
+  return is_bound;
+}
+
+// Returns a port below the ephemeral range, so that no connection takes it
+// before the program listens there.
+std::uint16_t FreePort() {
+  constexpr int kLowest = 20000;
+  constexpr int kRange = 12000;
+  static int next = ::getpid() * 37;
+  for (int i = 0; i < kRange; ++i) {
+    const std::uint16_t port =
+        static_cast<std::uint16_t>(kLowest + next++ % kRange);
+    if (IsFree(port)) {
+      return port;
+    }
+  }
+  throw std::runtime_error("no free port found");
 }
 
 std::string LocalAddress(std::uint16_t port) {
@@ -238,6 +254,13 @@
   }
   deployment.platform.Remove(kOddKey);
   CheckServes(&deployment);
+  // In the place of the worker's own entry for a while.
+  for (const std::string& odd :
+       {Nested("[", "]"), Replaced(good, address, "127.0.0.1:99999")}) {
+    deployment.platform.Put(kWorkerKey, odd);
+    REQUIRE(deployment.AwaitReads());
+    CheckServes(&deployment);
+  }
   CHECK(deployment.CountLines("event=start ") == 1);
 }
 
