--- a/Source/Core/Site/worker_directory.cc
+++ b/Source/Core/Site/worker_directory.cc
@@ -1,9 +1,11 @@
 #include "Core/Site/worker_directory.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "Core/Common/logging.h"
+#include "Core/Common/printable.h"
 #include "Core/Site/site_codec.h"
 #include "Core/Transport/event_loop.h"
 
@@ -17,6 +19,15 @@
 constexpr std::chrono::microseconds kIntervalPerEntry{1500};
 constexpr Milliseconds kTimeout{700};
 
+// An exception would leave the list as it was for as long as the entry stays.
+Result<WorkerListing> DecodeOrError(SiteCodec* codec, const StoreItem& item) {
+  try {
+    return codec->DecodeWorker(item.key, item.value);
+  } catch (const std::exception& exception) {
+    return Error{Errc::kInternal, "worker.decode", "", exception.what()};
+  }
+}
+
 }  // namespace
 
 WorkerDirectory::WorkerDirectory(RevisionStore* store,
@@ -87,7 +98,9 @@
       entry = known->second;
     } else {
       entry.revision = item.revision;
-      entry.listing = this->Decode(item);
+      const bool is_logged =
+          known != this->entries.end() && !known->second.listing;
+      entry.listing = this->Decode(item, is_logged);
     }
     if (entry.listing) {
       found[entry.listing->name] = *entry.listing;
@@ -101,16 +114,16 @@
   this->listener.on_change();
 }
 
-std::optional<WorkerListing> WorkerDirectory::Decode(const StoreItem& item) {
-  const Result<WorkerListing> worker =
-      this->codec->DecodeWorker(item.key, item.value);
+std::optional<WorkerListing> WorkerDirectory::Decode(const StoreItem& item,
+                                                     bool is_logged) {
+  const Result<WorkerListing> worker = DecodeOrError(this->codec, item);
   if (worker.ok()) {
     return worker.value();
   }
-  if (this->unreadable.insert(item.key).second) {
+  if (!is_logged) {
     CLOG(WARNING, kRoutingLog)
-        << "event=worker_unreadable key=" << item.key << " error=\""
-        << worker.error().ToString() << "\"";
+        << "event=worker_unreadable key=" << Printable(item.key) << " error=\""
+        << Printable(worker.error().ToString()) << "\"";
   }
   return std::nullopt;
 }
