--- a/Source/Core/Site/worker_liveness.cc
+++ b/Source/Core/Site/worker_liveness.cc
@@ -3,14 +3,24 @@
 #include <algorithm>
 
 namespace daisyroad {
+namespace {
+
+std::vector<Machine>::const_iterator FindMachine(
+    const MachineName& machine,
+    const std::vector<Machine>& machines) {
+  return std::find_if(
+      machines.begin(), machines.end(),
+      [&machine](const Machine& listed) { return listed.name == machine; });
+}
+
+}  // namespace
 
 WorkerLiveness ClassifyWorkerLiveness(const WorkerName& worker,
                                       const PoolName& pool,
                                       const MachineName& machine,
                                       const std::vector<Machine>& machines) {
-  const std::vector<Machine>::const_iterator found = std::find_if(
-      machines.begin(), machines.end(),
-      [&machine](const Machine& listed) { return listed.name == machine; });
+  const std::vector<Machine>::const_iterator found =
+      FindMachine(machine, machines);
   if (found == machines.end()) {
     return WorkerLiveness::kMachineAbsent;
   }
@@ -34,9 +44,8 @@
 WorkerEnd ClassifyWorkerEnd(const PoolName& pool,
                             const MachineName& machine,
                             const std::vector<Machine>& machines) {
-  const std::vector<Machine>::const_iterator found = std::find_if(
-      machines.begin(), machines.end(),
-      [&machine](const Machine& listed) { return listed.name == machine; });
+  const std::vector<Machine>::const_iterator found =
+      FindMachine(machine, machines);
   if (found == machines.end()) {
     return WorkerEnd::kUnknown;
   }
--- a/Source/UnitTests/Transport/broken_connection_test.cc
+++ b/Source/UnitTests/Transport/broken_connection_test.cc
@@ -1,5 +1,3 @@
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,6 +7,7 @@
 
 #include "Core/Transport/event_loop.h"
 #include "Core/Transport/http_client.h"
+#include "UnitTests/Transport/listening_socket.h"
 
 namespace daisyroad {
 namespace {
@@ -17,43 +16,30 @@
 // stops listening and resets the connection without a response.
 class DisconnectingServer {
  public:
-  DisconnectingServer() : listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    REQUIRE(bind(this->listener, reinterpret_cast<sockaddr*>(&address), size) ==
-            0);
-    REQUIRE(listen(this->listener, 4) == 0);
-    REQUIRE(getsockname(this->listener, reinterpret_cast<sockaddr*>(&address),
-                        &size) == 0);
-    this->port = ntohs(address.sin_port);
+  DisconnectingServer() {
     this->thread = std::thread([this]() { this->Serve(); });
   }
   ~DisconnectingServer() { this->thread.join(); }
   DisconnectingServer(const DisconnectingServer&) = delete;
   DisconnectingServer& operator=(const DisconnectingServer&) = delete;
 
-  std::string url() const {
-    return "http://127.0.0.1:" + std::to_string(this->port) + "/";
-  }
+  std::string url() const { return this->listener.url(); }
 
  private:
-  void Serve() const {
-    const int connection = accept(this->listener, nullptr, nullptr);
+  void Serve() {
+    const int connection = this->listener.Accept();
     char buffer[4096];
     static_cast<void>(read(connection, buffer, sizeof(buffer)));
     const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     static_cast<void>(write(connection, response.data(), response.size()));
     static_cast<void>(read(connection, buffer, sizeof(buffer)));
-    close(this->listener);
+    this->listener.Close();
     const linger reset{1, 0};
     setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
     close(connection);
   }
 
-  int listener;
-  int port = 0;
+  ListeningSocket listener;
   std::thread thread;
 };
 
--- a/Source/UnitTests/Transport/silent_response_test.cc
+++ b/Source/UnitTests/Transport/silent_response_test.cc
@@ -1,6 +1,3 @@
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -9,6 +6,7 @@
 
 #include "Core/Transport/event_loop.h"
 #include "Core/Transport/http_client.h"
+#include "UnitTests/Transport/listening_socket.h"
 
 namespace daisyroad {
 namespace {
@@ -21,34 +19,18 @@
 // `sent_parts` of them.
 class SlowServer {
  public:
-  explicit SlowServer(int sent_parts)
-      : listener(socket(AF_INET, SOCK_STREAM, 0)), sent_parts(sent_parts) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    REQUIRE(bind(this->listener, reinterpret_cast<sockaddr*>(&address), size) ==
-            0);
-    REQUIRE(listen(this->listener, 4) == 0);
-    REQUIRE(getsockname(this->listener, reinterpret_cast<sockaddr*>(&address),
-                        &size) == 0);
-    this->port = ntohs(address.sin_port);
+  explicit SlowServer(int sent_parts) : sent_parts(sent_parts) {
     this->thread = std::thread([this]() { this->Serve(); });
   }
-  ~SlowServer() {
-    this->thread.join();
-    close(this->listener);
-  }
+  ~SlowServer() { this->thread.join(); }
   SlowServer(const SlowServer&) = delete;
   SlowServer& operator=(const SlowServer&) = delete;
 
-  std::string url() const {
-    return "http://127.0.0.1:" + std::to_string(this->port) + "/";
-  }
+  std::string url() const { return this->listener.url(); }
 
  private:
   void Serve() const {
-    const int connection = accept(this->listener, nullptr, nullptr);
+    const int connection = this->listener.Accept();
     char buffer[4096];
     static_cast<void>(read(connection, buffer, sizeof(buffer)));
     const std::string head =
@@ -64,9 +46,8 @@
     close(connection);
   }
 
-  int listener;
+  ListeningSocket listener;
   int sent_parts;
-  int port = 0;
   std::thread thread;
 };
 
