Site: keys count as fresh only while the other entries are read as well

What callers would see: answers from an instance that does not hear of zones taken out, while it reports itself ready.

Cause: since the declaration and the other entries are read apart, and only the age of the first counted (found in the review).

Change: the age of the older reading counts.

--- a/Source/Core/Site/operator_reader.cc
+++ b/Source/Core/Site/operator_reader.cc
@@ -32,7 +32,9 @@
   // The declaration if the listener does not have it yet.
   std::optional<StoreItem> new_config;
   std::optional<std::vector<StoreItem>> others;  // empty until listed
-  BootClock::time_point confirmed_at;
+  // When the last successful reads were requested.
+  BootClock::time_point config_confirmed_at;
+  BootClock::time_point others_listed_at;
   // Whether the last read of each kind succeeded.
   bool is_config_current = false;
   bool are_others_current = false;
@@ -59,7 +61,8 @@
     if (this->new_config) {
       items.push_back(*std::exchange(this->new_config, std::nullopt));
     }
-    this->listener.on_read(items, this->confirmed_at);
+    this->listener.on_read(
+        items, std::min(this->config_confirmed_at, this->others_listed_at));
   }
 
   // Confirms the declaration, or reads it if it is not known or the last
@@ -156,23 +159,25 @@
   }
 
   void Confirm(BootClock::time_point requested_at) {
-    this->confirmed_at = requested_at;
+    this->config_confirmed_at = requested_at;
     this->is_config_current = true;
     this->Publish();
   }
 
   void ListOthers() {
     this->ListPage(this->config_key, std::chrono::steady_clock::now(),
+                   BootClock::now(),
                    std::make_shared<std::vector<StoreItem>>());
   }
 
   void ListPage(const std::string& after,
                 MonotonicTime begun,
+                BootClock::time_point requested_at,
                 const std::shared_ptr<std::vector<StoreItem>>& items) {
     const std::shared_ptr<State> self = this->shared_from_this();
     this->store->List(
         this->prefix, after, kTimeout,
-        [self, begun, items](const Result<StorePage>& page) {
+        [self, begun, requested_at, items](const Result<StorePage>& page) {
           if (self->is_stopped) {
             return;
           }
@@ -186,10 +191,11 @@
           items->insert(items->end(), page.value().items.begin(),
                         page.value().items.end());
           if (page.value().has_more && !page.value().items.empty()) {
-            self->ListPage(items->back().key, begun, items);
+            self->ListPage(items->back().key, begun, requested_at, items);
             return;
           }
           self->others = std::move(*items);
+          self->others_listed_at = requested_at;
           self->are_others_current = true;
           self->Publish();
           self->Schedule(begun + kListInterval,
--- a/Source/Core/Site/operator_reader.h
+++ b/Source/Core/Site/operator_reader.h
@@ -21,8 +21,7 @@
  public:
   struct Listener {
     // `items` are all entries; the declaration is among them only if it has
-    // changed since the last call. `confirmed_at` is when the last read that
-    // confirmed the declaration was requested.
+    // changed since the last call. They were current at `confirmed_at`.
     std::function<void(const std::vector<StoreItem>& items,
                        BootClock::time_point confirmed_at)>
         on_read;
--- a/Source/UnitTests/Site/large_declaration_test.cc
+++ b/Source/UnitTests/Site/large_declaration_test.cc
@@ -180,6 +180,19 @@
   CHECK(slow.store.sent_bytes < 2 * 50'000 * 4 / 3);
 }
 
+// Guards against callers who are served by an instance that does not hear of
+// zones taken out.
+TEST_CASE("Keys count as stale if the other entries cannot be listed") {
+  SlowLinkInstance slow;
+  slow.store.Put(kConfigKey, Declaration(1, 50'000));
+  slow.At(Milliseconds(1000), [&slow]() { slow.store.lost_page_interval = 1; });
+  slow.At(Milliseconds(7000), [&slow]() { slow.store.lost_page_interval = 0; });
+  slow.WatchKeysFrom(Milliseconds(6500));
+  slow.RunFor(Milliseconds(9500));
+  CHECK(slow.stale_checks > 0);
+  CHECK(slow.instance.jobs()->AreKeysFresh());
+}
+
 // Guards against instances that refuse all callers while the store loses the
 // answers of transactions.
 TEST_CASE("Keys stay fresh while the answers of transactions are lost") {
