Jobs: trials prove only alone, starts within a window, no orders of a replaced scheduler to restarted workers

Four faults of the scheduler of a pool. They share files, so they land together.

Without a lease a scheduler starts tasks only on workers that reported within 500 ms and have not restarted since. The simulation tells the replaced scheduler that its lease has ended, as the program does; that alone does not hide the fault, since waiting tasks that it knows were still started.

In a burst, start orders piled up in front of the scheduler's processor, 100 to 400 a second were given up after 500 ms, and each was stopped and repeated.

While progress waited to be stored, the workers of its runs were not asked.

--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -107,6 +107,7 @@
   std::int64_t revision = 0;
   std::int64_t revision_being_saved = 0;
   std::int64_t saved_revision = 0;
+  bool is_being_saved = false;
 };
 
 }  // namespace daisyroad
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -1,6 +1,7 @@
 #include "Core/Jobs/pool_scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "Core/Common/log_decision.h"
 #include "Core/Jobs/objective.h"
@@ -38,12 +39,18 @@
 }
 
 void PoolScheduler::SetSole(bool is_sole_leader) {
+  if (this->is_sole_leader == is_sole_leader) {
+    return;
+  }
   this->is_sole_leader = is_sole_leader;
   if (is_sole_leader) {
     for (const JobId& id : this->unconfirmed_jobs) {
       this->jobs.at(id).is_unconfirmed = false;
     }
     this->unconfirmed_jobs.clear();
+    for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
+      entry.second.has_restarted_unled = false;
+    }
   }
 }
 
@@ -56,6 +63,9 @@
     worker.is_vacate_planned = due.contains(entry.first);
     worker.needs_report |=
         was_vacating && !worker.is_vacating && worker.runs.empty();
+    if (worker.is_vacating && !was_vacating) {
+      this->next_review = MonotonicTime();
+    }
   }
 }
 
@@ -157,18 +167,24 @@
       now < this->next_save) {
     return batch;
   }
-  std::vector<JobId> ids(this->unsaved.begin(), this->unsaved.end());
+  std::vector<JobId> ids;
+  std::copy_if(
+      this->unsaved.begin(), this->unsaved.end(), std::back_inserter(ids),
+      [this](const JobId& id) { return !this->jobs.at(id).is_being_saved; });
   std::stable_partition(ids.begin(), ids.end(), [this](const JobId& id) {
     return IsFinal(this->jobs.at(id).status);
   });
+  if (ids.size() <= max_jobs) {
+    this->next_save = now + this->settings.save_interval;
+  }
   ids.resize(std::min(ids.size(), max_jobs));
   for (const JobId& id : ids) {
     JobState& state = this->jobs.at(id);
     batch.emplace_back(id, ProgressOf(state));
     state.revision_being_saved = state.revision;
+    state.is_being_saved = true;
     this->unsaved.erase(id);
   }
-  this->next_save = now + this->settings.save_interval;
   this->has_unsaved_crash &= !this->unsaved.empty();
   this->has_unsaved_final = std::any_of(
       this->unsaved.begin(), this->unsaved.end(),
@@ -184,6 +200,7 @@
       continue;
     }
     JobState& state = found->second;
+    state.is_being_saved = false;
     state.saved_revision = state.revision_being_saved;
     if (state.saved_revision != state.revision) {
       this->unsaved.insert(id);
@@ -199,6 +216,7 @@
     const std::unordered_map<JobId, JobState>::iterator found =
         this->jobs.find(id);
     if (found != this->jobs.end()) {
+      found->second.is_being_saved = false;
       this->unsaved.insert(id);
       this->has_unsaved_final |= IsFinal(found->second.status);
     }
@@ -252,15 +270,22 @@
     this->arrivals.pop_front();
   }
   this->ExpireLeases(now);
+  bool is_review_due = false;
   if (now >= this->next_review) {
     this->next_review = now + this->settings.review_interval;
-    this->StopStalledRuns(now);
+    is_review_due = true;
     this->RepeatStops(now);
   }
+  if (now >= this->next_stall_check) {
+    this->next_stall_check = now + this->settings.stall_check_interval;
+    this->StopStalledRuns(now);
+  }
   this->CollectUsableWorkers(now);
   this->SettleOpenStarts(now);
   this->ReviewSuspects(now);
-  this->EvictServices(now);
+  if (is_review_due) {
+    this->EvictServices(now);
+  }
   this->PlaceTasks(now, wall);
   this->AskReports(now);
   this->RemoveUnlistedWorkers(now);
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -116,7 +116,8 @@
   std::vector<Order> TakeOrders(MonotonicTime now, WallTime wall);
 
   // Returns job progress to be saved, closed jobs first. Empty unless a job was
-  // closed, a crash was counted or the save interval has passed.
+  // closed, a crash was counted or the save interval has passed. Jobs that were
+  // returned are left out until OnSaved() or OnSaveFailed().
   std::vector<std::pair<JobId, JobProgress>> TakeUnsaved(std::size_t max_jobs,
                                                          MonotonicTime now);
   void OnSaved(const std::vector<JobId>& jobs);
@@ -151,6 +152,16 @@
     std::set<RunKey> counted;
   };
 
+  // A task to place, with what is looked up once for all workers.
+  struct PlacedTask {
+    const TaskRef& task;
+    const StepSpec& step;
+    const StepState& step_state;
+    const TaskState& state;
+    Resources reserved;
+    bool needs_ticket = false;
+  };
+
   // A step that has tasks to place.
   struct Candidate {
     JobState* job = nullptr;
@@ -235,19 +246,11 @@
                    int step) const;
   bool IsPlaceable(const TaskState& task, const StepSpec& step) const;
   bool IsUsable(const WorkerState& worker, MonotonicTime now) const;
-  bool FitsOn(const WorkerState& worker,
-              const JobState& job,
-              const TaskRef& task,
-              const StepSpec& step) const;
+  PlacedTask DescribeTask(const JobState& job, const TaskRef& task) const;
+  bool FitsOn(const WorkerState& worker, const PlacedTask& placed) const;
   // Whether the worker may run the task, apart from free capacity.
-  bool IsAllowedOn(const WorkerState& worker,
-                   const JobState& job,
-                   const TaskRef& task,
-                   const StepSpec& step) const;
-  double CostOn(const WorkerState& worker,
-                const JobState& job,
-                const TaskRef& task,
-                const StepSpec& step) const;
+  static bool IsAllowedOn(const WorkerState& worker, const PlacedTask& placed);
+  static double CostOn(const WorkerState& worker, const PlacedTask& placed);
   // Returns null if no usable worker can take the task.
   WorkerState* ChooseWorker(const JobState& job,
                             const TaskRef& task,
@@ -255,6 +258,10 @@
   // Requests tickets for the step from the advisor if none are valid.
   bool HasTickets(JobState* job, const TaskRef& task, MonotonicTime now);
   bool HasAllotment(const TeamName& team, const Resources& request) const;
+  // Whether more start orders may be sent before others are answered.
+  bool MaySendStarts() const {
+    return this->unanswered_starts < this->settings.max_unanswered_starts;
+  }
   Placement PlaceTask(JobState* job, const TaskRef& task, MonotonicTime now);
   Placement PlaceGang(JobState* job, TaskRef task, MonotonicTime now);
   void Start(JobState* job,
@@ -271,7 +278,7 @@
                    std::set<RunKey> lost,
                    MonotonicTime now);
   // Returns false if the run does not count for its task.
-  bool CountCrash(const RunKey& run, bool is_on_trial, MonotonicTime now);
+  bool CountCrash(const RunKey& run, bool is_alone_on_trial, MonotonicTime now);
   // Whether the worker confirmed the run shortly before `now`.
   bool WasSeenLately(const RunRecord& run, MonotonicTime now) const;
   int CountCrashes(const JobState& job, const TaskRef& task) const;
@@ -290,6 +297,9 @@
   // whether the run may be started; trials are stored first.
   bool IsStartStored(JobState* job, const TaskRef& task, std::int64_t run);
   bool NeedsTrial(const TaskRef& task) const;
+  // How long a run on trial is kept apart from younger runs: after one more
+  // crash than the first trial takes, until the run clears its task.
+  Milliseconds TrialDuration(const TaskRef& task) const;
   // Whether the run has been active for `duration`.
   bool HasLasted(const RunRecord& run,
                  Milliseconds duration,
@@ -301,7 +311,7 @@
   // Expected time until the worker can run a trial of the task, zero if it can
   // at once.
   Milliseconds TrialDelay(const WorkerState& worker,
-                          const StepSpec& step,
+                          const TaskRef& task,
                           MonotonicTime now) const;
 
   // pool_scheduler_load.cc
@@ -362,8 +372,11 @@
   // Arrival time and work in millicore-seconds of recent jobs, oldest first.
   std::deque<std::pair<MonotonicTime, double>> arrivals;
   MonotonicTime next_review;
+  MonotonicTime next_stall_check;
   // Some stop orders may still be unanswered.
   bool has_pending_stops = false;
+  // Start orders that were not answered yet.
+  int unanswered_starts = 0;
   // Millicores of the tasks that the last pass did not place.
   std::int64_t waiting_millicores = 0;
   std::vector<Order> orders;
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -58,15 +58,23 @@
       lost.begin(), lost.end(), [this, worker, now](const RunKey& key) {
         const RunRecord* const run = this->FindRun(key.first, key.second);
         return worker->trial == key.first && run != nullptr &&
-               !this->HasLasted(*run, this->settings.trial_duration, now);
+               !this->HasLasted(*run, this->TrialDuration(key.first), now);
       });
   const bool is_trial = tried != lost.end();
   const std::set<RunKey> suspected = is_trial ? std::set<RunKey>{*tried} : lost;
+  // Another run that has not cleared its task may crash its worker late.
+  const bool is_proof =
+      is_trial && std::all_of(lost.begin(), lost.end(), [&](const RunKey& key) {
+        const RunRecord* const run = this->FindRun(key.first, key.second);
+        return key == *tried ||
+               (run != nullptr &&
+                this->HasLasted(*run, this->settings.crash_memory, now));
+      });
   Crash crash;
   crash.time = now;
   crash.worker = worker->listing;
   for (const RunKey& run : suspected) {
-    if (this->CountCrash(run, is_trial, now)) {
+    if (this->CountCrash(run, is_proof, now)) {
       crash.counted.insert(run);
     }
   }
@@ -78,7 +86,7 @@
 }
 
 bool PoolScheduler::CountCrash(const RunKey& key,
-                               bool is_on_trial,
+                               bool is_alone_on_trial,
                                MonotonicTime now) {
   const TaskRef& task = key.first;
   TaskState* const state = this->FindTask(task);
@@ -109,7 +117,7 @@
   // The members of a gang run on several workers, so it has no trials.
   const int certain =
       count - static_cast<int>(state->crashes.uncertain_runs.size());
-  const bool is_proof = is_on_trial && !this->SpecOf(job, task).is_gang &&
+  const bool is_proof = is_alone_on_trial && !this->SpecOf(job, task).is_gang &&
                         certain >= this->settings.crashes_before_failure;
   if (is_proof || count >= this->settings.uncertain_crashes_before_failure) {
     this->RecordDecision("task_given_up", task, key.second,
@@ -256,6 +264,14 @@
          !this->SpecOf(this->jobs.at(task.job), task).is_gang;
 }
 
+Milliseconds PoolScheduler::TrialDuration(const TaskRef& task) const {
+  const TaskState* const state = this->FindTask(task);
+  return static_cast<int>(state->crashes.runs.size()) >
+                 this->settings.crashes_before_trial
+             ? this->settings.crash_memory
+             : this->settings.trial_duration;
+}
+
 void PoolScheduler::ReviewSuspects(MonotonicTime now) {
   if (this->suspects.empty() && !this->has_suspect_marks) {
     return;
@@ -287,7 +303,7 @@
       WorkerState& worker = this->workers.at(run.worker);
       ++worker.suspect_runs;
       if (this->NeedsTrial(task) &&
-          !this->HasLasted(run, this->settings.trial_duration, now)) {
+          !this->HasLasted(run, this->TrialDuration(task), now)) {
         worker.trial = task;
         this->trials += worker.missed_reports == 0;
       }
@@ -332,16 +348,17 @@
       !this->HasAllotment(job->job.team, step.request)) {
     return;
   }
+  const PlacedTask placed = this->DescribeTask(*job, task);
   WorkerState* best = nullptr;
   std::pair<Milliseconds, std::size_t> best_cost;
   for (WorkerState* const worker : this->usable_workers) {
-    if (worker->trial || !ReservedBy(step).FitsIn(worker->listing.capacity) ||
-        !this->IsAllowedOn(*worker, *job, task, step)) {
+    if (worker->trial || !placed.reserved.FitsIn(worker->listing.capacity) ||
+        !IsAllowedOn(*worker, placed)) {
       continue;
     }
     // Of equal workers, the one that would lose the fewest runs in a crash.
     const std::pair<Milliseconds, std::size_t> cost(
-        this->TrialDelay(*worker, step, now), worker->runs.size());
+        this->TrialDelay(*worker, task, now), worker->runs.size());
     if (best == nullptr || cost < best_cost) {
       best = worker;
       best_cost = cost;
@@ -364,8 +381,10 @@
 }
 
 Milliseconds PoolScheduler::TrialDelay(const WorkerState& worker,
-                                       const StepSpec& step,
+                                       const TaskRef& task,
                                        MonotonicTime now) const {
+  const StepSpec& step = this->SpecOf(this->jobs.at(task.job), task);
+  const Milliseconds required_age = this->TrialDuration(task);
   Milliseconds delay =
       now - worker.last_report_at <= this->settings.fresh_trial_report_window
           ? Milliseconds(0)
@@ -373,16 +392,14 @@
   for (const RunKey& key : worker.runs) {
     const TaskState* const state = this->FindTask(key.first);
     for (const RunRecord& run : state->runs) {
-      if (run.number != key.second ||
-          this->HasLasted(run, this->settings.trial_duration, now)) {
+      if (run.number != key.second || this->HasLasted(run, required_age, now)) {
         continue;
       }
       const Milliseconds age = run.confirmed_at
                                    ? std::chrono::duration_cast<Milliseconds>(
                                          now - *run.confirmed_at)
                                    : Milliseconds(0);
-      delay = std::max(
-          {delay, kShortestTrialDelay, this->settings.trial_duration - age});
+      delay = std::max({delay, kShortestTrialDelay, required_age - age});
     }
   }
   if (!ReservedBy(step).FitsIn(worker.listing.capacity - worker.used)) {
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -209,33 +209,47 @@
 
 bool PoolScheduler::IsUsable(const WorkerState& worker,
                              MonotonicTime now) const {
+  // A worker that has restarted knows no fence, so it would also accept orders
+  // of a replaced scheduler.
+  const bool is_fence_known =
+      this->is_sole_leader ||
+      (!worker.has_restarted_unled &&
+       now - worker.last_report_at <= this->settings.unled_report_window);
   return worker.has_reported && worker.is_listed && worker.is_remembered &&
-         worker.missed_reports == 0 && !worker.needs_report &&
+         is_fence_known && worker.missed_reports == 0 && !worker.needs_report &&
          !worker.listing.is_draining && !worker.is_vacating &&
          worker.no_starts_before <= now &&
          !this->zones_out.contains(worker.listing.zone);
 }
 
+PoolScheduler::PlacedTask PoolScheduler::DescribeTask(
+    const JobState& job,
+    const TaskRef& task) const {
+  const StepSpec& step = this->SpecOf(job, task);
+  const StepState& state = job.occurrences.at(task.occurrence).steps[task.step];
+  return PlacedTask{task,
+                    step,
+                    state,
+                    state.tasks[task.index],
+                    ReservedBy(step),
+                    this->PolicyOf(job).advice.has_value()};
+}
+
 bool PoolScheduler::FitsOn(const WorkerState& worker,
-                           const JobState& job,
-                           const TaskRef& task,
-                           const StepSpec& step) const {
-  return worker.listing.name != this->reserved_worker && !worker.trial &&
-         ReservedBy(step).FitsIn(worker.listing.capacity - worker.used) &&
-         this->IsAllowedOn(worker, job, task, step);
+                           const PlacedTask& placed) const {
+  return placed.reserved.FitsIn(worker.listing.capacity - worker.used) &&
+         !worker.trial && worker.listing.name != this->reserved_worker &&
+         IsAllowedOn(worker, placed);
 }
 
 bool PoolScheduler::IsAllowedOn(const WorkerState& worker,
-                                const JobState& job,
-                                const TaskRef& task,
-                                const StepSpec& step) const {
-  const StepState& state = job.occurrences.at(task.occurrence).steps[task.step];
-  if (!worker.is_report_fresh &&
-      !state.tasks[task.index].crashes.runs.empty()) {
+                                const PlacedTask& placed) {
+  const StepSpec& step = placed.step;
+  if (!worker.is_report_fresh && !placed.state.crashes.runs.empty()) {
     return false;
   }
-  if (this->PolicyOf(job).advice &&
-      !state.tickets.contains(worker.listing.name)) {
+  if (placed.needs_ticket &&
+      !placed.step_state.tickets.contains(worker.listing.name)) {
     return false;
   }
   const std::vector<std::string>& labels = worker.listing.labels;
@@ -247,7 +261,8 @@
   if (step.max_per_worker == 0) {
     return true;
   }
-  const TaskRef first{job.job.id, task.occurrence, task.step, 0};
+  const TaskRef first{placed.task.job, placed.task.occurrence, placed.task.step,
+                      0};
   int count = 0;
   for (std::set<std::pair<TaskRef, std::int64_t>>::const_iterator run =
            worker.runs.lower_bound({first, 0});
@@ -261,9 +276,8 @@
 }
 
 double PoolScheduler::CostOn(const WorkerState& worker,
-                             const JobState& job,
-                             const TaskRef& task,
-                             const StepSpec& step) const {
+                             const PlacedTask& placed) {
+  const StepSpec& step = placed.step;
   const Resources& capacity = worker.listing.capacity;
   const double free = std::max(
       FreeFraction(capacity.cpu_millicores, worker.used.cpu_millicores),
@@ -282,8 +296,7 @@
   if (step.uses_idle_capacity) {
     cost += kInterferenceCost * worker.latency_target_runs;
   }
-  const TaskState& state =
-      job.occurrences.at(task.occurrence).steps[task.step].tasks[task.index];
+  const TaskState& state = placed.state;
   if (state.failed_on == worker.listing.name) {
     cost += kPreviousFailureCost;
   }
@@ -297,15 +310,15 @@
 WorkerState* PoolScheduler::ChooseWorker(const JobState& job,
                                          const TaskRef& task,
                                          const RackName& rack) {
-  const StepSpec& step = this->SpecOf(job, task);
+  const PlacedTask placed = this->DescribeTask(job, task);
   WorkerState* best = nullptr;
   double best_cost = 0.0;
   for (WorkerState* const worker : this->usable_workers) {
-    if (!this->FitsOn(*worker, job, task, step) ||
+    if (!this->FitsOn(*worker, placed) ||
         (!rack.empty() && worker->listing.rack != rack)) {
       continue;
     }
-    const double cost = this->CostOn(*worker, job, task, step);
+    const double cost = CostOn(*worker, placed);
     if (best == nullptr || cost < best_cost) {
       best = worker;
       best_cost = cost;
@@ -380,7 +393,7 @@
                                                   const TaskRef& task,
                                                   MonotonicTime now) {
   const StepSpec& step = this->SpecOf(*job, task);
-  if (!this->HasTickets(job, task, now)) {
+  if (!this->MaySendStarts() || !this->HasTickets(job, task, now)) {
     return Placement::kBlocked;
   }
   if (!this->HasAllotment(job->job.team, step.request)) {
@@ -419,7 +432,7 @@
     request += step.request;
     number = std::max(number, member.last_run + 1);
   }
-  if (!this->HasTickets(job, task, now)) {
+  if (!this->MaySendStarts() || !this->HasTickets(job, task, now)) {
     return Placement::kBlocked;
   }
   if (!this->HasAllotment(job->job.team, request)) {
@@ -493,6 +506,7 @@
     order.ticket = ticket->second;
   }
   this->orders.emplace_back(std::move(order));
+  ++this->unanswered_starts;
   worker->suspect_runs += !this->FindTask(task)->crashes.runs.empty();
   this->RecordDecision("run_started", task, number, worker->listing.name,
                        job->job.team.str());
@@ -502,12 +516,11 @@
   // Reserves the worker with the most free capacity that could run the task, so
   // that smaller tasks later in the order do not fill it. Workers that cannot
   // run the task even when empty are not reserved.
-  const StepSpec& step = this->SpecOf(job, task);
+  const PlacedTask placed = this->DescribeTask(job, task);
   double most_free = -1.0;
   for (const WorkerState* const worker : this->usable_workers) {
     const Resources& capacity = worker->listing.capacity;
-    if (!ReservedBy(step).FitsIn(capacity) ||
-        !this->IsAllowedOn(*worker, job, task, step)) {
+    if (!placed.reserved.FitsIn(capacity) || !IsAllowedOn(*worker, placed)) {
       continue;
     }
     const double free = std::min(
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -196,6 +196,7 @@
   worker->clock = Milliseconds(0);
   worker->lease_until = Milliseconds(0);
   worker->has_reported = false;
+  worker->has_restarted_unled |= !this->is_sole_leader;
   worker->missed_reports = 0;
   worker->next_report = now;
   for (const std::pair<TaskRef, std::int64_t>& key : worker->runs) {
@@ -226,6 +227,7 @@
                             StartOutcome outcome,
                             std::optional<Milliseconds> worker_clock,
                             MonotonicTime now) {
+  --this->unanswered_starts;
   const std::map<WorkerName, WorkerState>::iterator found =
       this->workers.find(order.worker);
   if (found == this->workers.end()) {
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -36,6 +36,8 @@
         now >= worker.last_end_at + this->settings.acknowledge_delay;
     const bool must_be_fresh =
         (!this->suspects.empty() && !worker.is_report_fresh) ||
+        (!this->is_sole_leader &&
+         now >= worker.last_report_at + this->settings.unled_report_window) ||
         (worker.trial &&
          now >= worker.last_report_at + this->settings.trial_report_wait);
     const bool is_needed = !worker.has_reported || worker.needs_report ||
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -36,12 +36,17 @@
   Milliseconds acknowledge_delay{1000};
   // A run that used no CPU for this long counts as stalled.
   Milliseconds stall_timeout{1500};
+  // While another scheduler may be the leader, runs start only on workers whose
+  // last report is not older: a crashed worker is away for longer.
+  Milliseconds unled_report_window{500};
   // Interval between reports from a worker while some of its ends wait to be
   // saved.
   Milliseconds unsaved_report_interval{300};
-  // Interval of the check for stalled runs and unanswered stop orders; short
-  // compared with stall_timeout and stop_retry_interval.
+  // Interval of the check for unanswered stop orders and services to evict;
+  // short compared with stop_retry_interval.
   Milliseconds review_interval{50};
+  // Interval of the check for stalled runs; short compared with stall_timeout.
+  Milliseconds stall_check_interval{250};
   // A worker with runs is asked again after this time multiplied by the number
   // of workers in the pool, so that one report covers several ends. This limits
   // the pool to 4,000 reports per second, which half a core can handle.
@@ -64,11 +69,16 @@
   // long; the next report shows its load.
   Milliseconds full_worker_delay{200};
 
+  // Start orders in progress at a time. In a burst that exceeds what the
+  // scheduler's processor can send, later ones would time out and be repeated.
+  int max_unanswered_starts = 256;
+
   // A task under which this many workers have crashed runs on trial: on a
   // worker without other runs that may be the cause of a crash.
   int crashes_before_trial = 2;
-  // A task is given up after this many certain crashes if the last one was on
-  // trial, and after `uncertain_crashes_before_failure` of any kind otherwise.
+  // A task is given up after this many certain crashes if the last one was
+  // alone on trial, and after `uncertain_crashes_before_failure` of any kind
+  // otherwise.
   int crashes_before_failure = 3;
   int uncertain_crashes_before_failure = 4;
   // Largest share of the workers that are used for trials at a time. One trial
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -40,6 +40,8 @@
   bool is_gone = false;
   // The worker is being emptied for planned work on its machine.
   bool is_vacating = false;
+  // The worker has restarted while another scheduler may have been the leader.
+  bool has_restarted_unled = false;
   // The worker was emptied, so its process may have ended since its last
   // report.
   bool needs_report = false;
--- a/Source/Core/Site/pool_activity.cc
+++ b/Source/Core/Site/pool_activity.cc
@@ -17,10 +17,15 @@
 
 }  // namespace
 
-void PoolActivity::OnPass(Duration duration) {
+void PoolActivity::OnPass(const PassDurations& durations) {
   ++this->passes;
-  this->pass_time += duration;
-  this->longest_pass = std::max(this->longest_pass, duration);
+  this->deciding += durations.deciding;
+  this->sending += durations.sending;
+  this->saving += durations.saving;
+  this->logging += durations.logging;
+  this->longest_pass =
+      std::max(this->longest_pass, durations.deciding + durations.sending +
+                                       durations.saving + durations.logging);
 }
 
 void PoolActivity::OnPassDue(Duration lateness) {
@@ -59,7 +64,10 @@
   std::string line;
   if (this->starts + this->reports > 0) {
     line = Field("passes", this->passes) +
-           Field("pass_ms", ToMilliseconds(this->pass_time)) +
+           Field("deciding_ms", ToMilliseconds(this->deciding)) +
+           Field("sending_ms", ToMilliseconds(this->sending)) +
+           Field("saving_ms", ToMilliseconds(this->saving)) +
+           Field("logging_ms", ToMilliseconds(this->logging)) +
            Field("longest_pass_ms", ToMilliseconds(this->longest_pass)) +
            Field("late_ms", ToMilliseconds(this->longest_lateness)) +
            Field("starts", this->starts) +
@@ -76,7 +84,10 @@
 
 void PoolActivity::Reset() {
   this->passes = 0;
-  this->pass_time = Duration(0);
+  this->deciding = Duration(0);
+  this->sending = Duration(0);
+  this->saving = Duration(0);
+  this->logging = Duration(0);
   this->longest_pass = Duration(0);
   this->longest_lateness = Duration(0);
   this->starts = 0;
--- a/Source/Core/Site/pool_activity.h
+++ b/Source/Core/Site/pool_activity.h
@@ -14,7 +14,16 @@
 // unresponsive worker shows failed reports and refused starts.
 class PoolActivity {
  public:
-  void OnPass(Duration duration);
+  // The parts of a pass: choosing orders, sending them, storing progress, and
+  // writing log lines.
+  struct PassDurations {
+    Duration deciding{0};
+    Duration sending{0};
+    Duration saving{0};
+    Duration logging{0};
+  };
+
+  void OnPass(const PassDurations& durations);
   // `lateness` is the time by which a pass began after it was due.
   void OnPassDue(Duration lateness);
   void OnStartSent() { ++this->starts; }
@@ -30,7 +39,10 @@
   void Reset();
 
   std::int64_t passes = 0;
-  Duration pass_time{0};
+  Duration deciding{0};
+  Duration sending{0};
+  Duration saving{0};
+  Duration logging{0};
   Duration longest_pass{0};
   Duration longest_lateness{0};
   std::int64_t starts = 0;
--- a/Source/Core/Site/pool_leader.cc
+++ b/Source/Core/Site/pool_leader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/Common/guarded_run.h"
 #include "Core/Common/logging.h"
 #include "Core/Common/metrics_registry.h"
 #include "Core/Site/allotment_manager.h"
@@ -12,10 +13,10 @@
 namespace {
 
 // Events that arrive within this time are handled in one scheduling pass.
-constexpr Milliseconds kPassDelay{2};
+constexpr Milliseconds kPassDelay{5};
 // A scheduled pass starts no sooner than this many times the duration of the
 // last one, so that a slow CPU has time left to send the resulting orders.
-constexpr int kPassGapFactor = 2;
+constexpr int kPassGapFactor = 4;
 // Maximum time between two passes.
 constexpr Milliseconds kTickInterval{50};
 // How long a request to vacate workers remains in effect.
@@ -77,7 +78,7 @@
   if (this->is_stopped) {
     return;
   }
-  this->RunPass();
+  RunGuarded([this]() { this->RunPass(); });
   const std::shared_ptr<State> self = this->shared_from_this();
   const MonotonicTime due = Now() + kTickInterval;
   this->context.loop->After(kTickInterval, [self, due]() {
@@ -111,18 +112,24 @@
   this->scheduler.SetAllotments(
       this->context.allotments->AllotmentsOf(this->pool));
   const std::vector<Order> orders = this->scheduler.TakeOrders(now, Wall());
+  const MonotonicTime decided_at = Now();
   for (const Order& order : orders) {
     this->Send(order);
   }
+  const MonotonicTime sent_at = Now();
   this->context.allotments->Report(this->pool, this->scheduler.usage(),
                                    this->scheduler.wanted(), now);
   this->PersistWorkers(now);
   this->CheckMachines(now);
   this->Save(now);
   this->DeleteExpiredJobs(now);
+  const MonotonicTime saved_at = Now();
   LogTaskLines(this->scheduler.TakeDecisions());
-  this->last_pass_duration = Now() - now;
-  this->activity.OnPass(this->last_pass_duration);
+  const MonotonicTime ended_at = Now();
+  this->last_pass_duration = ended_at - now;
+  this->activity.OnPass(
+      PoolActivity::PassDurations{decided_at - now, sent_at - decided_at,
+                                  saved_at - sent_at, ended_at - saved_at});
   this->LogActivity(now);
 }
 
--- a/Source/Core/Site/pool_leader_state.h
+++ b/Source/Core/Site/pool_leader_state.h
@@ -61,6 +61,8 @@
   // Ends this term because a worker has accepted orders of a later one.
   void OnFenced(const WorkerName& worker);
   void Save(MonotonicTime now);
+  // Returns false if there is nothing to store now.
+  bool SaveBatch(MonotonicTime now);
   void OnSaveResult(const std::vector<JobId>& jobs,
                     const Result<TransactionResult>& result);
   // Adopts the stored revisions. A write whose answer was lost also shows up as
@@ -101,7 +103,7 @@
   PoolActivity activity;
   const LatencyHistogram start_latency;
   const LatencyHistogram save_latency;
-  bool is_saving = false;
+  int saves_in_progress = 0;
   bool is_fenced = false;
   bool is_stopped = false;
 };
--- a/Source/Core/Site/pool_leader_store.cc
+++ b/Source/Core/Site/pool_leader_store.cc
@@ -18,6 +18,9 @@
 // A transaction has one expectation for the record of the term, plus one
 // expectation and one write per job.
 constexpr std::size_t kMaxJobsPerSave = (kMostTransactionEntries - 1) / 2;
+// While a job's progress waits to be stored, its workers are not asked for
+// their next ends, so a busy pool stores several batches at a time.
+constexpr int kMaxSavesInProgress = 4;
 constexpr Milliseconds kDeletionInterval{5000};
 constexpr std::size_t kMaxJobsPerDeletion = 10;
 
@@ -122,13 +125,16 @@
 }
 
 void PoolLeader::State::Save(MonotonicTime now) {
-  if (this->is_saving) {
-    return;
+  while (this->saves_in_progress < kMaxSavesInProgress &&
+         this->SaveBatch(now)) {
   }
+}
+
+bool PoolLeader::State::SaveBatch(MonotonicTime now) {
   const std::vector<std::pair<JobId, JobProgress>> batch =
       this->scheduler.TakeUnsaved(kMaxJobsPerSave, now);
   if (batch.empty()) {
-    return;
+    return false;
   }
   StoreTransaction transaction;
   transaction.expected.push_back(
@@ -141,17 +147,18 @@
     transaction.writes.push_back({key, WriteJson(ToJson(entry.second)), 0});
     jobs.push_back(entry.first);
   }
-  this->is_saving = true;
+  ++this->saves_in_progress;
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.store->Commit(
       transaction, kSaveTimeout,
       [self, jobs, sent_at = Now()](const Result<TransactionResult>& result) {
         if (!self->is_stopped) {
           self->save_latency.Observe(Now() - sent_at);
-          self->is_saving = false;
+          --self->saves_in_progress;
           self->OnSaveResult(jobs, result);
         }
       });
+  return true;
 }
 
 void PoolLeader::State::OnSaveResult(const std::vector<JobId>& jobs,
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -169,6 +169,56 @@
   CHECK(fixture.scheduler.StatusOf(JobId("j")) == JobStatus::kCompleted);
 }
 
+// Guards against orders of a replaced scheduler to a worker that has restarted:
+// its new process has seen no fence of the successor, which runs the task too
+// (seed 4929 of the randomized simulation).
+TEST_CASE("A scheduler that may be replaced starts nothing on stale workers") {
+  Fixture fixture({MakeListing("w1")});
+  fixture.SendAllReports();
+  fixture.scheduler.SetSole(false);
+  fixture.scheduler.SetSole(true);
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  fixture.scheduler.SetSole(false);
+  SECTION("that have not reported lately") {
+    fixture.AdvanceTime(Milliseconds(600));
+    CHECK(fixture.TakeStarts().empty());
+    fixture.SendReport("w1");
+    CHECK(fixture.TakeStarts().size() == 1);
+  }
+  SECTION("that have restarted since") {
+    RunReport report;
+    report.worker_clock = Milliseconds(5);
+    report.incarnation = 8;
+    fixture.scheduler.OnReport(WorkerName("w1"), report, fixture.Now(),
+                               fixture.Now());
+    CHECK(fixture.TakeStarts().empty());
+    fixture.scheduler.SetSole(true);
+    CHECK(fixture.TakeStarts().size() == 1);
+  }
+}
+
+// Guards against start orders that pile up in front of a scheduler's processor
+// in a burst, time out and are repeated, so that ever fewer get through.
+TEST_CASE("Starts wait while many others are not answered yet") {
+  std::vector<WorkerListing> workers;
+  for (int i = 0; i < 200; ++i) {
+    workers.push_back(MakeListing("w" + std::to_string(i)));
+  }
+  Fixture fixture(workers);
+  fixture.SendAllReports();
+  for (int i = 0; i < 80; ++i) {
+    fixture.Add(JobBuilder("j" + std::to_string(i)).Step(8, 1000).Build());
+  }
+  const int limit = SchedulerSettings().max_unanswered_starts;
+  std::vector<StartRun> starts = fixture.TakeStarts();
+  CHECK(static_cast<int>(starts.size()) == limit);
+  CHECK(fixture.TakeStarts().empty());
+  for (int i = 0; i < 10; ++i) {
+    fixture.ConfirmStart(starts[i]);
+  }
+  CHECK(fixture.TakeStarts().size() == 10);
+}
+
 // Guards against a second run while an unanswered start may still take effect.
 TEST_CASE("An unanswered start is stopped before the task is started again") {
   Fixture fixture({MakeListing("w1"), MakeListing("w2")});
--- a/Source/UnitTests/Jobs/pool_simulation.cc
+++ b/Source/UnitTests/Jobs/pool_simulation.cc
@@ -130,6 +130,7 @@
   // A predecessor that may still be running continues for its outage grace
   // period unless it is fenced.
   if (old != nullptr && !is_predecessor_gone) {
+    old->SetSole(false);
     for (Milliseconds at{10}; at < kOutageGrace; at += kTick) {
       this->queue.After(at, [this, old, old_term]() {
         if (old->IsFenced()) {
