--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -37,8 +37,9 @@
   // A run that used no CPU for this long counts as stalled.
   Milliseconds stall_timeout{1500};
   // While another scheduler may be the leader, runs start only on workers whose
-  // last report is not older: a crashed worker is away for longer.
-  Milliseconds unled_report_window{500};
+  // last report is not older: a crashed worker is away for longer, and a held
+  // report is answered sooner.
+  Milliseconds unled_report_window{1500};
   // Interval between reports from a worker while some of its ends wait to be
   // saved.
   Milliseconds unsaved_report_interval{300};
