--- a/Source/Bench/http_client_bench.cc
+++ b/Source/Bench/http_client_bench.cc
@@ -83,8 +83,9 @@
     }
   }
   EventLoop loop;
-  HttpClient client(
-      [&loop](std::function<void()> function) { loop.Post(std::move(function)); });
+  HttpClient client([&loop](std::function<void()> function) {
+    loop.Post(std::move(function));
+  });
   for (const std::string& url : urls) {
     HttpClientRequest request;
     request.method = "POST";
