--- a/Source/Core/Jobs/job_names.cc
+++ b/Source/Core/Jobs/job_names.cc
@@ -1,4 +1,5 @@
 #include "Core/Jobs/job_progress.h"
+#include "Core/Jobs/previous_run.h"
 #include "Core/Jobs/run_report.h"
 #include "Core/Jobs/start_outcome.h"
 
@@ -50,6 +51,26 @@
   return "unknown";
 }
 
+const char* ToString(PreviousRun previous) {
+  switch (previous) {
+    case PreviousRun::kNone:
+      return "none";
+    case PreviousRun::kNotFound:
+      return "not_found";
+    case PreviousRun::kEnded:
+      return "ended";
+    case PreviousRun::kMissing:
+      return "missing";
+    case PreviousRun::kRefused:
+      return "refused";
+    case PreviousRun::kWorkerGone:
+      return "worker_gone";
+    case PreviousRun::kLeaseExpired:
+      return "lease_expired";
+  }
+  return "unknown";
+}
+
 const char* ToString(JobStatus status) {
   switch (status) {
     case JobStatus::kQueued:
--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -12,6 +12,7 @@
 #include "Core/Common/time.h"
 #include "Core/Jobs/job_progress.h"
 #include "Core/Jobs/job_spec.h"
+#include "Core/Jobs/previous_run.h"
 
 namespace daisyroad {
 
@@ -56,6 +57,7 @@
   bool is_done = false;
   std::set<std::int64_t> failed_runs;
   std::int64_t last_run = 0;
+  PreviousRun previous = PreviousRun::kNone;
   std::string checkpoint;
   WorkerName failed_on;  // worker of the last run that failed or stalled
   CrashRecord crashes;
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -280,6 +280,7 @@
     this->next_stall_check = now + this->settings.stall_check_interval;
     this->StopStalledRuns(now);
   }
+  this->RecordRecovery(now);
   this->CollectUsableWorkers(now);
   this->SettleOpenStarts(now);
   this->ReviewSuspects(now);
@@ -369,7 +370,9 @@
   return &state->runs.back();
 }
 
-void PoolScheduler::RemoveRun(const TaskRef& task, std::int64_t number) {
+void PoolScheduler::RemoveRun(const TaskRef& task,
+                              std::int64_t number,
+                              PreviousRun how) {
   TaskState* const state = this->FindTask(task);
   const std::vector<RunRecord>::iterator found = std::find_if(
       state->runs.begin(), state->runs.end(),
@@ -390,6 +393,7 @@
   host.latency_target_runs -= step.latency_target.count() > 0;
   this->used[job.job.team] -= step.request;
   state->runs.erase(found);
+  state->previous = how;
   this->CloseStart(task, state, number);
   if (state->runs.empty() && !state->is_done) {
     --job.occurrences.at(task.occurrence).steps[task.step].done_or_running;
@@ -514,6 +518,42 @@
                        ToString(status));
 }
 
+void PoolScheduler::RecordRecovery(MonotonicTime now) {
+  const bool is_recovering = this->IsRecovering(now);
+  if (is_recovering == this->was_recovering) {
+    return;
+  }
+  this->was_recovering = is_recovering;
+  const std::ptrdiff_t silent = std::count_if(
+      this->workers.begin(), this->workers.end(),
+      [](const std::pair<const WorkerName, WorkerState>& entry) {
+        return !entry.second.has_reported && !entry.second.is_gone;
+      });
+  this->RecordDecision(is_recovering ? "recovery_begun" : "recovery_over",
+                       TaskRef(), 0, WorkerName(),
+                       std::to_string(silent) + " workers have not reported");
+}
+
+void PoolScheduler::RecordStart(const JobState& job,
+                                const TaskRef& task,
+                                std::int64_t run,
+                                const WorkerName& worker) {
+  PreviousRun previous = this->FindTask(task)->previous;
+  if (previous == PreviousRun::kNone && job.may_have_unknown_runs) {
+    previous = PreviousRun::kNotFound;
+  }
+  LogDecision line("run_started");
+  line.Field("pool", this->pool.str())
+      .Field("task", task.ToString())
+      .Field("run", run)
+      .Field("worker", worker.str())
+      .Field("reason", job.job.team.str());
+  if (previous != PreviousRun::kNone) {
+    line.Field("previous", ToString(previous));
+  }
+  this->decisions.push_back(line.line());
+}
+
 void PoolScheduler::RecordDecision(std::string_view decision,
                                    const TaskRef& task,
                                    std::int64_t run,
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -19,6 +19,7 @@
 #include "Core/Jobs/order.h"
 #include "Core/Jobs/placement_ticket.h"
 #include "Core/Jobs/pool_load.h"
+#include "Core/Jobs/previous_run.h"
 #include "Core/Jobs/queue_policy.h"
 #include "Core/Jobs/run_report.h"
 #include "Core/Jobs/scheduler_settings.h"
@@ -182,7 +183,8 @@
                     std::int64_t number,
                     const WorkerName& worker,
                     MonotonicTime now);
-  void RemoveRun(const TaskRef& task, std::int64_t number);
+  // `how` tells why the run counts as over.
+  void RemoveRun(const TaskRef& task, std::int64_t number, PreviousRun how);
   void StopRunOf(const TaskRef& task, RunRecord* run, MonotonicTime now);
   void StopAllRuns(JobState* job, MonotonicTime now);
   void MarkUnsaved(JobState* job);
@@ -193,6 +195,12 @@
                 std::int64_t run,
                 MonotonicTime now);
   void CloseJob(JobState* job, JobStatus status, MonotonicTime now);
+  // Records when the wait for unknown runs begins and ends.
+  void RecordRecovery(MonotonicTime now);
+  void RecordStart(const JobState& job,
+                   const TaskRef& task,
+                   std::int64_t run,
+                   const WorkerName& worker);
   void RecordDecision(std::string_view decision,
                       const TaskRef& task,
                       std::int64_t run,
@@ -368,6 +376,7 @@
   MonotonicTime next_save;
   bool is_fenced = false;
   bool is_sole_leader = true;
+  bool was_recovering = false;
   MonotonicTime no_starts_before;
   // Arrival time and work in millicore-seconds of recent jobs, oldest first.
   std::deque<std::pair<MonotonicTime, double>> arrivals;
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -508,8 +508,7 @@
   this->orders.emplace_back(std::move(order));
   ++this->unanswered_starts;
   worker->suspect_runs += !this->FindTask(task)->crashes.runs.empty();
-  this->RecordDecision("run_started", task, number, worker->listing.name,
-                       job->job.team.str());
+  this->RecordStart(*job, task, number, worker->listing.name);
 }
 
 void PoolScheduler::ReserveWorker(const JobState& job, const TaskRef& task) {
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -175,7 +175,7 @@
   const std::set<std::pair<TaskRef, std::int64_t>> runs = worker.runs;
   this->HandleCrash(&worker, runs, now);
   for (const std::pair<TaskRef, std::int64_t>& run : runs) {
-    this->RemoveRun(run.first, run.second);
+    this->RemoveRun(run.first, run.second, PreviousRun::kWorkerGone);
   }
   this->HandleWorkerRestart(&worker, now);
   worker.is_gone = true;
@@ -290,7 +290,7 @@
   }
   this->RecordDecision("start_refused", order.task, order.run, order.worker,
                        ToString(outcome));
-  this->RemoveRun(order.task, order.run);
+  this->RemoveRun(order.task, order.run, PreviousRun::kRefused);
 }
 
 void PoolScheduler::OnStop(const StopRun& order,
@@ -350,7 +350,7 @@
   JobState& job = found->second;
   const RunRecord* const run = this->FindRun(end.task, end.run);
   if (run != nullptr && run->worker == worker->listing.name) {
-    this->RemoveRun(end.task, end.run);
+    this->RemoveRun(end.task, end.run, PreviousRun::kEnded);
   }
   this->CloseStart(end.task, task, end.run);
   task->last_run = std::max(task->last_run, end.run);
@@ -470,7 +470,7 @@
     this->HandleCrash(worker, lost, now);
   }
   for (const std::pair<TaskRef, std::int64_t>& key : missing) {
-    this->RemoveRun(key.first, key.second);
+    this->RemoveRun(key.first, key.second, PreviousRun::kMissing);
   }
 }
 
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -22,7 +22,7 @@
         std::to_string(worker.runs.size()) + " runs dropped, lease expired");
     const std::set<std::pair<TaskRef, std::int64_t>> runs = worker.runs;
     for (const std::pair<TaskRef, std::int64_t>& run : runs) {
-      this->RemoveRun(run.first, run.second);
+      this->RemoveRun(run.first, run.second, PreviousRun::kLeaseExpired);
     }
     worker.expired_runs.insert(runs.begin(), runs.end());
   }
--- a/Source/Core/Site/pool_leader_state.h
+++ b/Source/Core/Site/pool_leader_state.h
@@ -40,7 +40,8 @@
   // worker has terminated long before its leases expire.
   void CheckMachines(MonotonicTime now);
   void CheckSilentWorker(const WorkerName& worker,
-                         const std::vector<Machine>& machines);
+                         const std::vector<Machine>& machines,
+                         MonotonicTime requested_at);
   void LoadProgress(const std::string& after);
   void AdoptProgress(const StorePage& page);
   void OnInbox(const std::vector<StoreChange>& changes);
--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -151,7 +151,8 @@
   this->next_machine_check = now + kMachineCheckInterval;
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.machines->List(
-      [self, silent](const Result<std::vector<Machine>>& machines) {
+      [self, silent,
+       requested_at = now](const Result<std::vector<Machine>>& machines) {
         self->is_listing_machines = false;
         if (self->is_stopped || !machines.ok()) {
           return;
@@ -163,15 +164,15 @@
         }
         self->next_persist = MonotonicTime();
         for (const WorkerName& worker : silent) {
-          self->CheckSilentWorker(worker, machines.value());
+          self->CheckSilentWorker(worker, machines.value(), requested_at);
         }
         self->SchedulePass();
       });
 }
 
-void PoolLeader::State::CheckSilentWorker(
-    const WorkerName& worker,
-    const std::vector<Machine>& machines) {
+void PoolLeader::State::CheckSilentWorker(const WorkerName& worker,
+                                          const std::vector<Machine>& machines,
+                                          MonotonicTime requested_at) {
   const std::map<WorkerName, MachineName>::const_iterator host =
       this->machine_of.find(worker);
   if (host == this->machine_of.end()) {
@@ -184,10 +185,11 @@
   const bool is_over =
       life == WorkerLiveness::kTerminated ||
       (absences >= kAbsencesUntilRemoved && !this->listing.contains(worker));
-  CLOG(INFO, kTasksLog) << "decision=silent_worker pool=" << this->pool
-                        << " worker=" << worker << " machine=" << host->second
-                        << " life=" << ToString(life)
-                        << " absences=" << absences << " over=" << is_over;
+  CLOG(INFO, kTasksLog)
+      << "decision=silent_worker pool=" << this->pool << " worker=" << worker
+      << " machine=" << host->second << " life=" << ToString(life)
+      << " absences=" << absences << " over=" << is_over << " list_age_ms="
+      << std::chrono::duration_cast<Milliseconds>(Now() - requested_at).count();
   if (is_over) {
     this->absences.erase(worker);
     this->scheduler.OnWorkerGone(
