--- /dev/null
+++ b/Source/UnitTests/Site/takeover_wait_test.cc
@@ -0,0 +1,45 @@
+#include <catch2/catch.hpp>
+
+#include "Core/Site/persisted_workers.h"
+#include "UnitTests/Jobs/job_builder.h"
+#include "UnitTests/Site/pool_leader_fixture.h"
+
+namespace daisyroad {
+namespace {
+
+const WorkerName kUnreachable("w1");
+const WorkerName kReachable("w2");
+constexpr Milliseconds kLease{1000};
+
+// Guards against a second run of a task that runs on a worker whose lease the
+// previous scheduler renewed until it ended.
+TEST_CASE("Unknown runs are waited for from the end of the predecessor on") {
+  PoolLeaderFixture fixture;
+  fixture.settings.longest_lease = kLease;
+  fixture.workers.Crash(kUnreachable);
+  const AcceptedJob job = JobBuilder("j").Service(1, 1).Build();
+  const TaskRef task{job.id, 0, 0, 0};
+  fixture.Store(job);
+  std::vector<PersistedWorker> used;
+  for (const std::pair<const WorkerName, WorkerListing>& worker :
+       fixture.listing) {
+    used.push_back(PersistedWorker{worker.second, MachineName()});
+  }
+  fixture.store.Put(WorkersKey(fixture.pool), SerializePersistedWorkers(used));
+
+  Term term = fixture.FirstTerm();
+  term.number = 2;
+  term.is_predecessor_gone = false;
+  fixture.Lead(term);
+  fixture.loop.RunFor(2 * kLease);
+  REQUIRE(fixture.workers.WorkersOf(task).empty());
+
+  fixture.leader->OnPredecessorGone();
+  fixture.loop.RunFor(kLease);
+  CHECK(fixture.workers.WorkersOf(task).empty());
+  fixture.loop.RunFor(kLease);
+  CHECK(fixture.workers.WorkersOf(task) == std::vector<WorkerName>{kReachable});
+}
+
+}  // namespace
+}  // namespace daisyroad
