Site: wait for the leases of unknown runs from the end of the predecessor on

When a scheduler learned that the process before it had ended, it shortened its wait for runs on workers that had not reported, but counted the longest lease from the beginning of its own term. A predecessor that is cut off from the store goes on for up to 8 s and renews leases until it ends, so the wait could be over at once while its runs were active.

Now the wait lasts one longest lease from the moment at which the end is known. takeover_wait failed before (the task was started within 1 s of the news) and passes.

--- a/Source/Core/Site/pool_leader.cc
+++ b/Source/Core/Site/pool_leader.cc
@@ -36,6 +36,13 @@
   return std::chrono::system_clock::now();
 }
 
+// Time after which a lease that is renewed now has expired on any worker.
+Milliseconds MaxLeaseDuration(const SchedulerSettings& settings) {
+  const double lease = static_cast<double>(settings.longest_lease.count()) /
+                       (1.0 - settings.worker_clock_drift);
+  return Milliseconds(static_cast<std::int64_t>(lease)) + settings.lease_margin;
+}
+
 // Time after which nothing runs any more that the scheduler of an earlier term
 // started on a worker that never answered this one.
 Milliseconds MaxUnknownRunDuration(const SchedulerSettings& settings,
@@ -43,12 +50,9 @@
   if (term.number == 1) {
     return Milliseconds(0);
   }
-  const double lease = static_cast<double>(settings.longest_lease.count()) /
-                       (1.0 - settings.worker_clock_drift);
-  return Milliseconds(static_cast<std::int64_t>(lease)) +
-         settings.lease_margin +
-         (term.is_predecessor_gone ? Milliseconds(0)
-                                   : Leadership::kOutageGrace);
+  return MaxLeaseDuration(settings) + (term.is_predecessor_gone
+                                           ? Milliseconds(0)
+                                           : Leadership::kOutageGrace);
 }
 
 }  // namespace
@@ -194,9 +198,9 @@
     return;
   }
   current.term.is_predecessor_gone = true;
+  // It may have renewed leases until it ended.
   current.scheduler.SetUnknownRunsOver(
-      current.begun_at +
-      MaxUnknownRunDuration(current.context.settings, current.term));
+      Now() + MaxLeaseDuration(current.context.settings));
   CLOG(INFO, kTasksLog) << "event=predecessor_gone pool=" << current.pool;
   current.SchedulePass();
 }
