Site: a new term knows all processes that may hold earlier ones

The record of a term named its holder only. After two changes in a row, the third scheduler asked whether the second had ended and counted unknown runs as over one lease later, though the first may be cut off and renew leases of its workers for 8 s. Two runs of a task would follow.

The record now lists the earlier holders that may still give orders; the next holder takes them over, leaves out those whose process has started again, and removes them once their outage grace period is over. The test with three instances failed before (the first section and the second, at the first check) and passes now.

--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -33,6 +33,8 @@
   std::string address;
   std::int64_t term = 0;
   std::int64_t incarnation = 0;
+  // Holders of earlier terms that may still issue orders.
+  std::vector<TermHolder> predecessors;
 };
 
 std::string SerializeLeader(const LeaderRecord& record) {
@@ -41,6 +43,12 @@
   json["address"] = record.address;
   json["term"] = Json::Int64(record.term);
   json["incarnation"] = Json::Int64(record.incarnation);
+  for (const TermHolder& holder : record.predecessors) {
+    Json::Value row(Json::arrayValue);
+    row.append(holder.node);
+    row.append(Json::Int64(holder.incarnation));
+    json["predecessors"].append(row);
+  }
   return WriteJson(json);
 }
 
@@ -51,9 +59,20 @@
       !json.value()["term"].isInt64()) {
     return std::nullopt;
   }
-  return LeaderRecord{
-      json.value()["node"].asString(), json.value()["address"].asString(),
-      json.value()["term"].asInt64(), json.value()["incarnation"].asInt64()};
+  LeaderRecord record;
+  record.node = json.value()["node"].asString();
+  record.address = json.value()["address"].asString();
+  record.term = json.value()["term"].asInt64();
+  record.incarnation = json.value()["incarnation"].asInt64();
+  for (const Json::Value& row : json.value()["predecessors"]) {
+    if (!row.isArray() || row.size() != 2 || !row[0].isString() ||
+        !row[1].isInt64()) {
+      return std::nullopt;
+    }
+    record.predecessors.push_back(
+        TermHolder{row[0].asString(), row[1].asInt64()});
+  }
+  return record;
 }
 
 }  // namespace
@@ -71,6 +90,7 @@
   std::map<std::string, Term> terms;
   std::map<std::string, MonotonicTime> vacant_since;
   std::set<std::string> pending_acquisitions;
+  std::set<std::string> pending_records;  // duties whose term is being written
   StoreLease lease = 0;
   BootClock::time_point lease_valid_until;
   bool is_acquiring_lease = false;
@@ -110,6 +130,9 @@
     for (const std::string& duty : this->duties) {
       this->MaybeAcquireDuty(duty, now);
     }
+    for (std::pair<const std::string, Term>& entry : this->terms) {
+      this->MaybeForgetPredecessors(&entry.second, now);
+    }
   }
 
   void AcquireLease() {
@@ -344,13 +367,11 @@
           ParseLeader(last_term->second.value);
       term.number = record ? record->term + 1 : 1;
       if (record) {
-        term.predecessor = record->node;
-        term.predecessor_incarnation = record->incarnation;
+        term.predecessors = this->RunningHolders(*record);
       }
-      term.is_predecessor_gone = this->IsPredecessorGone(term);
+      term.is_predecessor_gone = term.predecessors.empty();
     }
-    const std::string value = SerializeLeader(LeaderRecord{
-        this->node, this->address, term.number, this->incarnation});
+    const std::string value = this->SerializeTerm(term, term.predecessors);
     StoreTransaction transaction;
     transaction.expected = {
         {kLeaderPrefix + duty,
@@ -381,6 +402,7 @@
           }
           Term new_term = term;
           new_term.fence = committed->revision;
+          new_term.begun_at = std::chrono::steady_clock::now();
           self->terms[new_term.duty] = new_term;
           CLOG(INFO, kMembershipLog)
               << "decision=term_begun duty=" << new_term.duty
@@ -391,20 +413,70 @@
         });
   }
 
-  bool IsPredecessorGone(const Term& term) const {
+  std::string SerializeTerm(const Term& term,
+                            const std::vector<TermHolder>& predecessors) const {
+    return SerializeLeader(LeaderRecord{this->node, this->address, term.number,
+                                        this->incarnation, predecessors});
+  }
+
+  // Holders of the recorded term and those before that may still issue orders.
+  std::vector<TermHolder> RunningHolders(const LeaderRecord& record) const {
+    std::vector<TermHolder> holders = record.predecessors;
     // The record of a released duty has an empty node name.
-    if (term.predecessor.empty() || term.predecessor == this->node) {
+    if (!record.node.empty()) {
+      holders.push_back(TermHolder{record.node, record.incarnation});
+    }
+    std::erase_if(holders, [this](const TermHolder& holder) {
+      return this->HasTerminated(holder);
+    });
+    return holders;
+  }
+
+  bool HasTerminated(const TermHolder& holder) const {
+    if (holder.node == this->node) {
       return true;
     }
     const PrefixMirror::Items::const_iterator found =
-        this->mirror->items().find(kNodePrefix + term.predecessor);
+        this->mirror->items().find(kNodePrefix + holder.node);
     if (found == this->mirror->items().end()) {
       return false;
     }
     const Result<Json::Value> json = ParseJson(found->second.value);
     return json.ok() && json.value()["incarnation"].isInt64() &&
-           json.value()["incarnation"].asInt64() !=
-               term.predecessor_incarnation;
+           json.value()["incarnation"].asInt64() != holder.incarnation;
+  }
+
+  bool ArePredecessorsGone(const Term& term) const {
+    return std::all_of(term.predecessors.begin(), term.predecessors.end(),
+                       [this](const TermHolder& holder) {
+                         return this->HasTerminated(holder);
+                       });
+  }
+
+  // Removes the earlier holders from the record of the term once their outage
+  // grace period is over, so that the next holder does not wait for them.
+  void MaybeForgetPredecessors(Term* term, MonotonicTime now) {
+    if (term->predecessors.empty() ||
+        now < term->begun_at + kOutageGrace + kCheckInterval ||
+        !this->pending_records.insert(term->duty).second) {
+      return;
+    }
+    StoreTransaction transaction;
+    transaction.expected = {{kLeaderPrefix + term->duty, term->fence}};
+    transaction.writes = {
+        {kTermPrefix + term->duty, this->SerializeTerm(*term, {}), 0}};
+    const std::shared_ptr<State> self = this->shared_from_this();
+    this->store->Commit(transaction, kRequestTimeout,
+                        [self, duty = term->duty, fence = term->fence](
+                            const Result<TransactionResult>& result) {
+                          self->pending_records.erase(duty);
+                          const std::map<std::string, Term>::iterator held =
+                              self->terms.find(duty);
+                          if (result.ok() && held != self->terms.end() &&
+                              held->second.fence == fence) {
+                            held->second.predecessors.clear();
+                          }
+                        });
   }
 
   // Ends the terms of duties that another instance has acquired since.
@@ -425,6 +497,7 @@
     for (const std::pair<const std::string, Term>& entry : this->terms) {
       LeaderRecord record;
       record.term = entry.second.number;
+      record.predecessors = entry.second.predecessors;
       transaction.expected.push_back(
           {kLeaderPrefix + entry.first, entry.second.fence});
       transaction.writes.push_back(
@@ -490,7 +563,7 @@
 }
 
 bool Leadership::IsPredecessorGone(const Term& term) const {
-  return this->state->IsPredecessorGone(term);
+  return this->state->ArePredecessorsGone(term);
 }
 
 bool Leadership::IsLeaseValid() const {
--- a/Source/Core/Site/leadership.h
+++ b/Source/Core/Site/leadership.h
@@ -8,11 +8,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Core/Common/boot_clock.h"
 #include "Core/Common/result.h"
 #include "Core/Common/time.h"
 #include "Core/Platform/revision_store.h"
+#include "Core/Site/term_holder.h"
 
 namespace daisyroad {
 
@@ -27,11 +29,12 @@
   // increases with each term of any duty.
   std::int64_t fence = 0;
   std::int64_t number = 0;  // counts the terms of this duty, from 1
-  // Whether the process that held the previous term has released the duty or
-  // terminated.
+  // Whether all processes that held earlier terms have released the duty,
+  // terminated, or reached the end of their outage grace period.
   bool is_predecessor_gone = false;
-  std::string predecessor;  // node that held the previous term
-  std::int64_t predecessor_incarnation = 0;
+  // The others of these processes.
+  std::vector<TermHolder> predecessors;
+  MonotonicTime begun_at;
 };
 
 // Distributes the duties of the site among its entry instances. The holder of
@@ -81,7 +84,7 @@
   // may continue.
   bool IsLeaseValid() const;
   const std::map<std::string, Term>& terms() const;
-  // Whether the process that held the previous term has terminated by now.
+  // Whether the processes that held earlier terms have terminated by now.
   bool IsPredecessorGone(const Term& term) const;
 
  private:
--- a/Source/UnitTests/Site/leadership_test.cc
+++ b/Source/UnitTests/Site/leadership_test.cc
@@ -131,6 +131,42 @@
   CHECK_FALSE(two.begun[1].is_predecessor_gone);
 }
 
+// Guards against a scheduler that starts a task again because the process
+// before it has ended, while the one before that is cut off and still runs it.
+TEST_CASE("An earlier holder counts as running after two changes") {
+  EventLoop loop;
+  FakeRevisionStore store(&loop);
+  std::unique_ptr<Node> one = std::make_unique<Node>(&store, &loop, "one");
+  loop.RunFor(Milliseconds(1500));
+  REQUIRE(one->begun.size() == 2);
+  one.reset();
+  Node two(&store, &loop, "two");
+  loop.RunFor(Leadership::kLeaseDuration + Milliseconds(1500));
+  REQUIRE(two.begun.size() == 2);
+  CHECK_FALSE(two.begun[0].is_predecessor_gone);
+  Node three(&store, &loop, "three");
+  loop.RunFor(Milliseconds(1500));
+  two.leadership.Stop();
+  loop.RunFor(Milliseconds(500));
+  REQUIRE(three.begun.size() == 2);
+  CHECK_FALSE(three.begun[0].is_predecessor_gone);
+
+  SECTION("until its process has started again") {
+    Node again(&store, &loop, "one");
+    loop.RunFor(Milliseconds(1500));
+    CHECK(three.leadership.IsPredecessorGone(three.begun[0]));
+  }
+  SECTION("until its outage grace period is over") {
+    loop.RunFor(Leadership::kOutageGrace + Milliseconds(500));
+    Node four(&store, &loop, "four");
+    loop.RunFor(Milliseconds(1500));
+    three.leadership.Stop();
+    loop.RunFor(Milliseconds(500));
+    REQUIRE(four.begun.size() == 2);
+    CHECK(four.begun[0].is_predecessor_gone);
+  }
+}
+
 // Guards against bursts that are missed while a pool has no scheduler. With
 // leases of 3 s, a pool had none for 3.4 s after its instance lost power
 // (vpl-ajot-grown).
