Jobs: evidence that a worker has ended does not end runs that may be younger

A list of machines that was requested while a worker was down, or an answer of another process at its address, could arrive after the worker was back under its name. The runs of the new process were given up and started elsewhere, two runs of a task at the same time. The same held for a start order that was on its way.

OnWorkerGone now takes the time from which on the end was observed, the time of the request. It is ignored if the worker has reported since, and it ends only runs whose start order was answered before. A worker that is gone already is not treated as restarted again, since asking it would begin anew each time.

Three tests changed: runs were dropped by an observation made at the same instant as the start or the report. In ended_worker the first request comes 2 ms after the report, with the same limit of requests; in crashing_task the order ends without an answer before the worker is gone, with the same crashes counted; in pool_scheduler_test 10 ms pass. The simulations pass the time of the request.

--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -93,11 +93,12 @@
                 MonotonicTime asked_at,
                 MonotonicTime now);
   void OnReportFailed(const WorkerName& worker, MonotonicTime now);
-  // Called when every process of the worker that got orders from this scheduler
-  // has ended. Ignored if
-  // the worker has runs and another scheduler may have taken over, so the
-  // caller must repeat the call.
+  // Called when the process that the worker had at `observed_from` or later has
+  // ended. Runs that may have started since are kept. Ignored if the worker has
+  // reported since, or if it has runs and another scheduler may have taken
+  // over, so the caller must repeat the call.
   void OnWorkerGone(const WorkerName& worker,
+                    MonotonicTime observed_from,
                     MonotonicTime now,
                     WorkerEnd end = WorkerEnd::kUnknown);
   // Workers that missed a report and may have runs, so tasks wait for them.
@@ -212,6 +213,8 @@
                          Milliseconds clock,
                          MonotonicTime now);
   Milliseconds ExtendLease(WorkerState* worker, MonotonicTime now);
+  // Whether the start order of the run was answered before `time`.
+  static bool IsAnsweredBefore(const RunRecord& run, MonotonicTime time);
   // Resets the worker's clock and acknowledgement state, since both start over
   // with its new process.
   void HandleWorkerRestart(WorkerState* worker, MonotonicTime now);
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -2,6 +2,7 @@
 // active runs and run ends.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "Core/Jobs/objective.h"
@@ -147,6 +148,7 @@
 }
 
 void PoolScheduler::OnWorkerGone(const WorkerName& name,
+                                 MonotonicTime observed_from,
                                  MonotonicTime now,
                                  WorkerEnd end) {
   const std::map<WorkerName, WorkerState>::iterator found =
@@ -155,7 +157,8 @@
     return;
   }
   WorkerState& worker = found->second;
-  if (worker.is_gone && worker.runs.empty()) {
+  // The report may come from a later process.
+  if (worker.last_report_at >= observed_from) {
     return;
   }
   // Another scheduler may have received the ends of these runs and then
@@ -163,22 +166,39 @@
   if (!this->is_sole_leader && !worker.runs.empty()) {
     return;
   }
+  std::set<RunKey> lost;
+  std::copy_if(worker.runs.begin(), worker.runs.end(),
+               std::inserter(lost, lost.end()),
+               [this, observed_from](const RunKey& key) {
+                 return this->IsAnsweredBefore(
+                     *this->FindRun(key.first, key.second), observed_from);
+               });
+  if (worker.is_gone && lost.empty()) {
+    return;
+  }
   this->RecordDecision(
       "worker_gone", TaskRef(), 0, name,
-      std::to_string(worker.runs.size()) + " runs lost" +
+      std::to_string(lost.size()) + " runs lost" +
           (end == WorkerEnd::kPlanned ? ", planned work" : ""));
   if (end == WorkerEnd::kPlanned) {
     worker.planned_end_at = now;
   } else if (end == WorkerEnd::kDown && !worker.listing.is_draining) {
     worker.planned_end_at.reset();
   }
-  const std::set<std::pair<TaskRef, std::int64_t>> runs = worker.runs;
-  this->HandleCrash(&worker, runs, now);
-  for (const std::pair<TaskRef, std::int64_t>& run : runs) {
+  this->HandleCrash(&worker, lost, now);
+  for (const RunKey& run : lost) {
     this->RemoveRun(run.first, run.second, PreviousRun::kWorkerGone);
   }
-  this->HandleWorkerRestart(&worker, now);
-  worker.is_gone = true;
+  if (!worker.is_gone) {
+    this->HandleWorkerRestart(&worker, now);
+    worker.is_gone = true;
+  }
+}
+
+bool PoolScheduler::IsAnsweredBefore(const RunRecord& run, MonotonicTime time) {
+  // An order that is not answered yet may reach the next process.
+  return run.state != RunState::kStartSent && run.ordered_at < time &&
+         (!run.confirmed_at || *run.confirmed_at < time);
 }
 
 void PoolScheduler::HandleWorkerRestart(WorkerState* worker,
--- a/Source/Core/Site/pool_leader_orders.cc
+++ b/Source/Core/Site/pool_leader_orders.cc
@@ -72,12 +72,13 @@
   }
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.workers->Stop(
-      *worker, order, this->term.fence, [self, order](const Status& status) {
+      *worker, order, this->term.fence,
+      [self, order, requested_at = Now()](const Status& status) {
         if (self->is_stopped) {
           return;
         }
         self->Count("daisyroad_run_stops_total", "");
-        self->OnRequestStatus(order.worker, status);
+        self->OnRequestStatus(order.worker, status, requested_at);
         self->scheduler.OnStop(order, status.ok(), Now());
         self->SchedulePass();
       });
@@ -131,7 +132,7 @@
           self->scheduler.OnReport(order.worker, report.value(), requested_at,
                                    Now());
         } else {
-          self->OnRequestStatus(order.worker, report.error());
+          self->OnRequestStatus(order.worker, report.error(), requested_at);
           self->scheduler.OnReportFailed(order.worker, Now());
         }
         self->SchedulePass();
@@ -139,12 +140,13 @@
 }
 
 void PoolLeader::State::OnRequestStatus(const WorkerName& worker,
-                                        const Status& status) {
+                                        const Status& status,
+                                        MonotonicTime requested_at) {
   if (status.ok()) {
     return;
   }
   if (status.error().code == Errc::kNotFound) {
-    this->scheduler.OnWorkerGone(worker, Now());
+    this->scheduler.OnWorkerGone(worker, requested_at, Now());
   } else if (status.error().code == Errc::kConflict) {
     this->OnFenced(worker);
   }
--- a/Source/Core/Site/pool_leader_state.h
+++ b/Source/Core/Site/pool_leader_state.h
@@ -58,7 +58,9 @@
   void RequestAdvice(const AskAdvice& question);
   void SendPace(const PaceRun& order);
   void RequestReport(const AskReport& order);
-  void OnRequestStatus(const WorkerName& worker, const Status& status);
+  void OnRequestStatus(const WorkerName& worker,
+                       const Status& status,
+                       MonotonicTime requested_at);
   // Ends this term because a worker has accepted orders of a later one.
   void OnFenced(const WorkerName& worker);
   void Save(MonotonicTime now);
--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -193,7 +193,8 @@
   if (is_over) {
     this->absences.erase(worker);
     this->scheduler.OnWorkerGone(
-        worker, Now(), ClassifyWorkerEnd(this->pool, host->second, machines));
+        worker, requested_at, Now(),
+        ClassifyWorkerEnd(this->pool, host->second, machines));
   }
 }
 
--- a/Source/UnitTests/Jobs/crashing_pool.cc
+++ b/Source/UnitTests/Jobs/crashing_pool.cc
@@ -128,7 +128,7 @@
   for (const WorkerName& worker : this->scheduler->SilentWorkers(this->Now())) {
     const Host& host = this->hosts.at(worker);
     if (host.down_listed_at && *host.down_listed_at <= this->Now()) {
-      this->scheduler->OnWorkerGone(worker, this->Now());
+      this->scheduler->OnWorkerGone(worker, this->Now(), this->Now());
     }
   }
   this->CarryOut(
--- a/Source/UnitTests/Jobs/crashing_task_test.cc
+++ b/Source/UnitTests/Jobs/crashing_task_test.cc
@@ -136,9 +136,12 @@
   report.incarnation = 7;
   pool.scheduler.OnReport(pool.worker, report, asked_at, pool.Now());
   pool.AddJob(JobBuilder("bad").Step(1).Build());
-  REQUIRE(pool.TakeOrders<StartRun>().size() == 1);
+  const std::vector<StartRun> starts = pool.TakeOrders<StartRun>();
+  REQUIRE(starts.size() == 1);
   pool.elapsed += Milliseconds(200);
-  pool.scheduler.OnWorkerGone(pool.worker, pool.Now());
+  pool.scheduler.OnStart(starts[0], StartOutcome::kUnknown, std::nullopt,
+                         pool.Now());
+  pool.scheduler.OnWorkerGone(pool.worker, pool.Now(), pool.Now());
   const std::vector<std::pair<JobId, JobProgress>> saved =
       pool.scheduler.TakeUnsaved(10, pool.Now());
   REQUIRE(saved.size() == 1);
@@ -152,12 +155,15 @@
   const WorkerEnd end = GENERATE(WorkerEnd::kDown, WorkerEnd::kPlanned);
   OneWorkerPool pool;
   pool.AddJob(JobBuilder("bad").Step(1).Build());
-  REQUIRE(pool.TakeOrders<StartRun>().size() == 1);
+  const std::vector<StartRun> starts = pool.TakeOrders<StartRun>();
+  REQUIRE(starts.size() == 1);
   pool.elapsed += Milliseconds(10);
   pool.scheduler.SetVacating({pool.worker}, {});
   pool.TakeOrders<StartRun>();
   pool.elapsed += Milliseconds(200);
-  pool.scheduler.OnWorkerGone(pool.worker, pool.Now(), end);
+  pool.scheduler.OnStart(starts[0], StartOutcome::kUnknown, std::nullopt,
+                         pool.Now());
+  pool.scheduler.OnWorkerGone(pool.worker, pool.Now(), pool.Now(), end);
   const std::vector<std::pair<JobId, JobProgress>> saved =
       pool.scheduler.TakeUnsaved(10, pool.Now());
   CHECK(saved.size() == (end == WorkerEnd::kDown ? 1 : 0));
--- a/Source/UnitTests/Jobs/ended_worker_test.cc
+++ b/Source/UnitTests/Jobs/ended_worker_test.cc
@@ -13,10 +13,11 @@
   constexpr Milliseconds kDuration{3000};
   OneWorkerPool pool;
   pool.AddJob(JobBuilder("j").Step(1).Build());
+  pool.elapsed += Milliseconds(2);
   int requests = 0;
   while (pool.elapsed < kDuration) {
     if (!pool.TakeOrders<AskReport>().empty()) {
-      pool.scheduler.OnWorkerGone(pool.worker, pool.Now());
+      pool.scheduler.OnWorkerGone(pool.worker, pool.Now(), pool.Now());
       pool.scheduler.OnReportFailed(pool.worker, pool.Now());
       ++requests;
     }
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -294,7 +294,8 @@
     starts = fixture.TakeStarts();
   }
   SECTION("or its process is known to have ended") {
-    fixture.scheduler.OnWorkerGone(WorkerName("w2"), fixture.Now());
+    fixture.scheduler.OnWorkerGone(WorkerName("w2"), fixture.Now(),
+                                   fixture.Now());
     starts = fixture.TakeStarts();
   }
   SECTION("or its leases have expired") {
@@ -601,11 +602,42 @@
   const std::vector<StartRun> starts = fixture.TakeStarts();
   REQUIRE(starts.size() == 1);
   fixture.ConfirmStart(starts[0]);
+  fixture.AdvanceTime(Milliseconds(10));
   fixture.scheduler.SetSole(false);
-  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now());
+  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now(),
+                                 fixture.Now());
   CHECK(fixture.TakeStarts().empty());
   fixture.scheduler.SetSole(true);
-  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now());
+  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now(),
+                                 fixture.Now());
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
+// Guards against a second run while a start order is on its way to a worker
+// that restarts.
+TEST_CASE(
+    "A start order without an answer outlasts the process of its worker") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fixture.AdvanceTime(Milliseconds(10));
+  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now(),
+                                 fixture.Now());
+  CHECK(fixture.TakeStarts().empty());
+  SECTION("until it was not received") {
+    fixture.scheduler.OnStart(starts[0], StartOutcome::kNotReceived,
+                              std::nullopt, fixture.Now());
+  }
+  SECTION("until it was given up and the worker is still gone") {
+    fixture.scheduler.OnStart(starts[0], StartOutcome::kUnknown, std::nullopt,
+                              fixture.Now());
+    CHECK(fixture.TakeStarts().empty());
+    fixture.AdvanceTime(Milliseconds(10));
+    fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now(),
+                                   fixture.Now());
+  }
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
--- a/Source/UnitTests/Jobs/pool_simulation.cc
+++ b/Source/UnitTests/Jobs/pool_simulation.cc
@@ -338,7 +338,8 @@
   this->queue.After(kListDelay, [this, worker, sender, start_count]() {
     const Host& host = this->hosts.at(worker);
     if (host.worker == nullptr && host.start_count == start_count) {
-      sender->OnWorkerGone(worker, kStart + this->queue.now());
+      const MonotonicTime now = kStart + this->queue.now();
+      sender->OnWorkerGone(worker, now - kListDelay, now);
     }
   });
 }
