Jobs: a start refused as stale waits for the next report

A worker refuses a start order as stale if the run was stopped before, or if it has started and ended. The HTTP client repeats an order on a new connection when a reused one breaks, so the second case is possible: the run was dropped and its task started again while the end was not known yet. The run now stays until the next report, which lists its end or shows that it never started. The new test failed before in both sections.

--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -305,6 +305,14 @@
           .tickets_valid_until = now;
       break;
     case StartOutcome::kStaleRun:
+      // A run that has ended is refused like one that was stopped before it
+      // started; the next report tells which it was.
+      this->RecordDecision("start_refused", order.task, order.run, order.worker,
+                           ToString(outcome));
+      run->state = RunState::kStartUncertain;
+      run->stop_answered_at = now;
+      worker.next_report = std::min(worker.next_report, now);
+      return;
     case StartOutcome::kLeaseEnded:
       break;
   }
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -641,6 +641,27 @@
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+// Guards against a second run of a task whose start order was repeated by the
+// transport after the run had ended.
+TEST_CASE("A refused repetition of a start waits for the next report") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fixture.scheduler.OnStart(starts[0], StartOutcome::kStaleRun, std::nullopt,
+                            fixture.Now());
+  CHECK(fixture.TakeStarts().empty());
+  SECTION("which shows that the run has ended") {
+    fixture.SendReport(starts[0].worker.str(), {}, {Done(1, starts[0])});
+    CHECK(fixture.TakeStarts().empty());
+  }
+  SECTION("which shows that the run never started") {
+    fixture.SendReport(starts[0].worker.str());
+    CHECK(fixture.TakeStarts().size() == 1);
+  }
+}
+
 // Guards against starting tasks in a zone that operators have taken out.
 TEST_CASE("Nothing starts in a zone that was taken out") {
   Fixture fixture({MakeListing("w1", "north"), MakeListing("w2", "south")});
