Jobs: reports asked for before a restart was noticed are asked for again

After a restart was noticed by the clock in another answer, a report of the ended process that arrived late was taken for one of the new process. The next request then acknowledged ends up to the old process's number: the new one would forget ends that nobody had seen, and their tasks would run again after they were done. The new test failed before (ends up to 5 acknowledged to a process without any).

--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -89,6 +89,12 @@
     worker.next_report +=
         this->settings.report_interval_per_worker * this->workers.size();
   }
+  if (asked_at < worker.process_changed_at) {
+    // The earlier process may have answered. Its ends must not be acknowledged
+    // to the later one, which numbers its own from 1.
+    worker.next_report = now;
+    return;
+  }
   worker.last_report_at = now;
   worker.missed_reports = 0;
   if (report.incarnation != worker.listing.incarnation &&
@@ -208,6 +214,7 @@
   this->RecordDecision(
       "worker_restarted", TaskRef(), 0, worker->listing.name,
       std::to_string(worker->runs.size()) + " runs unconfirmed");
+  worker->process_changed_at = now;
   worker->last_received_end = 0;
   worker->acknowledged_end = 0;
   worker->delivered_acknowledgement = 0;
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -68,6 +68,8 @@
   Milliseconds lease_until{0};
   MonotonicTime lease_over_at;
 
+  // When a later process of the worker was noticed last.
+  MonotonicTime process_changed_at;
   std::int64_t report_count = 0;
   bool is_report_pending = false;
   MonotonicTime next_report;
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -641,6 +641,33 @@
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+// Guards against ends of a new process that are acknowledged unseen, so that
+// their tasks run again.
+TEST_CASE(
+    "A late report of an ended process acknowledges nothing to the next") {
+  Fixture fixture({MakeListing("w1")});
+  fixture.AdvanceTime(Milliseconds(5000));
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  const MonotonicTime asked_at = fixture.Now();
+  fixture.AdvanceTime(Milliseconds(100));
+  // The answer comes from a process with a clock that started anew.
+  fixture.scheduler.OnStart(starts[0], StartOutcome::kStarted, Milliseconds(50),
+                            fixture.Now());
+  fixture.AdvanceTime(Milliseconds(10));
+  RunReport report;
+  report.worker_clock = Milliseconds(6000);
+  report.incarnation = 7;
+  report.ended = {RunEnd{5, TaskRef{JobId("x"), 0, 0, 0}, 1, EndKind::kDone}};
+  fixture.scheduler.OnReport(starts[0].worker, report, asked_at, fixture.Now());
+  fixture.AdvanceTime(Milliseconds(10));
+  const std::vector<AskReport> asks = OrdersOfType<AskReport>(fixture.Orders());
+  REQUIRE(asks.size() == 1);
+  CHECK(asks[0].acknowledged == 0);
+}
+
 // Guards against a second run of a task whose start order was repeated by the
 // transport after the run had ended.
 TEST_CASE("A refused repetition of a start waits for the next report") {
