Jobs: runs of occurrences that are not open yet are adopted, their ends kept

A new scheduler opens the occurrences of a scheduled job only once it has heard of all workers, and one whose clock is behind opens them later than the one before. Until then it took their runs for runs of an unknown task: a run was ordered to stop without being tracked, so that its task could be started again beside it, and the end of a run was acknowledged unseen, so that a task that was done ran again.

A reported run or end now opens its occurrence. What else belongs to an occurrence that is not due yet still waits for its time.

--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -81,6 +81,11 @@
   return reserved;
 }
 
+bool IsDue(const JobSpec& spec, int occurrence, WallTime wall) {
+  return spec.occurrences == 0 ||
+         wall >= spec.first_due + occurrence * spec.interval;
+}
+
 OccurrenceState NewOccurrence(const JobSpec& spec) {
   OccurrenceState occurrence;
   for (const StepSpec& step : spec.steps) {
--- a/Source/Core/Jobs/objective.h
+++ b/Source/Core/Jobs/objective.h
@@ -21,6 +21,10 @@
 // Resources that a run of the step reserves on its worker.
 Resources ReservedBy(const StepSpec& step);
 OccurrenceState NewOccurrence(const JobSpec& spec);
+
+// Whether the occurrence may start; the only one of an unscheduled job always
+// may.
+bool IsDue(const JobSpec& spec, int occurrence, WallTime wall);
 // Returns the part of the job's state that must be saved.
 JobProgress ProgressOf(const JobState& job);
 
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -439,7 +439,7 @@
   const JobSpec& spec = job->job.spec;
   const int count = std::max(1, spec.occurrences);
   for (int i = static_cast<int>(job->occurrences.size()); i < count; ++i) {
-    if (spec.occurrences > 0 && wall < spec.first_due + i * spec.interval) {
+    if (!IsDue(spec, i, wall)) {
       return;
     }
     job->occurrences.emplace(i, NewOccurrence(spec));
@@ -447,6 +447,23 @@
   }
 }
 
+void PoolScheduler::OpenReportedOccurrence(const TaskRef& task) {
+  const std::unordered_map<JobId, JobState>::iterator found =
+      this->jobs.find(task.job);
+  if (found == this->jobs.end() || IsFinal(found->second.status)) {
+    return;
+  }
+  JobState& job = found->second;
+  if (task.occurrence >= job.job.spec.occurrences) {
+    return;
+  }
+  for (int i = static_cast<int>(job.occurrences.size()); i <= task.occurrence;
+       ++i) {
+    job.occurrences.emplace(i, NewOccurrence(job.job.spec));
+    RefreshRemaining(&job);
+  }
+}
+
 void PoolScheduler::FinishTask(JobState* job,
                                const TaskRef& task,
                                MonotonicTime now) {
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -190,6 +190,9 @@
   void StopAllRuns(JobState* job, MonotonicTime now);
   void MarkUnsaved(JobState* job);
   void OpenDueOccurrences(JobState* job, WallTime wall);
+  // Opens the occurrence of a run that a worker reports, and those before it,
+  // if the job has them. A scheduler with another clock may have started it.
+  void OpenReportedOccurrence(const TaskRef& task);
   void FinishTask(JobState* job, const TaskRef& task, MonotonicTime now);
   void FailTask(JobState* job,
                 const TaskRef& task,
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -105,6 +105,9 @@
                          ? kInTimeTier
                          : kLateTier;
     for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
+      if (!IsDue(job.job.spec, entry.first, wall)) {
+        continue;
+      }
       const int steps = static_cast<int>(entry.second.steps.size());
       candidate.occurrence = entry.first;
       for (int s = 0; entry.second.steps_done < steps && s < steps; ++s) {
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -374,6 +374,7 @@
 void PoolScheduler::HandleRunEnd(WorkerState* worker,
                                  const RunEnd& end,
                                  MonotonicTime now) {
+  this->OpenReportedOccurrence(end.task);
   const std::unordered_map<JobId, JobState>::iterator found =
       this->jobs.find(end.task.job);
   TaskState* const task = this->FindTask(end.task);
@@ -414,6 +415,7 @@
 void PoolScheduler::HandleActiveRun(WorkerState* worker,
                                     const ActiveRun& active,
                                     MonotonicTime now) {
+  this->OpenReportedOccurrence(active.task);
   const std::unordered_map<JobId, JobState>::iterator found =
       this->jobs.find(active.task.job);
   TaskState* const task = this->FindTask(active.task);
--- a/Source/UnitTests/Jobs/scheduled_progress_test.cc
+++ b/Source/UnitTests/Jobs/scheduled_progress_test.cc
@@ -45,5 +45,77 @@
   CHECK(saved[0].second.status == JobStatus::kFailed);
 }
 
+// Two occurrences, of which the first is due.
+AcceptedJob PartlyDueJob() {
+  return JobBuilder("j")
+      .Step(1)
+      .Schedule(2, WallTime(std::chrono::hours(999)), std::chrono::hours(2))
+      .Build();
+}
+
+RunReport EmptyReport() {
+  RunReport report;
+  report.worker_clock = Milliseconds(2000);
+  report.incarnation = 7;
+  return report;
+}
+
+// Guards against a second run of an occurrence whose first one ended before the
+// new scheduler had opened it.
+TEST_CASE("An end of an occurrence that is not open yet counts") {
+  const int occurrence = GENERATE(0, 1);
+  OneWorkerPool pool;
+  pool.scheduler.AddJob(PartlyDueJob(), JobProgress(), true, pool.Now());
+  RunReport report = EmptyReport();
+  const TaskRef task{JobId("j"), occurrence, 0, 0};
+  report.ended = {RunEnd{1, task, 7, EndKind::kDone, ""}};
+  pool.scheduler.OnReport(pool.worker, report, pool.Now(), pool.Now());
+  const std::vector<std::pair<JobId, JobProgress>> saved =
+      pool.scheduler.TakeUnsaved(10, pool.Now());
+  REQUIRE(saved.size() == 1);
+  CHECK(saved[0].second.done.contains(task));
+}
+
+// Guards against a second run of an occurrence that still runs when the new
+// scheduler opens it.
+TEST_CASE("A run of an occurrence that is not open yet is adopted") {
+  const int occurrence = GENERATE(0, 1);
+  OneWorkerPool pool;
+  pool.scheduler.AddJob(PartlyDueJob(), JobProgress(), true, pool.Now());
+  RunReport report = EmptyReport();
+  ActiveRun active;
+  active.task = TaskRef{JobId("j"), occurrence, 0, 0};
+  active.run = 7;
+  report.active = {active};
+  pool.scheduler.OnReport(pool.worker, report, pool.Now(), pool.Now());
+  pool.elapsed += Milliseconds(10);
+  const WallTime wall(std::chrono::hours(1000));
+  int starts_of_occurrence = 0;
+  for (const Order& order :
+       pool.scheduler.TakeOrders(pool.Now(), wall + pool.elapsed)) {
+    CHECK_FALSE(std::holds_alternative<StopRun>(order));
+    if (const StartRun* const start = std::get_if<StartRun>(&order)) {
+      starts_of_occurrence += start->task.occurrence == occurrence;
+    }
+  }
+  CHECK(starts_of_occurrence == 0);
+}
+
+// Guards against tasks that start before their time beside one that did.
+TEST_CASE(
+    "The other tasks of an occurrence that began early wait for its time") {
+  OneWorkerPool pool;
+  AcceptedJob job = PartlyDueJob();
+  job.spec.steps[0].task_count = 2;
+  pool.scheduler.AddJob(job, JobProgress(), true, pool.Now());
+  RunReport report = EmptyReport();
+  report.ended = {
+      RunEnd{1, TaskRef{JobId("j"), 1, 0, 0}, 7, EndKind::kDone, ""}};
+  pool.scheduler.OnReport(pool.worker, report, pool.Now(), pool.Now());
+  for (const StartRun& start : pool.TakeOrders<StartRun>()) {
+    CHECK(start.task.occurrence == 0);
+  }
+}
+
 }  // namespace
 }  // namespace daisyroad
