Site: a paused process checks its term before it issues orders

The end of the outage grace period is checked by a timer. A process that goes on after a pause may run a scheduling pass before that timer, and renew leases of workers that the next scheduler does not reach, for longer than that one waits. A pass now begins with the check. The new test failed before (the run was renewed for three leases); it uses a context that earlier code does not have, so that was seen with the check in RunPass taken out.

--- a/Source/Core/Site/leadership.cc
+++ b/Source/Core/Site/leadership.cc
@@ -231,12 +231,17 @@
     }
     const BootClock::time_point now = BootClock::now();
     this->SetLeaseUncertain(now > this->lease_valid_until);
-    if (now > this->lease_valid_until + kOutageGrace && !this->terms.empty()) {
+    if (!this->MayIssueOrders() && !this->terms.empty()) {
       this->EndAllTerms(
           "the store did not answer within the outage grace period");
     }
   }
 
+  bool MayIssueOrders() const {
+    return this->lease != 0 &&
+           BootClock::now() <= this->lease_valid_until + kOutageGrace;
+  }
+
   void SetLeaseUncertain(bool value) {
     if (this->is_lease_uncertain == value) {
       return;
@@ -571,6 +576,10 @@
          BootClock::now() < this->state->lease_valid_until;
 }
 
+bool Leadership::MayIssueOrders() const {
+  return this->state->MayIssueOrders();
+}
+
 const std::map<std::string, Term>& Leadership::terms() const {
   return this->state->terms;
 }
--- a/Source/Core/Site/leadership.h
+++ b/Source/Core/Site/leadership.h
@@ -83,6 +83,10 @@
   // False during a store outage, when only duties whose orders workers fence
   // may continue.
   bool IsLeaseValid() const;
+  // Whether the duties of this instance may still issue orders: the lease is
+  // valid, or its outage grace period is not over. A process that was paused
+  // may learn of the end of its terms only after it has handled other events.
+  bool MayIssueOrders() const;
   const std::map<std::string, Term>& terms() const;
   // Whether the processes that held earlier terms have terminated by now.
   bool IsPredecessorGone(const Term& term) const;
--- a/Source/Core/Site/pool_leader.cc
+++ b/Source/Core/Site/pool_leader.cc
@@ -105,7 +105,8 @@
 }
 
 void PoolLeader::State::RunPass() {
-  if (this->is_stopped || !this->IsReady()) {
+  if (this->is_stopped || !this->IsReady() ||
+      !this->context.may_issue_orders()) {
     return;
   }
   const MonotonicTime now = Now();
--- a/Source/Core/Site/pool_leader.h
+++ b/Source/Core/Site/pool_leader.h
@@ -37,6 +37,8 @@
   AllotmentManager* allotments = nullptr;
   MetricsRegistry* metrics = nullptr;
   SchedulerSettings settings;
+  // Returns false once the term has ended, though PoolLeader still exists.
+  std::function<bool()> may_issue_orders;
   // Returns false while another instance may have begun the next term.
   std::function<bool()> is_lease_valid;
   // How long finished jobs are kept for status queries.
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -354,6 +354,9 @@
     context.loop = this->platform.loop;
     context.allotments = &this->allotments;
     context.metrics = this->platform.metrics;
+    context.may_issue_orders = [this]() {
+      return this->leadership.MayIssueOrders();
+    };
     context.is_lease_valid = [this]() {
       return this->leadership.IsLeaseValid();
     };
--- a/Source/UnitTests/Site/leadership_test.cc
+++ b/Source/UnitTests/Site/leadership_test.cc
@@ -196,6 +196,9 @@
   loop.RunFor(Leadership::kLeaseDuration + Milliseconds(1500));
   CHECK(one.ended.empty());
   CHECK_FALSE(one.leadership.IsLeaseValid());
+  CHECK(one.leadership.MayIssueOrders());
+  loop.RunFor(Leadership::kOutageGrace);
+  CHECK_FALSE(one.leadership.MayIssueOrders());
 }
 
 }  // namespace
--- a/Source/UnitTests/Site/pool_leader_fixture.h
+++ b/Source/UnitTests/Site/pool_leader_fixture.h
@@ -52,6 +52,7 @@
     context.loop = &this->loop;
     context.allotments = &this->allotments;
     context.metrics = &this->metrics;
+    context.may_issue_orders = [this]() { return this->may_issue_orders; };
     context.is_lease_valid = []() { return true; };
     context.settings = this->settings;
     this->leader = std::make_unique<PoolLeader>(context, this->pool, term);
@@ -85,6 +86,7 @@
   AllotmentManager allotments;
   MetricsRegistry metrics;
   SchedulerSettings settings;
+  bool may_issue_orders = true;
   std::map<WorkerName, WorkerListing> listing;
   std::unique_ptr<PoolLeader> leader;
 };
--- a/Source/UnitTests/Site/slow_link_test.cc
+++ b/Source/UnitTests/Site/slow_link_test.cc
@@ -80,6 +80,7 @@
   context.loop = &loop;
   context.allotments = &allotments;
   context.metrics = &metrics;
+  context.may_issue_orders = []() { return true; };
   context.is_lease_valid = []() { return true; };
   PoolLeader leader(context, pool, Term());
   leader.Start();
--- a/Source/UnitTests/Site/takeover_wait_test.cc
+++ b/Source/UnitTests/Site/takeover_wait_test.cc
@@ -41,5 +41,21 @@
   CHECK(fixture.workers.WorkersOf(task) == std::vector<WorkerName>{kReachable});
 }
 
+// Guards against leases that a process renews when it goes on after a pause, in
+// which its term has ended.
+TEST_CASE("A term that has ended issues no orders") {
+  PoolLeaderFixture fixture;
+  fixture.settings.longest_lease = kLease;
+  fixture.Lead(fixture.FirstTerm());
+  const AcceptedJob job = JobBuilder("j").Service(1, 1).Build();
+  const TaskRef task{job.id, 0, 0, 0};
+  fixture.Store(job);
+  fixture.loop.RunFor(PoolLeaderFixture::kSettled);
+  REQUIRE(fixture.workers.WorkersOf(task).size() == 1);
+  fixture.may_issue_orders = false;
+  fixture.loop.RunFor(3 * kLease);
+  CHECK(fixture.workers.WorkersOf(task).empty());
+}
+
 }  // namespace
 }  // namespace daisyroad
