--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -19,6 +19,7 @@
 #include "Core/Jobs/order.h"
 #include "Core/Jobs/placement_ticket.h"
 #include "Core/Jobs/pool_load.h"
+#include "Core/Jobs/previous_run.h"
 #include "Core/Jobs/queue_policy.h"
 #include "Core/Jobs/run_report.h"
 #include "Core/Jobs/scheduler_settings.h"
@@ -92,11 +93,12 @@
                 MonotonicTime asked_at,
                 MonotonicTime now);
   void OnReportFailed(const WorkerName& worker, MonotonicTime now);
-  // Called when every process of the worker that got orders from this scheduler
-  // has ended. Ignored if
-  // the worker has runs and another scheduler may have taken over, so the
-  // caller must repeat the call.
+  // Called when the process that the worker had at `observed_from` or later has
+  // ended. Runs that may have started since are kept. Ignored if the worker has
+  // reported since, or if it has runs and another scheduler may have taken
+  // over, so the caller must repeat the call.
   void OnWorkerGone(const WorkerName& worker,
+                    MonotonicTime observed_from,
                     MonotonicTime now,
                     WorkerEnd end = WorkerEnd::kUnknown);
   // Workers that missed a report and may have runs, so tasks wait for them.
@@ -182,17 +184,27 @@
                     std::int64_t number,
                     const WorkerName& worker,
                     MonotonicTime now);
-  void RemoveRun(const TaskRef& task, std::int64_t number);
+  // `how` tells why the run counts as over.
+  void RemoveRun(const TaskRef& task, std::int64_t number, PreviousRun how);
   void StopRunOf(const TaskRef& task, RunRecord* run, MonotonicTime now);
   void StopAllRuns(JobState* job, MonotonicTime now);
   void MarkUnsaved(JobState* job);
   void OpenDueOccurrences(JobState* job, WallTime wall);
+  // Opens the occurrence of a run that a worker reports, and those before it,
+  // if the job has them. A scheduler with another clock may have started it.
+  void OpenReportedOccurrence(const TaskRef& task);
   void FinishTask(JobState* job, const TaskRef& task, MonotonicTime now);
   void FailTask(JobState* job,
                 const TaskRef& task,
                 std::int64_t run,
                 MonotonicTime now);
   void CloseJob(JobState* job, JobStatus status, MonotonicTime now);
+  // Records when the wait for unknown runs begins and ends.
+  void RecordRecovery(MonotonicTime now);
+  void RecordStart(const JobState& job,
+                   const TaskRef& task,
+                   std::int64_t run,
+                   const WorkerName& worker);
   void RecordDecision(std::string_view decision,
                       const TaskRef& task,
                       std::int64_t run,
@@ -204,6 +216,8 @@
                          Milliseconds clock,
                          MonotonicTime now);
   Milliseconds ExtendLease(WorkerState* worker, MonotonicTime now);
+  // Whether the start order of the run was answered before `time`.
+  static bool IsAnsweredBefore(const RunRecord& run, MonotonicTime time);
   // Resets the worker's clock and acknowledgement state, since both start over
   // with its new process.
   void HandleWorkerRestart(WorkerState* worker, MonotonicTime now);
@@ -368,6 +382,7 @@
   MonotonicTime next_save;
   bool is_fenced = false;
   bool is_sole_leader = true;
+  bool was_recovering = false;
   MonotonicTime no_starts_before;
   // Arrival time and work in millicore-seconds of recent jobs, oldest first.
   std::deque<std::pair<MonotonicTime, double>> arrivals;
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -105,6 +105,9 @@
                          ? kInTimeTier
                          : kLateTier;
     for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
+      if (!IsDue(job.job.spec, entry.first, wall)) {
+        continue;
+      }
       const int steps = static_cast<int>(entry.second.steps.size());
       candidate.occurrence = entry.first;
       for (int s = 0; entry.second.steps_done < steps && s < steps; ++s) {
@@ -508,8 +511,7 @@
   this->orders.emplace_back(std::move(order));
   ++this->unanswered_starts;
   worker->suspect_runs += !this->FindTask(task)->crashes.runs.empty();
-  this->RecordDecision("run_started", task, number, worker->listing.name,
-                       job->job.team.str());
+  this->RecordStart(*job, task, number, worker->listing.name);
 }
 
 void PoolScheduler::ReserveWorker(const JobState& job, const TaskRef& task) {
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -2,6 +2,7 @@
 // active runs and run ends.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "Core/Jobs/objective.h"
@@ -88,6 +89,12 @@
     worker.next_report +=
         this->settings.report_interval_per_worker * this->workers.size();
   }
+  if (asked_at < worker.process_changed_at) {
+    // The earlier process may have answered. Its ends must not be acknowledged
+    // to the later one, which numbers its own from 1.
+    worker.next_report = now;
+    return;
+  }
   worker.last_report_at = now;
   worker.missed_reports = 0;
   if (report.incarnation != worker.listing.incarnation &&
@@ -147,6 +154,7 @@
 }
 
 void PoolScheduler::OnWorkerGone(const WorkerName& name,
+                                 MonotonicTime observed_from,
                                  MonotonicTime now,
                                  WorkerEnd end) {
   const std::map<WorkerName, WorkerState>::iterator found =
@@ -155,7 +163,8 @@
     return;
   }
   WorkerState& worker = found->second;
-  if (worker.is_gone && worker.runs.empty()) {
+  // The report may come from a later process.
+  if (worker.last_report_at >= observed_from) {
     return;
   }
   // Another scheduler may have received the ends of these runs and then
@@ -163,22 +172,39 @@
   if (!this->is_sole_leader && !worker.runs.empty()) {
     return;
   }
+  std::set<RunKey> lost;
+  std::copy_if(worker.runs.begin(), worker.runs.end(),
+               std::inserter(lost, lost.end()),
+               [this, observed_from](const RunKey& key) {
+                 return this->IsAnsweredBefore(
+                     *this->FindRun(key.first, key.second), observed_from);
+               });
+  if (worker.is_gone && lost.empty()) {
+    return;
+  }
   this->RecordDecision(
       "worker_gone", TaskRef(), 0, name,
-      std::to_string(worker.runs.size()) + " runs lost" +
+      std::to_string(lost.size()) + " runs lost" +
           (end == WorkerEnd::kPlanned ? ", planned work" : ""));
   if (end == WorkerEnd::kPlanned) {
     worker.planned_end_at = now;
   } else if (end == WorkerEnd::kDown && !worker.listing.is_draining) {
     worker.planned_end_at.reset();
   }
-  const std::set<std::pair<TaskRef, std::int64_t>> runs = worker.runs;
-  this->HandleCrash(&worker, runs, now);
-  for (const std::pair<TaskRef, std::int64_t>& run : runs) {
-    this->RemoveRun(run.first, run.second);
+  this->HandleCrash(&worker, lost, now);
+  for (const RunKey& run : lost) {
+    this->RemoveRun(run.first, run.second, PreviousRun::kWorkerGone);
   }
-  this->HandleWorkerRestart(&worker, now);
-  worker.is_gone = true;
+  if (!worker.is_gone) {
+    this->HandleWorkerRestart(&worker, now);
+    worker.is_gone = true;
+  }
+}
+
+bool PoolScheduler::IsAnsweredBefore(const RunRecord& run, MonotonicTime time) {
+  // An order that is not answered yet may reach the next process.
+  return run.state != RunState::kStartSent && run.ordered_at < time &&
+         (!run.confirmed_at || *run.confirmed_at < time);
 }
 
 void PoolScheduler::HandleWorkerRestart(WorkerState* worker,
@@ -188,6 +214,7 @@
   this->RecordDecision(
       "worker_restarted", TaskRef(), 0, worker->listing.name,
       std::to_string(worker->runs.size()) + " runs unconfirmed");
+  worker->process_changed_at = now;
   worker->last_received_end = 0;
   worker->acknowledged_end = 0;
   worker->delivered_acknowledgement = 0;
@@ -285,12 +312,20 @@
           .tickets_valid_until = now;
       break;
     case StartOutcome::kStaleRun:
+      // A run that has ended is refused like one that was stopped before it
+      // started; the next report tells which it was.
+      this->RecordDecision("start_refused", order.task, order.run, order.worker,
+                           ToString(outcome));
+      run->state = RunState::kStartUncertain;
+      run->stop_answered_at = now;
+      worker.next_report = std::min(worker.next_report, now);
+      return;
     case StartOutcome::kLeaseEnded:
       break;
   }
   this->RecordDecision("start_refused", order.task, order.run, order.worker,
                        ToString(outcome));
-  this->RemoveRun(order.task, order.run);
+  this->RemoveRun(order.task, order.run, PreviousRun::kRefused);
 }
 
 void PoolScheduler::OnStop(const StopRun& order,
@@ -339,6 +374,7 @@
 void PoolScheduler::HandleRunEnd(WorkerState* worker,
                                  const RunEnd& end,
                                  MonotonicTime now) {
+  this->OpenReportedOccurrence(end.task);
   const std::unordered_map<JobId, JobState>::iterator found =
       this->jobs.find(end.task.job);
   TaskState* const task = this->FindTask(end.task);
@@ -350,7 +386,7 @@
   JobState& job = found->second;
   const RunRecord* const run = this->FindRun(end.task, end.run);
   if (run != nullptr && run->worker == worker->listing.name) {
-    this->RemoveRun(end.task, end.run);
+    this->RemoveRun(end.task, end.run, PreviousRun::kEnded);
   }
   this->CloseStart(end.task, task, end.run);
   task->last_run = std::max(task->last_run, end.run);
@@ -379,6 +415,7 @@
 void PoolScheduler::HandleActiveRun(WorkerState* worker,
                                     const ActiveRun& active,
                                     MonotonicTime now) {
+  this->OpenReportedOccurrence(active.task);
   const std::unordered_map<JobId, JobState>::iterator found =
       this->jobs.find(active.task.job);
   TaskState* const task = this->FindTask(active.task);
@@ -470,7 +507,7 @@
     this->HandleCrash(worker, lost, now);
   }
   for (const std::pair<TaskRef, std::int64_t>& key : missing) {
-    this->RemoveRun(key.first, key.second);
+    this->RemoveRun(key.first, key.second, PreviousRun::kMissing);
   }
 }
 
--- a/Source/Core/Site/pool_leader_state.h
+++ b/Source/Core/Site/pool_leader_state.h
@@ -40,7 +40,8 @@
   // worker has terminated long before its leases expire.
   void CheckMachines(MonotonicTime now);
   void CheckSilentWorker(const WorkerName& worker,
-                         const std::vector<Machine>& machines);
+                         const std::vector<Machine>& machines,
+                         MonotonicTime requested_at);
   void LoadProgress(const std::string& after);
   void AdoptProgress(const StorePage& page);
   void OnInbox(const std::vector<StoreChange>& changes);
@@ -57,7 +58,9 @@
   void RequestAdvice(const AskAdvice& question);
   void SendPace(const PaceRun& order);
   void RequestReport(const AskReport& order);
-  void OnRequestStatus(const WorkerName& worker, const Status& status);
+  void OnRequestStatus(const WorkerName& worker,
+                       const Status& status,
+                       MonotonicTime requested_at);
   // Ends this term because a worker has accepted orders of a later one.
   void OnFenced(const WorkerName& worker);
   void Save(MonotonicTime now);
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -294,7 +294,8 @@
     starts = fixture.TakeStarts();
   }
   SECTION("or its process is known to have ended") {
-    fixture.scheduler.OnWorkerGone(WorkerName("w2"), fixture.Now());
+    fixture.scheduler.OnWorkerGone(WorkerName("w2"), fixture.Now(),
+                                   fixture.Now());
     starts = fixture.TakeStarts();
   }
   SECTION("or its leases have expired") {
@@ -601,14 +602,93 @@
   const std::vector<StartRun> starts = fixture.TakeStarts();
   REQUIRE(starts.size() == 1);
   fixture.ConfirmStart(starts[0]);
+  fixture.AdvanceTime(Milliseconds(10));
   fixture.scheduler.SetSole(false);
-  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now());
+  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now(),
+                                 fixture.Now());
   CHECK(fixture.TakeStarts().empty());
   fixture.scheduler.SetSole(true);
-  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now());
+  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now(),
+                                 fixture.Now());
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+// Guards against a second run while a start order is on its way to a worker
+// that restarts.
+TEST_CASE(
+    "A start order without an answer outlasts the process of its worker") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fixture.AdvanceTime(Milliseconds(10));
+  fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now(),
+                                 fixture.Now());
+  CHECK(fixture.TakeStarts().empty());
+  SECTION("until it was not received") {
+    fixture.scheduler.OnStart(starts[0], StartOutcome::kNotReceived,
+                              std::nullopt, fixture.Now());
+  }
+  SECTION("until it was given up and the worker is still gone") {
+    fixture.scheduler.OnStart(starts[0], StartOutcome::kUnknown, std::nullopt,
+                              fixture.Now());
+    CHECK(fixture.TakeStarts().empty());
+    fixture.AdvanceTime(Milliseconds(10));
+    fixture.scheduler.OnWorkerGone(starts[0].worker, fixture.Now(),
+                                   fixture.Now());
+  }
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
+// Guards against ends of a new process that are acknowledged unseen, so that
+// their tasks run again.
+TEST_CASE(
+    "A late report of an ended process acknowledges nothing to the next") {
+  Fixture fixture({MakeListing("w1")});
+  fixture.AdvanceTime(Milliseconds(5000));
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  const MonotonicTime asked_at = fixture.Now();
+  fixture.AdvanceTime(Milliseconds(100));
+  // The answer comes from a process with a clock that started anew.
+  fixture.scheduler.OnStart(starts[0], StartOutcome::kStarted, Milliseconds(50),
+                            fixture.Now());
+  fixture.AdvanceTime(Milliseconds(10));
+  RunReport report;
+  report.worker_clock = Milliseconds(6000);
+  report.incarnation = 7;
+  report.ended = {RunEnd{5, TaskRef{JobId("x"), 0, 0, 0}, 1, EndKind::kDone}};
+  fixture.scheduler.OnReport(starts[0].worker, report, asked_at, fixture.Now());
+  fixture.AdvanceTime(Milliseconds(10));
+  const std::vector<AskReport> asks = OrdersOfType<AskReport>(fixture.Orders());
+  REQUIRE(asks.size() == 1);
+  CHECK(asks[0].acknowledged == 0);
+}
+
+// Guards against a second run of a task whose start order was repeated by the
+// transport after the run had ended.
+TEST_CASE("A refused repetition of a start waits for the next report") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fixture.scheduler.OnStart(starts[0], StartOutcome::kStaleRun, std::nullopt,
+                            fixture.Now());
+  CHECK(fixture.TakeStarts().empty());
+  SECTION("which shows that the run has ended") {
+    fixture.SendReport(starts[0].worker.str(), {}, {Done(1, starts[0])});
+    CHECK(fixture.TakeStarts().empty());
+  }
+  SECTION("which shows that the run never started") {
+    fixture.SendReport(starts[0].worker.str());
+    CHECK(fixture.TakeStarts().size() == 1);
+  }
+}
+
 // Guards against starting tasks in a zone that operators have taken out.
 TEST_CASE("Nothing starts in a zone that was taken out") {
   Fixture fixture({MakeListing("w1", "north"), MakeListing("w2", "south")});
