--- a/Source/UnitTests/Site/fake_revision_store.cc
+++ b/Source/UnitTests/Site/fake_revision_store.cc
@@ -173,6 +173,15 @@
     fail();
     return;
   }
+  if (transaction.expected.size() + transaction.writes.size() +
+          transaction.deletions.size() >
+      kMostTransactionEntries) {
+    ++this->refused_transactions;
+    this->Respond([callback]() {
+      callback(InjectedError(Errc::kInvalidArgument, "store.commit"));
+    });
+    return;
+  }
   bool holds = true;
   TransactionConflict conflict;
   for (const KeyRevision& expected : transaction.expected) {
--- a/Source/UnitTests/Site/fake_revision_store.h
+++ b/Source/UnitTests/Site/fake_revision_store.h
@@ -62,6 +62,7 @@
   std::map<std::string, StoreItem> items;
   std::map<std::string, StoreLease> lease_by_key;
   int commits = 0;
+  int refused_transactions = 0;  // that were too large
   int pages = 0;
 
  private:
--- a/Source/UnitTests/Site/pool_leader_fixture.h
+++ b/Source/UnitTests/Site/pool_leader_fixture.h
@@ -54,6 +54,7 @@
     context.metrics = &this->metrics;
     context.is_lease_valid = []() { return true; };
     context.settings = this->settings;
+    context.retention = this->retention;
     this->leader = std::make_unique<PoolLeader>(context, this->pool, term);
     this->leader->SetListing(this->listing);
     this->leader->Start();
@@ -85,6 +86,7 @@
   AllotmentManager allotments;
   MetricsRegistry metrics;
   SchedulerSettings settings;
+  std::chrono::seconds retention = PoolLeaderContext().retention;
   std::map<WorkerName, WorkerListing> listing;
   std::unique_ptr<PoolLeader> leader;
 };
