Site: a job stays in one pool when its queue moves

Cause: a job was created, if absent, under the pool that the declaration in force at the answering instance gave for its queue; status and cancellation looked there only. After a move, or while instances had different declarations, the same id was absent in the other pool.

Evidence: found by reading; moved_queue failed in 7 of 10 cases: the job stored in both pools and its task started by the second scheduler.

Now the transaction that creates a job also creates daisyroad/job/ID, which names the pool, and expects both to be absent. The answer of the first attempt is still the only one that may say "not run". Status and cancellation look in the queue's pool first, then for the pool under the id, and in that pool; where no time is left they are refused instead of answered by a guess. The entry is deleted with the job. A deletion has at most 31 keys beside its expectation; it deletes the cancellation only of cancelled jobs, so that ten other jobs still fit in one call. A store call more is made only for a job that the queue's pool doesn't have.

Jobs that an earlier version stored have no such entry. They are found, and known to a repeated request, in the pool of their queue, as before.

--- a/Source/Core/Site/job_service.cc
+++ b/Source/Core/Site/job_service.cc
@@ -47,6 +47,16 @@
          error.code == Errc::kResourceExhausted;
 }
 
+// The pool that has a job which had already been accepted.
+PoolName PoolOf(const AcceptedJob& job, const TransactionConflict& conflict) {
+  for (const StoreItem& item : conflict.items) {
+    if (item.key == JobPoolKey(job.id)) {
+      return PoolName(item.value);
+    }
+  }
+  return job.pool;
+}
+
 std::optional<JobStatus> ParseStatus(const std::string& text) {
   for (const JobStatus status :
        {JobStatus::kQueued, JobStatus::kRunning, JobStatus::kCompleted,
@@ -58,10 +68,12 @@
   return std::nullopt;
 }
 
-void LogAnswer(const AcceptedJob& job, std::string_view outcome) {
+void LogAnswer(const JobId& job,
+               const PoolName& pool,
+               std::string_view outcome) {
   LogDecision("submit_answer")
-      .Field("job", job.id.str())
-      .Field("pool", job.pool.str())
+      .Field("job", job.str())
+      .Field("pool", pool.str())
       .Field("outcome", outcome)
       .Write(kTasksLog);
 }
@@ -214,15 +226,21 @@
                            const Callback& callback) {
   const std::string key = JobKey(job.pool, job.id);
   StoreTransaction transaction;
+  const std::string pool_key = JobPoolKey(job.id);
   transaction.expected.push_back({key, 0});
+  transaction.expected.push_back({pool_key, 0});
   transaction.writes.push_back({key, WriteJson(ToJson(job)), 0});
+  transaction.writes.push_back({pool_key, job.pool.str(), 0});
   this->store->Commit(
       transaction, TimeoutWithin(deadline, kCommitTimeout),
       [this, job, deadline, is_first,
        callback](const Result<TransactionResult>& result) {
         if (result.ok()) {
           // On a conflict the job had already been accepted.
-          LogAnswer(job, "accepted");
+          const TransactionConflict* const conflict =
+              std::get_if<TransactionConflict>(&result.value());
+          LogAnswer(job.id, conflict ? PoolOf(job, *conflict) : job.pool,
+                    "accepted");
           callback(JobAccepted());
           return;
         }
@@ -231,11 +249,11 @@
             << result.error().ToString() << "\"";
         // After a retry, an earlier attempt may still take effect.
         if (is_first && HadNoEffect(result.error())) {
-          LogAnswer(job, "refused");
+          LogAnswer(job.id, job.pool, "refused");
           callback(
               RequestRefused{"the store does not take the job", kRetryAfter});
         } else if (Now() + kRetryPause >= deadline) {
-          LogAnswer(job, "unknown");
+          LogAnswer(job.id, job.pool, "unknown");
           callback(OutcomeUnknown{"the store did not answer in time"});
         } else {
           this->loop->After(kRetryPause, [this, job, deadline, callback]() {
@@ -272,13 +290,50 @@
           LogUnanswered("cancel", job, item.error());
           callback(RequestRefused{"the store did not answer", kRetryAfter});
         } else if (!item.value()) {
-          callback(JobUnknown());
+          this->FindMovedJob(
+              "cancel", pool, job, deadline,
+              [this, job, deadline, callback](const PoolName& moved_from) {
+                this->WriteCancel(moved_from, job, deadline, callback);
+              },
+              callback);
         } else {
           this->WriteCancel(pool, job, deadline, callback);
         }
       });
 }
 
+void JobService::FindMovedJob(
+    std::string_view decision,
+    const PoolName& queue_pool,
+    const JobId& job,
+    MonotonicTime deadline,
+    const std::function<void(const PoolName&)>& on_found,
+    const Callback& callback) {
+  if (Now() >= deadline) {
+    callback(
+        RequestRefused{"no time is left to look for the job", kRetryAfter});
+    return;
+  }
+  this->store->Get(
+      JobPoolKey(job), TimeoutWithin(deadline, kReadTimeout),
+      [decision, queue_pool, job, deadline, on_found,
+       callback](const Result<std::optional<StoreItem>>& item) {
+        if (!item.ok()) {
+          LogUnanswered(decision, job, item.error());
+          callback(RequestRefused{"the store did not answer", kRetryAfter});
+        } else if (!item.value() || item.value()->value == queue_pool.str()) {
+          // A job that the pool of the queue has now was accepted after that
+          // pool was read.
+          callback(JobUnknown());
+        } else if (Now() >= deadline) {
+          callback(RequestRefused{"no time is left to ask for the job",
+                                  kRetryAfter});
+        } else {
+          on_found(PoolName(item.value()->value));
+        }
+      });
+}
+
 void JobService::WriteCancel(const PoolName& pool,
                              const JobId& job,
                              MonotonicTime deadline,
@@ -313,6 +368,26 @@
   const PoolName pool = admission.queue.pool;
   const JobId job = request.job;
   const MonotonicTime deadline = request.deadline - kAnswerReserve;
+  this->AskPoolStatus(
+      pool, job, deadline,
+      [this, pool, job, deadline, callback](const JobAnswer& answer) {
+        if (!std::holds_alternative<JobUnknown>(answer)) {
+          callback(answer);
+          return;
+        }
+        this->FindMovedJob(
+            "status", pool, job, deadline,
+            [this, job, deadline, callback](const PoolName& moved_from) {
+              this->AskPoolStatus(moved_from, job, deadline, callback);
+            },
+            callback);
+      });
+}
+
+void JobService::AskPoolStatus(const PoolName& pool,
+                               const JobId& job,
+                               MonotonicTime deadline,
+                               const Callback& callback) {
   const PoolLeader* const leader = this->find_leader(pool);
   if (leader != nullptr) {
     const std::optional<JobStatus> status = leader->StatusOf(job);
--- a/Source/Core/Site/job_service.h
+++ b/Source/Core/Site/job_service.h
@@ -79,6 +79,19 @@
                  MonotonicTime deadline,
                  bool is_first,
                  const Callback& callback);
+  // Answers with JobUnknown if the pool does not have the job.
+  void AskPoolStatus(const PoolName& pool,
+                     const JobId& job,
+                     MonotonicTime deadline,
+                     const Callback& callback);
+  // Looks for a job that the pool of its queue does not have, and passes the
+  // pool that has it to `on_found`. Otherwise answers `callback`.
+  void FindMovedJob(std::string_view decision,
+                    const PoolName& queue_pool,
+                    const JobId& job,
+                    MonotonicTime deadline,
+                    const std::function<void(const PoolName&)>& on_found,
+                    const Callback& callback);
   void ReadProgressStatus(const PoolName& pool,
                           const JobId& job,
                           MonotonicTime deadline,
--- a/Source/Core/Site/pool_leader_store.cc
+++ b/Source/Core/Site/pool_leader_store.cc
@@ -22,7 +22,9 @@
 // their next ends, so a busy pool stores several batches at a time.
 constexpr int kMaxSavesInProgress = 4;
 constexpr Milliseconds kDeletionInterval{5000};
-constexpr std::size_t kMaxJobsPerDeletion = 10;
+// A transaction that deletes jobs has one expectation for the record of the
+// term.
+constexpr std::size_t kMaxDeletions = kMostTransactionEntries - 1;
 
 MonotonicTime Now() {
   return std::chrono::steady_clock::now();
@@ -218,12 +220,18 @@
     }
     const MonotonicTime since =
         this->final_since.emplace(job, now).first->second;
-    if (now - since > this->context.retention &&
-        jobs.size() < kMaxJobsPerDeletion) {
+    if (now - since <= this->context.retention) {
+      continue;
+    }
+    std::vector<std::string> keys{entry.first, JobPoolKey(job),
+                                  ProgressKey(this->pool, job)};
+    if (this->cancelled_jobs.contains(job)) {
+      keys.push_back(CancelKey(this->pool, job));
+    }
+    if (transaction.deletions.size() + keys.size() <= kMaxDeletions) {
       jobs.push_back(job);
-      transaction.deletions.push_back(entry.first);
-      transaction.deletions.push_back(CancelKey(this->pool, job));
-      transaction.deletions.push_back(ProgressKey(this->pool, job));
+      transaction.deletions.insert(transaction.deletions.end(), keys.begin(),
+                                   keys.end());
     }
   }
   if (jobs.empty()) {
--- a/Source/Core/Site/store_keys.h
+++ b/Source/Core/Site/store_keys.h
@@ -14,6 +14,7 @@
 //   daisyroad/site/term/DUTY      number and holder of the duty's last term
 //   daisyroad/limits              allotments of the teams' upper limits
 //   daisyroad/home                sizes of the pools when first seen
+//   daisyroad/job/ID              pool of an accepted job
 //   daisyroad/in/POOL/job/ID      an accepted job
 //   daisyroad/in/POOL/cancel/ID   cancellation of a job by its caller
 //   daisyroad/out/POOL/ID         progress of a job
@@ -26,6 +27,12 @@
 inline const std::string kHomeSizesKey = "daisyroad/home";
 inline const std::string kLimitsKey = "daisyroad/limits";
 
+// Its value is the name of the pool. It is created and deleted together with
+// the job, so a job has one pool even if its queue moves to another one.
+// Versions before this key did not write it.
+inline std::string JobPoolKey(const JobId& job) {
+  return "daisyroad/job/" + job.str();
+}
 inline std::string InboxPrefix(const PoolName& pool) {
   return "daisyroad/in/" + pool.str() + "/";
 }
--- a/Source/UnitTests/Site/moved_queue_test.cc
+++ b/Source/UnitTests/Site/moved_queue_test.cc
@@ -309,8 +309,9 @@
       };
   REQUIRE(
       std::any_of(pool.store.items.begin(), pool.store.items.end(), is_of_job));
-  // Jobs are deleted every five seconds.
-  pool.loop.RunFor(Milliseconds(11000));
+  // Every five seconds final jobs are noticed, and seven cancelled jobs that
+  // were noticed before are deleted.
+  pool.loop.RunFor(Milliseconds(16000));
   CHECK(pool.store.refused_transactions == 0);
   CHECK(std::none_of(pool.store.items.begin(), pool.store.items.end(),
                      is_of_job));
