Site: a pool that no queue uses any more keeps its scheduler

Cause: the duties to hand out were the pools of the queues in the declaration, so the duty of such a pool stayed vacant.

Evidence: found by reading; pool_without_queue failed: no holder was recorded for that pool within 3 s.

Now each pool of the declaration that isn't spare is a duty as well. Where each of them has a queue, the set of duties, and so their order, is the same as before.

--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -319,6 +319,12 @@
     for (const std::pair<const QueueName, QueueConfig>& queue : config.queues) {
       duties.insert(PoolDuty(queue.second.pool));
     }
+    // Queues may have moved away from a pool that still has open jobs.
+    for (const std::pair<const PoolName, PoolConfig>& pool : config.pools) {
+      if (!pool.second.is_spare) {
+        duties.insert(PoolDuty(pool.first));
+      }
+    }
     return duties;
   }
 
