Tests: jobs that wait after a move of their queue are not counted, failing

Callers who ask how many jobs of a queue wait are told the number of the queue's present pool only.

Not fixed: an instance that starts after the move does not know the earlier pool, and asking the schedulers of all pools for each question has a price that was not measured.

--- a/Source/UnitTests/Site/moved_queue_test.cc
+++ b/Source/UnitTests/Site/moved_queue_test.cc
@@ -27,7 +27,7 @@
 constexpr Milliseconds kAnswered{100};
 constexpr Milliseconds kDeadline{1000};
 
-// The service of an instance that holds no duties but those of `leader`.
+// The service of an instance that holds no duties but those of its leaders.
 class Instance {
  public:
   Instance(EventLoop* loop, RevisionStore* store, const PoolName& pool)
@@ -53,7 +53,7 @@
             &rpc,
             &leadership,
             [this](const PoolName& asked) {
-              return asked == kBefore ? this->leader : nullptr;
+              return asked == kBefore ? this->leader : this->leader_after;
             },
             Milliseconds(5000)) {
     this->MoveQueue(pool);
@@ -78,6 +78,10 @@
     this->answer.reset();
     this->jobs.AskStatus(Request(time_left), this->Record());
   }
+  void AskPending() {
+    this->answer.reset();
+    this->jobs.AskPending(Request(kDeadline), this->Record());
+  }
   void Cancel(Milliseconds time_left = kDeadline) {
     this->answer.reset();
     this->jobs.Cancel(Request(time_left), this->Record());
@@ -94,7 +98,15 @@
     return std::get<JobStatusAnswer>(*this->answer).status;
   }
 
+  // Number of jobs that wait as last answered; -1 if it was not.
+  int Pending() const {
+    return this->IsAnswered<PendingAnswer>()
+               ? std::get<PendingAnswer>(*this->answer).jobs
+               : -1;
+  }
+
   PoolLeader* leader = nullptr;  // of the pool before the move
+  PoolLeader* leader_after = nullptr;
   std::optional<JobAnswer> answer;
 
  private:
@@ -219,6 +231,33 @@
   CHECK_FALSE(fixture.store.items.contains(CancelKey(kAfter, kJob)));
 }
 
+// Guards against jobs that wait in the earlier pool and are not counted.
+TEST_CASE("Jobs that wait are counted after a move of their queue",
+          "[pending]") {
+  PoolLeaderFixture pool;
+  for (const std::pair<const WorkerName, WorkerListing>& worker :
+       pool.listing) {
+    pool.workers.Crash(worker.first);
+  }
+  pool.Lead(pool.FirstTerm());
+  Term term = pool.FirstTerm();
+  term.duty = PoolDuty(kAfter);
+  PoolLeader after(pool.Context(), kAfter, term);
+  after.Start();
+  Instance instance(&pool.loop, &pool.store, kBefore);
+  instance.leader = pool.leader.get();
+  instance.leader_after = &after;
+  instance.Submit();
+  pool.loop.RunFor(PoolLeaderFixture::kSettled);
+  instance.AskPending();
+  pool.loop.RunFor(kAnswered);
+  REQUIRE(instance.Pending() == 1);
+  instance.MoveQueue(kAfter);
+  instance.AskPending();
+  pool.loop.RunFor(kAnswered);
+  CHECK(instance.Pending() == 1);
+}
+
 // Guards against answers about jobs that do not exist.
 TEST_CASE("A job that nobody submitted is unknown") {
   EventLoop loop;
--- a/Source/UnitTests/Site/pool_leader_fixture.h
+++ b/Source/UnitTests/Site/pool_leader_fixture.h
@@ -43,8 +43,7 @@
     }
   }
 
-  // Begins a term and waits until the leader has settled.
-  void Lead(const Term& term) {
+  PoolLeaderContext Context() {
     PoolLeaderContext context;
     context.store = &this->store;
     context.workers = &this->workers;
@@ -55,7 +54,12 @@
     context.is_lease_valid = []() { return true; };
     context.settings = this->settings;
     context.retention = this->retention;
-    this->leader = std::make_unique<PoolLeader>(context, this->pool, term);
+    return context;
+  }
+  // Begins a term and waits until the leader has settled.
+  void Lead(const Term& term) {
+    this->leader =
+        std::make_unique<PoolLeader>(this->Context(), this->pool, term);
     this->leader->SetListing(this->listing);
     this->leader->Start();
     this->loop.RunFor(kSettled);
