--- a/Source/UnitTests/Site/pool_leader_fixture.h
+++ b/Source/UnitTests/Site/pool_leader_fixture.h
@@ -43,8 +43,7 @@
     }
   }
 
-  // Begins a term and waits until the leader has settled.
-  void Lead(const Term& term) {
+  PoolLeaderContext Context() {
     PoolLeaderContext context;
     context.store = &this->store;
     context.workers = &this->workers;
@@ -55,7 +54,13 @@
     context.may_issue_orders = [this]() { return this->may_issue_orders; };
     context.is_lease_valid = []() { return true; };
     context.settings = this->settings;
-    this->leader = std::make_unique<PoolLeader>(context, this->pool, term);
+    context.retention = this->retention;
+    return context;
+  }
+  // Begins a term and waits until the leader has settled.
+  void Lead(const Term& term) {
+    this->leader =
+        std::make_unique<PoolLeader>(this->Context(), this->pool, term);
     this->leader->SetListing(this->listing);
     this->leader->Start();
     this->loop.RunFor(kSettled);
@@ -87,6 +92,7 @@
   MetricsRegistry metrics;
   SchedulerSettings settings;
   bool may_issue_orders = true;
+  std::chrono::seconds retention = PoolLeaderContext().retention;
   std::map<WorkerName, WorkerListing> listing;
   std::unique_ptr<PoolLeader> leader;
 };
