Jobs: a stored start counts as a crash only if its worker's process ended

Callers saw a job closed as failed though fewer than two workers had crashed under each of its tasks. The start of a task with crashes is stored, that of a trial before it is sent. A later scheduler that found neither the run nor its end counted a crash. Most such starts had never been sent: the scheduler ended between storing and sending, the trial waited, or no worker had room.

A stored start now names the worker and the start time of its process. If that process has reported to the new scheduler without the run or its end, the run never began, and the start does not count. If it has ended, it counts as before. A first start after a crash is noted only once a worker is chosen, and a trial prefers the worker for which it is stored. Records without the worker are read and count as before; older schedulers find the latest start where it was.

The test failed before (the job was closed by the new schedulers) and passes.

--- a/Source/Core/Jobs/job_codec.cc
+++ b/Source/Core/Jobs/job_codec.cc
@@ -110,7 +110,8 @@
   }
   for (const std::pair<const TaskRef, CrashRecord>& entry : progress.crashes) {
     Json::Value row = TaskToJson(entry.first);
-    row.append(Json::Int64(entry.second.open_start));
+    const std::map<std::int64_t, OpenStart>& starts = entry.second.open_starts;
+    row.append(Json::Int64(starts.empty() ? 0 : starts.rbegin()->first));
     for (const std::int64_t run : entry.second.runs) {
       row.append(Json::Int64(run));
     }
@@ -122,6 +123,13 @@
     if (uncertain.size() > kTaskRefColumns) {
       json["uncertain_crashes"].append(uncertain);
     }
+    for (const std::pair<const std::int64_t, OpenStart>& start : starts) {
+      Json::Value open = TaskToJson(entry.first);
+      open.append(Json::Int64(start.first));
+      open.append(start.second.worker.str());
+      open.append(Json::Int64(start.second.incarnation));
+      json["open_starts"].append(open);
+    }
   }
   return json;
 }
@@ -175,7 +183,9 @@
       }
     }
     CrashRecord& record = progress.crashes[task];
-    record.open_start = row[kTaskRefColumns].asInt64();
+    if (row[kTaskRefColumns].asInt64() != 0) {
+      record.open_starts[row[kTaskRefColumns].asInt64()] = OpenStart();
+    }
     for (Json::ArrayIndex i = kTaskRefColumns + 1; i < row.size(); ++i) {
       record.runs.insert(row[i].asInt64());
     }
@@ -193,6 +203,18 @@
       progress.crashes[task].uncertain_runs.insert(row[i].asInt64());
     }
   }
+  for (const Json::Value& row : json["open_starts"]) {
+    TaskRef task;
+    if (!ReadTask(job, row, &task) || row.size() != kTaskRefColumns + 3 ||
+        !row[kTaskRefColumns].isInt64() ||
+        !row[kTaskRefColumns + 1].isString() ||
+        !row[kTaskRefColumns + 2].isInt64()) {
+      return BadRecord(job, "malformed entry in the list of open starts");
+    }
+    progress.crashes[task].open_starts[row[kTaskRefColumns].asInt64()] =
+        OpenStart{WorkerName(row[kTaskRefColumns + 1].asString()),
+                  row[kTaskRefColumns + 2].asInt64()};
+  }
   return progress;
 }
 
--- a/Source/Core/Jobs/job_progress.h
+++ b/Source/Core/Jobs/job_progress.h
@@ -10,6 +10,7 @@
 
 #include "Core/Common/result.h"
 #include "Core/Jobs/job_spec.h"
+#include "Core/Jobs/open_start.h"
 #include "Core/Jobs/task_ref.h"
 
 namespace daisyroad {
@@ -26,11 +27,11 @@
   std::set<std::int64_t> runs;
   // Those of `runs` that may have ended, or never started, before the crash.
   std::set<std::int64_t> uncertain_runs;
-  // A run of a task with crashes; that of a trial is stored before its start
-  // order is sent. Zero once its end is known.
-  std::int64_t open_start = 0;
+  // Runs of a task with crashes whose end is not known; that of a trial is
+  // stored before its start order is sent.
+  std::map<std::int64_t, OpenStart> open_starts;
 
-  bool empty() const { return this->runs.empty() && this->open_start == 0; }
+  bool empty() const { return this->runs.empty() && this->open_starts.empty(); }
   friend bool operator==(const CrashRecord&, const CrashRecord&) = default;
 };
 
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -123,11 +123,11 @@
   for (const std::pair<const TaskRef, CrashRecord>& entry : progress.crashes) {
     if (TaskState* const task = this->FindTask(entry.first)) {
       task->crashes = entry.second;
-      task->last_run = std::max(task->last_run, entry.second.open_start);
-      this->suspects.insert(entry.first);
-      if (entry.second.open_start != 0) {
-        this->jobs_with_open_starts.insert(id);
+      if (!entry.second.open_starts.empty()) {
+        task->last_run =
+            std::max(task->last_run, entry.second.open_starts.rbegin()->first);
       }
+      this->suspects.insert(entry.first);
     }
   }
   for (const TaskRef& task : progress.done) {
@@ -154,7 +154,6 @@
   this->open_jobs.erase(job);
   this->unconfirmed_jobs.erase(job);
   this->unsaved.erase(job);
-  this->jobs_with_open_starts.erase(job);
   std::erase_if(this->suspects,
                 [&job](const TaskRef& task) { return task.job == job; });
 }
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -305,11 +305,17 @@
   // Notes that the end of the run is known.
   void CloseStart(const TaskRef& task, TaskState* state, std::int64_t run);
   // Counts the stored starts of earlier schedulers of which neither the run nor
-  // its end was found.
+  // its end was found, unless the process of the worker goes on.
   void SettleOpenStarts(MonotonicTime now);
+  void SettleOpenStart(const RunKey& run,
+                       const OpenStart& start,
+                       MonotonicTime now);
   // Records a start of a task with crashes for the next scheduler. Returns
   // whether the run may be started; trials are stored first.
-  bool IsStartStored(JobState* job, const TaskRef& task, std::int64_t run);
+  bool IsStartStored(JobState* job,
+                     const TaskRef& task,
+                     std::int64_t run,
+                     const OpenStart& start);
   bool NeedsTrial(const TaskRef& task) const;
   // How long a run on trial is kept apart from younger runs: after one more
   // crash than the first trial takes, until the run clears its task.
@@ -369,8 +375,6 @@
   WorkerName reserved_worker;
   // Tasks of open jobs with crashes.
   std::set<TaskRef> suspects;
-  // Jobs whose stored progress has starts without a known end.
-  std::set<JobId> jobs_with_open_starts;
   std::deque<Crash> crashes;
   // Number of workers in use for trials in this pass.
   int trials = 0;
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -2,6 +2,7 @@
 // up tasks that crash the workers that run them.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "Core/Jobs/objective.h"
@@ -105,9 +106,7 @@
   if (!is_certain) {
     state->crashes.uncertain_runs.insert(key.second);
   }
-  if (state->crashes.open_start == key.second) {
-    state->crashes.open_start = 0;
-  }
+  state->crashes.open_starts.erase(key.second);
   this->suspects.insert(task);
   this->MarkCrashesUnsaved(task, state);
   const int count = this->CountCrashes(job, task);
@@ -212,42 +211,59 @@
 void PoolScheduler::CloseStart(const TaskRef& task,
                                TaskState* state,
                                std::int64_t run) {
-  if (state->crashes.open_start != run || run == 0) {
-    return;
-  }
-  state->crashes.open_start = 0;
-  if (!IsFinal(this->jobs.at(task.job).status)) {
+  if (state->crashes.open_starts.erase(run) != 0 &&
+      !IsFinal(this->jobs.at(task.job).status)) {
     this->MarkCrashesUnsaved(task, state);
   }
 }
 
 void PoolScheduler::SettleOpenStarts(MonotonicTime now) {
-  if (this->jobs_with_open_starts.empty() || this->IsRecovering(now)) {
-    return;
-  }
   const std::set<TaskRef> tasks = this->suspects;
   for (const TaskRef& task : tasks) {
-    if (!this->jobs_with_open_starts.contains(task.job)) {
+    const TaskState* const state = this->FindTask(task);
+    if (state == nullptr || state->is_done ||
+        IsFinal(this->jobs.at(task.job).status)) {
       continue;
     }
-    const TaskState* const state = this->FindTask(task);
-    const std::int64_t run = state->crashes.open_start;
-    if (run != 0 && this->FindRun(task, run) == nullptr) {
-      this->CountCrash({task, run}, false, now);
+    const std::map<std::int64_t, OpenStart> starts = state->crashes.open_starts;
+    for (const std::pair<const std::int64_t, OpenStart>& start : starts) {
+      // Later runs have not been sent yet.
+      if (start.first <= state->last_run &&
+          this->FindRun(task, start.first) == nullptr) {
+        this->SettleOpenStart({task, start.first}, start.second, now);
+      }
     }
   }
-  this->jobs_with_open_starts.clear();
+}
+
+void PoolScheduler::SettleOpenStart(const RunKey& run,
+                                    const OpenStart& start,
+                                    MonotonicTime now) {
+  const std::map<WorkerName, WorkerState>::const_iterator found =
+      this->workers.find(start.worker);
+  if (found != this->workers.end() && found->second.has_reported &&
+      found->second.listing.incarnation == start.incarnation &&
+      start.incarnation != 0) {
+    this->RecordDecision("start_not_found", run.first, run.second, start.worker,
+                         "its worker has not crashed");
+    this->CloseStart(run.first, this->FindTask(run.first), run.second);
+  } else if (!this->IsRecovering(now)) {
+    this->CountCrash(run, false, now);
+  }
 }
 
 bool PoolScheduler::IsStartStored(JobState* job,
                                   const TaskRef& task,
-                                  std::int64_t run) {
+                                  std::int64_t run,
+                                  const OpenStart& start) {
   TaskState* const state = this->FindTask(task);
   if (state->crashes.runs.empty()) {
     return true;
   }
-  if (state->crashes.open_start != run) {
-    state->crashes.open_start = run;
+  const std::map<std::int64_t, OpenStart>::const_iterator found =
+      state->crashes.open_starts.find(run);
+  if (found == state->crashes.open_starts.end() || found->second != start) {
+    state->crashes.open_starts[run] = start;
     this->MarkCrashesUnsaved(task, state);
   }
   // Most tasks with one crash were merely beside the cause, so they do not wait
@@ -349,16 +365,23 @@
     return;
   }
   const PlacedTask placed = this->DescribeTask(*job, task);
+  const TaskState* const state = this->FindTask(task);
+  const std::int64_t number = std::max(state->last_run + 1, this->first_run);
+  const std::map<std::int64_t, OpenStart>::const_iterator stored =
+      state->crashes.open_starts.find(number);
   WorkerState* best = nullptr;
-  std::pair<Milliseconds, std::size_t> best_cost;
+  std::tuple<Milliseconds, bool, std::size_t> best_cost;
   for (WorkerState* const worker : this->usable_workers) {
     if (worker->trial || !placed.reserved.FitsIn(worker->listing.capacity) ||
         !IsAllowedOn(*worker, placed)) {
       continue;
     }
-    // Of equal workers, the one that would lose the fewest runs in a crash.
-    const std::pair<Milliseconds, std::size_t> cost(
-        this->TrialDelay(*worker, task, now), worker->runs.size());
+    const bool is_stored = stored != state->crashes.open_starts.end() &&
+                           stored->second.worker == worker->listing.name;
+    // Of equal workers, the one for which the start is stored, then the one
+    // that would lose the fewest runs in a crash.
+    const std::tuple<Milliseconds, bool, std::size_t> cost(
+        this->TrialDelay(*worker, task, now), !is_stored, worker->runs.size());
     if (best == nullptr || cost < best_cost) {
       best = worker;
       best_cost = cost;
@@ -369,11 +392,11 @@
   }
   best->trial = task;
   ++this->trials;
-  const std::int64_t number =
-      std::max(this->FindTask(task)->last_run + 1, this->first_run);
+  const OpenStart start{best->listing.name, best->listing.incarnation};
   // The start is not stored while the trial waits: a later scheduler would take
   // it for one that crashed its worker.
-  if (best_cost.first.count() == 0 && this->IsStartStored(job, task, number)) {
+  if (std::get<Milliseconds>(best_cost).count() == 0 &&
+      this->IsStartStored(job, task, number, start)) {
     this->RecordDecision("trial_started", task, number, best->listing.name,
                          std::to_string(best->runs.size()) + " other runs");
     this->Start(job, task, best, number, now);
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -412,13 +412,17 @@
   }
   const std::int64_t number =
       std::max(this->FindTask(task)->last_run + 1, this->first_run);
-  if (this->NeedsTrial(task) || !this->IsStartStored(job, task, number)) {
+  if (this->NeedsTrial(task)) {
     return Placement::kWaiting;
   }
   WorkerState* const worker = this->ChooseWorker(*job, task, RackName());
   if (worker == nullptr) {
     return Placement::kNoRoom;
   }
+  const OpenStart start{worker->listing.name, worker->listing.incarnation};
+  if (!this->IsStartStored(job, task, number, start)) {
+    return Placement::kWaiting;
+  }
   this->Start(job, task, worker, number, now);
   return Placement::kPlaced;
 }
@@ -444,7 +448,7 @@
   }
   bool is_stored = true;
   for (task.index = 0; task.index < step.task_count; ++task.index) {
-    is_stored &= this->IsStartStored(job, task, number);
+    is_stored &= this->IsStartStored(job, task, number, OpenStart());
   }
   if (!is_stored) {
     return Placement::kWaiting;
--- a/Source/UnitTests/Jobs/crash_bystander_test.cc
+++ b/Source/UnitTests/Jobs/crash_bystander_test.cc
@@ -179,6 +179,34 @@
   CHECK(pool.StatusOf("long") == JobStatus::kCompleted);
 }
 
+// Regression test (seeds 364, 1787 and 2182 of the simulation): starts that
+// were stored and never sent counted as crashes, and the job was closed as
+// failed.
+TEST_CASE("A start that was stored and not sent does not count as a crash") {
+  const Milliseconds term(GENERATE(10, 20, 30, 40));
+  CrashingPool pool(6);
+  pool.AddJob(LongJob("long", 1));
+  const TaskRef task{JobId("long"), 0, 0, 0};
+  for (int crash = 0; crash < 2; ++crash) {
+    for (int i = 0; pool.Crashes(task) == crash && i < 1000; ++i) {
+      pool.RunFor(Milliseconds(10));
+      if (pool.WorkerOf(task) != WorkerName()) {
+        pool.CrashWorker(pool.WorkerOf(task));
+      }
+    }
+  }
+  REQUIRE(pool.Crashes(task) == 2);
+  pool.RunFor(Milliseconds(210));
+  for (int i = 0; i < 20; ++i) {
+    pool.EndScheduler();
+    pool.BeginScheduler();
+    pool.RunFor(term);
+    CHECK(pool.StatusOf("long") != JobStatus::kFailed);
+  }
+  pool.RunFor(kLongEnough);
+  CHECK(pool.StatusOf("long") == JobStatus::kCompleted);
+}
+
 // Guards against a scheduler that cannot read the records of an older one.
 TEST_CASE("Progress without a record of crashes is read") {
   const Result<JobProgress> progress = ParseJobProgress(
