Jobs: remember runs whose leases expired until their workers' fate is known

Other callers saw a task that crashes its workers start up to four times after three crashes. A run on a worker that is cut off is given up when its lease has expired. Whether the worker had crashed shows in its next report, but by then the run was forgotten if the scheduler had been replaced, or if the list of machines had left the worker out and it was removed.

A stored start now stays open when the lease of its run expires, and several may be open. It counts, as not certain, once another process of the worker is known or the worker is gone; it is closed if the same process reports without the run, or if the end was planned. A new scheduler no longer counts it while the worker is silent.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -393,7 +393,10 @@
   this->used[job.job.team] -= step.request;
   state->runs.erase(found);
   state->previous = how;
-  this->CloseStart(task, state, number);
+  // A worker that is cut off may have crashed; its next report tells.
+  if (how != PreviousRun::kLeaseExpired) {
+    this->CloseStart(task, state, number);
+  }
   if (state->runs.empty() && !state->is_done) {
     --job.occurrences.at(task.occurrence).steps[task.step].done_or_running;
   }
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -304,8 +304,8 @@
   void MarkCrashesUnsaved(const TaskRef& task, TaskState* state);
   // Notes that the end of the run is known.
   void CloseStart(const TaskRef& task, TaskState* state, std::int64_t run);
-  // Counts the stored starts of earlier schedulers of which neither the run nor
-  // its end was found, unless the process of the worker goes on.
+  // Settles the starts of which neither the run nor its end was found: they
+  // count as crashes once the process of their worker has ended.
   void SettleOpenStarts(MonotonicTime now);
   void SettleOpenStart(const RunKey& run,
                        const OpenStart& start,
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -49,8 +49,14 @@
     // Nothing starts on a worker that is being emptied, so a run that was
     // ordered later shows that the planned work was called off.
     const RunRecord* const run = this->FindRun(key.first, key.second);
-    return this->IsEndPlanned(*worker, now) &&
-           (run == nullptr || run->ordered_at <= *worker->planned_end_at);
+    if (!this->IsEndPlanned(*worker, now) ||
+        (run != nullptr && run->ordered_at > *worker->planned_end_at)) {
+      return false;
+    }
+    if (TaskState* const state = this->FindTask(key.first)) {
+      this->CloseStart(key.first, state, key.second);
+    }
+    return true;
   });
   if (lost.empty()) {
     return;
@@ -239,16 +245,26 @@
 void PoolScheduler::SettleOpenStart(const RunKey& run,
                                     const OpenStart& start,
                                     MonotonicTime now) {
+  if (start.incarnation == 0) {
+    if (run.second >= this->first_run) {
+      this->CloseStart(run.first, this->FindTask(run.first), run.second);
+    } else if (!this->IsRecovering(now)) {
+      this->CountCrash(run, false, now);
+    }
+    return;
+  }
   const std::map<WorkerName, WorkerState>::const_iterator found =
       this->workers.find(start.worker);
-  if (found != this->workers.end() && found->second.has_reported &&
-      found->second.listing.incarnation == start.incarnation &&
-      start.incarnation != 0) {
+  if (found == this->workers.end()) {
+    return;
+  }
+  const WorkerState& worker = found->second;
+  if (worker.is_gone || worker.listing.incarnation != start.incarnation) {
+    this->CountCrash(run, false, now);
+  } else if (worker.has_reported && worker.missed_reports == 0) {
     this->RecordDecision("start_not_found", run.first, run.second, start.worker,
                          "its worker has not crashed");
     this->CloseStart(run.first, this->FindTask(run.first), run.second);
-  } else if (!this->IsRecovering(now)) {
-    this->CountCrash(run, false, now);
   }
 }
 
--- a/Source/UnitTests/Jobs/crashing_task_test.cc
+++ b/Source/UnitTests/Jobs/crashing_task_test.cc
@@ -212,6 +212,31 @@
   CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
 }
 
+// Regression test (seed 9514 of the simulation): the runs of a task whose
+// leases had expired were forgotten with the scheduler, though their workers
+// crashed.
+TEST_CASE("A crash of a worker that is cut off counts under a new scheduler") {
+  CrashingPool pool(kWorkers);
+  pool.SetCrashesListed(false);
+  pool.AddJob(JobBuilder("bad").Step(1).Build());
+  pool.CrashWorkersOf(kTask, Milliseconds(300));
+  for (int starts = 2; starts <= 10; ++starts) {
+    for (int i = 0; pool.Starts(kTask) < starts && i < 3000; ++i) {
+      pool.RunFor(Milliseconds(10));
+    }
+    if (starts % 2 == 0 && pool.WorkerOf(kTask) != WorkerName()) {
+      pool.Disconnect(pool.WorkerOf(kTask), Milliseconds(9000));
+    } else {
+      pool.EndScheduler();
+      pool.BeginScheduler();
+    }
+  }
+  pool.RunFor(kLongEnough);
+  CHECK(pool.Crashes(kTask) >= 3);
+  CHECK(pool.StartsAfterThreeCrashes(kTask) <= kStartsAllowed);
+  CHECK(pool.StatusOf("bad") == JobStatus::kFailed);
+}
+
 // Guards against starts whose crashes a new scheduler would not know of.
 TEST_CASE("A task with two crashes is not started before they are saved") {
   CrashingPool pool(kWorkers);
