Jobs: a replaced scheduler does not end its wait for unknown runs

A scheduler that is replaced while it waits for the runs of the one before goes on for 8 s without a lease. When its own wait was over, it started the tasks of jobs that it had found, though the next scheduler had found their runs, received their ends and acknowledged them. Without a valid lease the wait now goes on; it ends once the lease is confirmed. The test failed before in both sections.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -248,6 +248,10 @@
 }
 
 bool PoolScheduler::IsRecovering(MonotonicTime now) const {
+  // A later scheduler may have found the runs.
+  if (!this->is_sole_leader && this->was_recovering) {
+    return true;
+  }
   if (now >= this->unknown_runs_over_at) {
     return false;
   }
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -668,6 +668,28 @@
   CHECK(asks[0].acknowledged == 0);
 }
 
+// Guards against a run that a later scheduler has found: a replaced scheduler
+// started its task again when its own wait for unknown runs was over.
+TEST_CASE("The wait for unknown runs does not end without a valid lease") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")}, Milliseconds(1000));
+  fixture.SendReport("w1");
+  fixture.Add(JobBuilder("j").Step(1).Build(), true);
+  CHECK(fixture.TakeStarts().empty());
+  fixture.scheduler.SetSole(false);
+  SECTION("by time") {
+    fixture.AdvanceTime(Milliseconds(2000));
+  }
+  SECTION("by the end of the last worker") {
+    fixture.AdvanceTime(Milliseconds(10));
+    fixture.scheduler.OnWorkerGone(WorkerName("w2"), fixture.Now(),
+                                   fixture.Now());
+  }
+  fixture.SendReport("w1");
+  CHECK(fixture.TakeStarts().empty());
+  fixture.scheduler.SetSole(true);
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
 // Guards against a second run of a task whose start order was repeated by the
 // transport after the run had ended.
 TEST_CASE("A refused repetition of a start waits for the next report") {
