Jobs: a replaced scheduler keeps the runs of a worker that has restarted

A restarted worker knows no fence and answers a replaced scheduler. Its report lacked the run that its earlier process had, so the task was started again, though the run had ended and the next scheduler had acknowledged the end. Without a valid lease such runs are kept until it is confirmed, as those of workers that are gone already were. A process that was paused asks whether its lease is valid before it handles an answer of a worker or a list of machines, not only before its next pass.

--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -482,6 +482,10 @@
 void PoolScheduler::DropMissingRuns(WorkerState* worker,
                                     MonotonicTime asked_at,
                                     MonotonicTime now) {
+  // A later scheduler may have received the ends from the earlier process.
+  if (!this->is_sole_leader && worker->has_restarted_unled) {
+    return;
+  }
   std::vector<std::pair<TaskRef, std::int64_t>> missing;
   std::set<std::pair<TaskRef, std::int64_t>> lost;
   for (const std::pair<TaskRef, std::int64_t>& key : worker->runs) {
--- a/Source/Core/Site/pool_leader.cc
+++ b/Source/Core/Site/pool_leader.cc
@@ -110,7 +110,7 @@
     return;
   }
   const MonotonicTime now = Now();
-  this->scheduler.SetSole(this->context.is_lease_valid());
+  this->UpdateSole();
   if (now >= this->vacate_until) {
     this->scheduler.SetVacating({}, {});
   }
--- a/Source/Core/Site/pool_leader_orders.cc
+++ b/Source/Core/Site/pool_leader_orders.cc
@@ -78,6 +78,7 @@
           return;
         }
         self->Count("daisyroad_run_stops_total", "");
+        self->UpdateSole();
         self->OnRequestStatus(order.worker, status, requested_at);
         self->scheduler.OnStop(order, status.ok(), Now());
         self->SchedulePass();
@@ -128,6 +129,7 @@
           return;
         }
         self->activity.OnReportAnswered(report.ok());
+        self->UpdateSole();
         if (report.ok()) {
           self->scheduler.OnReport(order.worker, report.value(), requested_at,
                                    Now());
--- a/Source/Core/Site/pool_leader_state.h
+++ b/Source/Core/Site/pool_leader_state.h
@@ -49,6 +49,9 @@
   void Tick();
   void SchedulePass();
   void RunPass();
+  // Tells the scheduler whether another one may lead; to be called before it
+  // handles an event, since the process may have been paused.
+  void UpdateSole() { this->scheduler.SetSole(this->context.is_lease_valid()); }
   void LogActivity(MonotonicTime now);
   const WorkerListing* FindWorker(const WorkerName& worker) const;
   void Count(const char* name, const std::string& labels);
--- a/Source/Core/Site/pool_leader_store.cc
+++ b/Source/Core/Site/pool_leader_store.cc
@@ -82,7 +82,7 @@
 }
 
 void PoolLeader::State::OnInbox(const std::vector<StoreChange>& changes) {
-  this->scheduler.SetSole(this->context.is_lease_valid());
+  this->UpdateSole();
   const std::string job_prefix = InboxPrefix(this->pool) + "job/";
   const std::string cancel_prefix = InboxPrefix(this->pool) + "cancel/";
   for (const StoreChange& change : changes) {
--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -163,6 +163,7 @@
           }
         }
         self->next_persist = MonotonicTime();
+        self->UpdateSole();
         for (const WorkerName& worker : silent) {
           self->CheckSilentWorker(worker, machines.value(), requested_at);
         }
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -690,6 +690,33 @@
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+// Guards against a run whose end a later scheduler has acknowledged to the
+// process that the worker had before.
+TEST_CASE(
+    "A restarted worker keeps its runs while another scheduler may lead") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fixture.ConfirmStart(starts[0]);
+  fixture.scheduler.SetSole(false);
+  fixture.AdvanceTime(Milliseconds(10));
+  RunReport restarted;
+  restarted.worker_clock = Milliseconds(1);
+  restarted.incarnation = 8;
+  const std::string other = starts[0].worker.str() == "w1" ? "w2" : "w1";
+  fixture.SendReport(other);
+  fixture.scheduler.OnReport(starts[0].worker, restarted, fixture.Now(),
+                             fixture.Now());
+  CHECK(fixture.TakeStarts().empty());
+  fixture.scheduler.SetSole(true);
+  fixture.AdvanceTime(Milliseconds(10));
+  fixture.scheduler.OnReport(starts[0].worker, restarted, fixture.Now(),
+                             fixture.Now());
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
 // Guards against a second run of a task whose start order was repeated by the
 // transport after the run had ended.
 TEST_CASE("A refused repetition of a start waits for the next report") {
