Tests: slow worker clocks and longer tasks in the simulation of takeovers

Clocks of workers are up to 2% slow, as the platform allows, and one task in ten lasts 10 to 25 s, so that runs outlast the waits of schedulers.

--- a/Source/UnitTests/Jobs/takeover_simulation.cc
+++ b/Source/UnitTests/Jobs/takeover_simulation.cc
@@ -13,7 +13,7 @@
 constexpr WallTime kWallStart(std::chrono::hours(1000));
 constexpr Milliseconds kTick{20};
 constexpr Milliseconds kFaultPeriod{30000};
-constexpr Milliseconds kSimulationLength{75000};
+constexpr Milliseconds kSimulationLength{100000};
 constexpr int kZones = 3;
 constexpr int kWorkers = 6;
 constexpr int kInstances = 4;
@@ -41,6 +41,7 @@
 // up to kCheckInDelay.
 constexpr Milliseconds kCheckInInterval{500};
 constexpr Milliseconds kCheckInDelay{1500};
+constexpr double kMostClockDrift = 0.02;
 
 Milliseconds MaxLeaseDuration() {
   const SchedulerSettings settings;
@@ -109,6 +110,13 @@
          (link == instance.broken_links.end() || this->Now() >= link->second);
 }
 
+MonotonicTime TakeoverSimulation::TimeAt(const Host& host) const {
+  const Duration elapsed = this->Now() - host.booted_at;
+  return host.booted_at +
+         Duration(static_cast<Duration::rep>(
+             static_cast<double>(elapsed.count()) * host.clock_rate));
+}
+
 bool TakeoverSimulation::IsReplaced(const Leader& leader) const {
   return leader.fence < this->record.fence;
 }
@@ -146,6 +154,7 @@
     host.listing.incarnation = IncarnationAt(kStart);
     host.zone = i % kZones;
     host.worker = std::make_unique<FakeWorker>(kStart);
+    host.booted_at = kStart;
     this->hosts[host.listing.name] = std::move(host);
   }
   for (int i = 0; i < kInstances; ++i) {
@@ -576,10 +585,11 @@
 StartOutcome TakeoverSimulation::ExecuteStart(const LeaderPointer& leader,
                                               const StartRun& order) {
   Host& host = this->hosts.at(order.worker);
-  const bool is_long = this->random.Chance(0.3);
+  const double length = this->random.Fraction();
   FakeWorker::RunPlan run_plan{
-      is_long ? Milliseconds(2000) + this->Upto(10000)
-              : Milliseconds(100) + this->Upto(1500),
+      length < 0.7   ? Milliseconds(100) + this->Upto(1500)
+      : length < 0.9 ? Milliseconds(2000) + this->Upto(10000)
+                     : Milliseconds(10000) + this->Upto(15000),
       this->random.Chance(0.03) ? EndKind::kFailed : EndKind::kDone};
   this->Check();
   const std::map<TaskRef, FakeWorker::Run>::const_iterator before =
@@ -587,7 +597,7 @@
   const bool is_there =
       before != host.worker->runs().end() && before->second.number == order.run;
   const StartOutcome outcome =
-      host.worker->Start(order, leader->fence, run_plan, this->Now());
+      host.worker->Start(order, leader->fence, run_plan, this->TimeAt(host));
   this->Trace("fence " + std::to_string(leader->fence) + " orders " +
               order.task.ToString() + " run " + std::to_string(order.run) +
               " on " + order.worker.str() + ": " + ToString(outcome));
@@ -630,7 +640,7 @@
           });
         } else if (has_arrived) {
           outcome = this->ExecuteStart(leader, order);
-          clock = host.worker->Clock(this->Now());
+          clock = host.worker->Clock(this->TimeAt(host));
           if (is_answer_lost) {
             ++this->totals->lost_answers;
             outcome = StartOutcome::kUnknown;
@@ -657,7 +667,8 @@
                                     target = this->TargetProcess(host)]() {
     const auto execute = [this, leader, order, &host]() {
       this->Check();
-      const bool is_done = host.worker->Stop(order, leader->fence, this->Now());
+      const bool is_done =
+          host.worker->Stop(order, leader->fence, this->TimeAt(host));
       this->Trace("fence " + std::to_string(leader->fence) + " stops " +
                   order.task.ToString() + " run " + std::to_string(order.run) +
                   " on " + order.worker.str() + (is_done ? "" : ": refused"));
@@ -697,8 +708,8 @@
       acknowledged.push_back(host.ends.at(end.sequence));
     }
   }
-  const std::optional<RunReport> report =
-      host.worker->Report(order, leader->fence, this->Now());
+  std::optional<RunReport> report =
+      host.worker->Report(order, leader->fence, this->TimeAt(host));
   if (!report) {
     return report;
   }
@@ -835,6 +846,8 @@
   ++host->start_count;
   this->queue.After(Milliseconds(50) + this->Upto(2950), [this, host]() {
     host->worker = std::make_unique<FakeWorker>(this->Now());
+    host->booted_at = this->Now();
+    host->clock_rate = 1.0 - kMostClockDrift * this->random.Fraction();
     host->listing.incarnation = IncarnationAt(this->Now());
     host->next_check_in = this->Now() + this->Upto(kCheckInDelay.count());
     this->Trace(host->listing.name.str() + " is back");
@@ -916,7 +929,7 @@
     if (host.second.worker == nullptr) {
       continue;
     }
-    host.second.worker->Advance(this->Now());
+    host.second.worker->Advance(this->TimeAt(host.second));
     this->NoteEnds(&host.second);
     for (const std::pair<const TaskRef, FakeWorker::Run>& run :
          host.second.worker->runs()) {
--- a/Source/UnitTests/Jobs/takeover_simulation.h
+++ b/Source/UnitTests/Jobs/takeover_simulation.h
@@ -66,6 +66,8 @@
     WorkerListing listing;
     int zone = 0;
     int start_count = 1;
+    MonotonicTime booted_at;
+    double clock_rate = 1.0;
     MonotonicTime unreachable_until;  // by all
     MonotonicTime next_check_in;
     std::map<std::int64_t, NotedEnd> ends;
@@ -183,6 +185,8 @@
   // Whether messages pass between the instance and the worker.
   bool IsLinked(const Leader& leader, const Host& host) const;
   MonotonicTime Now() const;
+  // The time by the clock of the worker's process.
+  MonotonicTime TimeAt(const Host& host) const;
   Milliseconds Upto(std::uint64_t bound);
   Milliseconds Delay();
 
