Tests: short tasks after the faults of a simulated takeover

The option for orders that reach the next process of a worker is gone: such orders are lost on the platform.

--- a/Source/UnitTests/Jobs/takeover_options.h
+++ b/Source/UnitTests/Jobs/takeover_options.h
@@ -6,8 +6,6 @@
 struct TakeoverOptions {
   // Lists of machines arrive up to a second after the time that they show.
   bool has_late_machine_lists = false;
-  // Orders that were sent while a worker was down may reach its next process.
-  bool has_orders_across_restarts = false;
   // Keeps a line for each event.
   bool keeps_trace = false;
 };
--- a/Source/UnitTests/Jobs/takeover_simulation.cc
+++ b/Source/UnitTests/Jobs/takeover_simulation.cc
@@ -563,10 +563,8 @@
   });
 }
 
-int TakeoverSimulation::TargetProcess(const Host& host) const {
-  return host.worker != nullptr || this->options.has_orders_across_restarts
-             ? host.start_count
-             : 0;
+int TakeoverSimulation::TargetProcess(const Host& host) {
+  return host.worker == nullptr ? 0 : host.start_count;
 }
 
 void TakeoverSimulation::ExecuteLate(Host* host,
@@ -585,7 +583,9 @@
 StartOutcome TakeoverSimulation::ExecuteStart(const LeaderPointer& leader,
                                               const StartRun& order) {
   Host& host = this->hosts.at(order.worker);
-  const double length = this->random.Fraction();
+  // After the faults all tasks are short, so that each job can end.
+  const double length =
+      this->queue.now() < kFaultPeriod ? this->random.Fraction() : 0.0;
   FakeWorker::RunPlan run_plan{
       length < 0.7   ? Milliseconds(100) + this->Upto(1500)
       : length < 0.9 ? Milliseconds(2000) + this->Upto(10000)
@@ -626,7 +626,7 @@
   const bool is_lost = fault >= 0.09 && fault < 0.11;
   this->queue.After(
       this->Delay(), [this, leader, order, &host, is_answer_lost, is_late,
-                      is_lost, target = this->TargetProcess(host)]() {
+                      is_lost, target = TargetProcess(host)]() {
         StartOutcome outcome = StartOutcome::kUnknown;
         std::optional<Milliseconds> clock;
         const bool is_linked = this->IsLinked(*leader, host) && !is_lost;
@@ -664,7 +664,7 @@
   const double fault =
       this->queue.now() < kFaultPeriod ? this->random.Fraction() : 1.0;
   this->queue.After(this->Delay(), [this, leader, order, &host, fault,
-                                    target = this->TargetProcess(host)]() {
+                                    target = TargetProcess(host)]() {
     const auto execute = [this, leader, order, &host]() {
       this->Check();
       const bool is_done =
@@ -734,7 +734,7 @@
       this->queue.now() < kFaultPeriod ? this->random.Fraction() : 1.0;
   this->queue.After(this->Delay(), [this, leader, order, &host, fault,
                                     asked_at = this->Now(),
-                                    target = this->TargetProcess(host)]() {
+                                    target = TargetProcess(host)]() {
     std::optional<RunReport> report;
     bool is_fenced = false;
     const bool is_linked = this->IsLinked(*leader, host);
--- a/Source/UnitTests/Jobs/takeover_simulation.h
+++ b/Source/UnitTests/Jobs/takeover_simulation.h
@@ -152,7 +152,7 @@
   void SendStop(const LeaderPointer& leader, const StopRun& order);
   void SendAsk(const LeaderPointer& leader, const AskReport& order);
   // Start count of the process that gets an order sent now; 0: none.
-  int TargetProcess(const Host& host) const;
+  static int TargetProcess(const Host& host);
   // Executes an order that gets no answer, unless the worker restarts first.
   void ExecuteLate(Host* host, std::function<void()> execute);
   StartOutcome ExecuteStart(const LeaderPointer& leader, const StartRun& order);
