--- a/Source/UnitTests/Jobs/takeover_simulation.cc
+++ b/Source/UnitTests/Jobs/takeover_simulation.cc
@@ -138,6 +138,23 @@
   }
 }
 
+void TakeoverSimulation::TraceReport(const Leader& leader,
+                                     const AskReport& order,
+                                     const RunReport& report) {
+  if (!this->options.keeps_trace) {
+    return;
+  }
+  std::string ends;
+  for (const RunEnd& end : report.ended) {
+    ends += " " + std::to_string(end.sequence);
+  }
+  this->Trace("fence " + std::to_string(leader.fence) + " receives a report, " +
+              order.worker.str() + " at its " +
+              std::to_string(report.worker_clock.count()) + " ms, " +
+              std::to_string(report.active.size()) + " runs, ends" + ends +
+              ", acknowledged " + std::to_string(order.acknowledged));
+}
+
 void TakeoverSimulation::TraceDecisions(Leader* leader) {
   for (const std::string& line : leader->scheduler.TakeDecisions()) {
     this->Trace("fence " + std::to_string(leader->fence) + ": " + line);
@@ -756,6 +773,7 @@
         [this, leader, order, report, is_answered, is_fenced, asked_at]() {
           leader->is_fenced |= is_answered && is_fenced;
           if (is_answered && report) {
+            this->TraceReport(*leader, order, *report);
             leader->scheduler.OnReport(order.worker, *report, asked_at,
                                        this->Now());
           } else {
--- a/Source/UnitTests/Jobs/takeover_simulation.h
+++ b/Source/UnitTests/Jobs/takeover_simulation.h
@@ -178,6 +178,9 @@
   void NoteEnds(Host* host);
   void Fail(const std::string& text);
   void Trace(const std::string& line);
+  void TraceReport(const Leader& leader,
+                   const AskReport& order,
+                   const RunReport& report);
   void TraceDecisions(Leader* leader);
   bool IsReplaced(const Leader& leader) const;
   bool IsCutOff(int zone) const;
