Jobs: an acknowledgement that was answered is not repeated

Each request for a report carried the last acknowledged number again. When an idle worker had restarted unnoticed and executed such a request late, it forgot ends of its new process that nobody had seen, and their tasks ran again after they were done. An acknowledgement is now sent until one request with it was answered. The test failed before.

--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -113,7 +113,8 @@
   worker.needs_report = false;
   worker.is_gone = false;
   ++worker.report_count;
-  worker.delivered_acknowledgement = worker.sent_acknowledgement;
+  worker.delivered_acknowledgement =
+      std::max(worker.delivered_acknowledgement, worker.sent_acknowledgement);
   this->UpdateWorkerClock(&worker, report.worker_clock, now);
   for (const RunEnd& end : report.ended) {
     if (end.sequence > worker.last_received_end) {
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -54,9 +54,14 @@
     }
     AskReport ask;
     ask.worker = entry.first;
-    // After a missed report the worker may have restarted and reused the
-    // sequence numbers for different ends.
-    ask.acknowledged = worker.missed_reports == 0 ? worker.acknowledged_end : 0;
+    // The worker may have restarted and reused the sequence numbers for
+    // different ends, so acknowledgements are neither repeated once they were
+    // answered nor sent after a missed report.
+    ask.acknowledged =
+        worker.missed_reports == 0 &&
+                worker.acknowledged_end > worker.delivered_acknowledgement
+            ? worker.acknowledged_end
+            : 0;
     worker.sent_acknowledgement = ask.acknowledged;
     if (worker.has_reported && worker.missed_reports == 0 &&
         !worker.runs.empty() && !this->AwaitsStopConfirmation(worker)) {
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -668,6 +668,33 @@
   CHECK(asks[0].acknowledged == 0);
 }
 
+// Guards against ends of a process whose start was not noticed that are
+// acknowledged unseen, with the numbers of the process before.
+TEST_CASE("An acknowledgement that was answered is not repeated") {
+  Fixture fixture({MakeListing("w1")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(2).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 2);
+  fixture.ConfirmStart(starts[0]);
+  fixture.ConfirmStart(starts[1]);
+  fixture.AdvanceTime(Milliseconds(100));
+  fixture.SendReport("w1", {ActiveRunOf(starts[1])}, {Done(1, starts[0])});
+  const std::vector<std::pair<JobId, JobProgress>> saved =
+      fixture.scheduler.TakeUnsaved(10, fixture.Now());
+  REQUIRE(saved.size() == 1);
+  fixture.scheduler.OnSaved({saved[0].first});
+  fixture.AdvanceTime(Milliseconds(100));
+  std::vector<AskReport> asks = OrdersOfType<AskReport>(fixture.Orders());
+  REQUIRE(asks.size() == 1);
+  CHECK(asks[0].acknowledged == 1);
+  fixture.SendReport("w1", {ActiveRunOf(starts[1])});
+  fixture.AdvanceTime(Milliseconds(100));
+  asks = OrdersOfType<AskReport>(fixture.Orders());
+  REQUIRE(asks.size() == 1);
+  CHECK(asks[0].acknowledged == 0);
+}
+
 // Guards against a run that a later scheduler has found: a replaced scheduler
 // started its task again when its own wait for unknown runs was over.
 TEST_CASE("The wait for unknown runs does not end without a valid lease") {
