Jobs: count the runs beside a trial when their worker crashes

Other callers saw a third start of tasks that crash their workers late, after three crashes (crash_late: 7 of 80 tasks, 8 when it was listed). If a worker crashed during a trial, only the task on trial was counted. A run that was older than half a second there and was the cause escaped its count.

Evidence: crash_late, traced with only the tasks counted that have crashes already: 2 of 80 remain (bad44, bad46); the first crash of each was beside a trial and left no count.

The other runs that have not lasted 5 s are now counted too, as not certain, so that alone they close a job only as the fourth crash. crash_late failed before and passes (0 of 80); crash_stream, crash_bystander and crashing_task pass.

--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -145,6 +145,10 @@
   // is stored.
   enum class Placement { kPlaced, kNoRoom, kBlocked, kWaiting };
 
+  // kBesideTrial: a run on trial is more likely the cause of the crash.
+  // kAloneOnTrial: no other run may have caused it.
+  enum class Suspicion { kBesideTrial, kSuspected, kAloneOnTrial };
+
   using RunKey = std::pair<TaskRef, std::int64_t>;
 
   // A worker that crashed, and the runs that were counted for it.
@@ -292,7 +296,7 @@
                    std::set<RunKey> lost,
                    MonotonicTime now);
   // Returns false if the run does not count for its task.
-  bool CountCrash(const RunKey& run, bool is_alone_on_trial, MonotonicTime now);
+  bool CountCrash(const RunKey& run, Suspicion suspicion, MonotonicTime now);
   // Whether the worker confirmed the run shortly before `now`.
   bool WasSeenLately(const RunRecord& run, MonotonicTime now) const;
   int CountCrashes(const JobState& job, const TaskRef& task) const;
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -68,7 +68,6 @@
                !this->HasLasted(*run, this->TrialDuration(key.first), now);
       });
   const bool is_trial = tried != lost.end();
-  const std::set<RunKey> suspected = is_trial ? std::set<RunKey>{*tried} : lost;
   // Another run that has not cleared its task may crash its worker late.
   const bool is_proof =
       is_trial && std::all_of(lost.begin(), lost.end(), [&](const RunKey& key) {
@@ -80,8 +79,12 @@
   Crash crash;
   crash.time = now;
   crash.worker = worker->listing;
-  for (const RunKey& run : suspected) {
-    if (this->CountCrash(run, is_proof, now)) {
+  for (const RunKey& run : lost) {
+    const Suspicion suspicion = is_trial && run != *tried
+                                    ? Suspicion::kBesideTrial
+                                : is_proof ? Suspicion::kAloneOnTrial
+                                           : Suspicion::kSuspected;
+    if (this->CountCrash(run, suspicion, now)) {
       crash.counted.insert(run);
     }
   }
@@ -93,7 +96,7 @@
 }
 
 bool PoolScheduler::CountCrash(const RunKey& key,
-                               bool is_alone_on_trial,
+                               Suspicion suspicion,
                                MonotonicTime now) {
   const TaskRef& task = key.first;
   TaskState* const state = this->FindTask(task);
@@ -108,7 +111,8 @@
       !state->crashes.runs.insert(key.second).second) {
     return false;
   }
-  const bool is_certain = run != nullptr && this->WasSeenLately(*run, now);
+  const bool is_certain = suspicion != Suspicion::kBesideTrial &&
+                          run != nullptr && this->WasSeenLately(*run, now);
   if (!is_certain) {
     state->crashes.uncertain_runs.insert(key.second);
   }
@@ -122,7 +126,8 @@
   // The members of a gang run on several workers, so it has no trials.
   const int certain =
       count - static_cast<int>(state->crashes.uncertain_runs.size());
-  const bool is_proof = is_alone_on_trial && !this->SpecOf(job, task).is_gang &&
+  const bool is_proof = suspicion == Suspicion::kAloneOnTrial &&
+                        !this->SpecOf(job, task).is_gang &&
                         certain >= this->settings.crashes_before_failure;
   if (is_proof || count >= this->settings.uncertain_crashes_before_failure) {
     this->RecordDecision("task_given_up", task, key.second,
@@ -249,7 +254,7 @@
     if (run.second >= this->first_run) {
       this->CloseStart(run.first, this->FindTask(run.first), run.second);
     } else if (!this->IsRecovering(now)) {
-      this->CountCrash(run, false, now);
+      this->CountCrash(run, Suspicion::kSuspected, now);
     }
     return;
   }
@@ -260,7 +265,7 @@
   }
   const WorkerState& worker = found->second;
   if (worker.is_gone || worker.listing.incarnation != start.incarnation) {
-    this->CountCrash(run, false, now);
+    this->CountCrash(run, Suspicion::kSuspected, now);
   } else if (worker.has_reported && worker.missed_reports == 0) {
     this->RecordDecision("start_not_found", run.first, run.second, start.worker,
                          "its worker has not crashed");
