Jobs: a crash counts when it is noticed, also for starts without an answer

Found in review. Since runs without an answer outlast their worker's process, their crash was counted half a second late: outside the window in which the workers of a rack or zone count as lost together, and after planned work was forgotten. They are counted at the first notice again, as before, and only kept until their answer. crashing_task has its earlier cases back. The tests with a pool leader allow for stalls: leases count from the arrival of a request, and several renewals fit into one.

--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -2,7 +2,6 @@
 // active runs and run ends.
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "Core/Jobs/objective.h"
@@ -174,12 +173,17 @@
     return;
   }
   std::set<RunKey> lost;
-  std::copy_if(worker.runs.begin(), worker.runs.end(),
-               std::inserter(lost, lost.end()),
-               [this, observed_from](const RunKey& key) {
-                 return this->IsAnsweredBefore(
-                     *this->FindRun(key.first, key.second), observed_from);
-               });
+  // Includes runs without an answer, which the process may have begun.
+  std::set<RunKey> suspected;
+  for (const RunKey& key : worker.runs) {
+    const RunRecord& run = *this->FindRun(key.first, key.second);
+    if (IsAnsweredBefore(run, observed_from)) {
+      lost.insert(key);
+    }
+    if (run.ordered_at < observed_from) {
+      suspected.insert(key);
+    }
+  }
   if (worker.is_gone && lost.empty()) {
     return;
   }
@@ -192,7 +196,7 @@
   } else if (end == WorkerEnd::kDown && !worker.listing.is_draining) {
     worker.planned_end_at.reset();
   }
-  this->HandleCrash(&worker, lost, now);
+  this->HandleCrash(&worker, worker.is_gone ? lost : suspected, now);
   for (const RunKey& run : lost) {
     this->RemoveRun(run.first, run.second, PreviousRun::kWorkerGone);
   }
--- a/Source/UnitTests/Jobs/crashing_task_test.cc
+++ b/Source/UnitTests/Jobs/crashing_task_test.cc
@@ -136,11 +136,8 @@
   report.incarnation = 7;
   pool.scheduler.OnReport(pool.worker, report, asked_at, pool.Now());
   pool.AddJob(JobBuilder("bad").Step(1).Build());
-  const std::vector<StartRun> starts = pool.TakeOrders<StartRun>();
-  REQUIRE(starts.size() == 1);
+  REQUIRE(pool.TakeOrders<StartRun>().size() == 1);
   pool.elapsed += Milliseconds(200);
-  pool.scheduler.OnStart(starts[0], StartOutcome::kUnknown, std::nullopt,
-                         pool.Now());
   pool.scheduler.OnWorkerGone(pool.worker, pool.Now(), pool.Now());
   const std::vector<std::pair<JobId, JobProgress>> saved =
       pool.scheduler.TakeUnsaved(10, pool.Now());
@@ -155,14 +152,11 @@
   const WorkerEnd end = GENERATE(WorkerEnd::kDown, WorkerEnd::kPlanned);
   OneWorkerPool pool;
   pool.AddJob(JobBuilder("bad").Step(1).Build());
-  const std::vector<StartRun> starts = pool.TakeOrders<StartRun>();
-  REQUIRE(starts.size() == 1);
+  REQUIRE(pool.TakeOrders<StartRun>().size() == 1);
   pool.elapsed += Milliseconds(10);
   pool.scheduler.SetVacating({pool.worker}, {});
   pool.TakeOrders<StartRun>();
   pool.elapsed += Milliseconds(200);
-  pool.scheduler.OnStart(starts[0], StartOutcome::kUnknown, std::nullopt,
-                         pool.Now());
   pool.scheduler.OnWorkerGone(pool.worker, pool.Now(), pool.Now(), end);
   const std::vector<std::pair<JobId, JobProgress>> saved =
       pool.scheduler.TakeUnsaved(10, pool.Now());
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -613,6 +613,23 @@
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+// Guards against runs that end by an observation of the process before.
+TEST_CASE("An observation from before the last report ends no runs") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fixture.ConfirmStart(starts[0]);
+  fixture.AdvanceTime(Milliseconds(10));
+  const MonotonicTime observed_from = fixture.Now();
+  fixture.AdvanceTime(Milliseconds(10));
+  fixture.SendReport(starts[0].worker.str(), {ActiveRunOf(starts[0])});
+  fixture.scheduler.OnWorkerGone(starts[0].worker, observed_from,
+                                 fixture.Now());
+  CHECK(fixture.TakeStarts().empty());
+}
+
 // Guards against a second run while a start order is on its way to a worker
 // that restarts.
 TEST_CASE(
--- a/Source/UnitTests/Site/fake_worker_client.h
+++ b/Source/UnitTests/Site/fake_worker_client.h
@@ -71,8 +71,13 @@
               const AskReport& order,
               std::int64_t fence,
               std::function<void(Result<RunReport>)> callback) override {
-    this->HoldReport(worker.name, this->Find(worker.name), order, fence,
-                     Now() + order.wait, std::move(callback));
+    FakeWorker* const process = this->Find(worker.name);
+    if (process != nullptr) {
+      // The lease counts from the arrival of the request.
+      process->Report(order, fence, Now());
+    }
+    this->HoldReport(worker.name, process, order, fence, Now() + order.wait,
+                     std::move(callback));
   }
 
  private:
--- a/Source/UnitTests/Site/takeover_wait_test.cc
+++ b/Source/UnitTests/Site/takeover_wait_test.cc
@@ -10,12 +10,15 @@
 const WorkerName kUnreachable("w1");
 const WorkerName kReachable("w2");
 constexpr Milliseconds kLease{1000};
+// Several renewals fit into one lease.
+constexpr Milliseconds kReportWait{200};
 
 // Guards against a second run of a task that runs on a worker whose lease the
 // previous scheduler renewed until it ended.
 TEST_CASE("Unknown runs are waited for from the end of the predecessor on") {
   PoolLeaderFixture fixture;
   fixture.settings.longest_lease = kLease;
+  fixture.settings.report_wait = kReportWait;
   fixture.workers.Crash(kUnreachable);
   const AcceptedJob job = JobBuilder("j").Service(1, 1).Build();
   const TaskRef task{job.id, 0, 0, 0};
@@ -46,6 +49,7 @@
 TEST_CASE("A term that has ended issues no orders") {
   PoolLeaderFixture fixture;
   fixture.settings.longest_lease = kLease;
+  fixture.settings.report_wait = kReportWait;
   fixture.Lead(fixture.FirstTerm());
   const AcceptedJob job = JobBuilder("j").Service(1, 1).Build();
   const TaskRef task{job.id, 0, 0, 0};
