--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -145,6 +145,10 @@
   // is stored.
   enum class Placement { kPlaced, kNoRoom, kBlocked, kWaiting };
 
+  // kBesideTrial: a run on trial is more likely the cause of the crash.
+  // kAloneOnTrial: no other run may have caused it.
+  enum class Suspicion { kBesideTrial, kSuspected, kAloneOnTrial };
+
   using RunKey = std::pair<TaskRef, std::int64_t>;
 
   // A worker that crashed, and the runs that were counted for it.
@@ -292,7 +296,7 @@
                    std::set<RunKey> lost,
                    MonotonicTime now);
   // Returns false if the run does not count for its task.
-  bool CountCrash(const RunKey& run, bool is_alone_on_trial, MonotonicTime now);
+  bool CountCrash(const RunKey& run, Suspicion suspicion, MonotonicTime now);
   // Whether the worker confirmed the run shortly before `now`.
   bool WasSeenLately(const RunRecord& run, MonotonicTime now) const;
   int CountCrashes(const JobState& job, const TaskRef& task) const;
@@ -304,12 +308,18 @@
   void MarkCrashesUnsaved(const TaskRef& task, TaskState* state);
   // Notes that the end of the run is known.
   void CloseStart(const TaskRef& task, TaskState* state, std::int64_t run);
-  // Counts the stored starts of earlier schedulers of which neither the run nor
-  // its end was found.
+  // Settles the starts of which neither the run nor its end was found: they
+  // count as crashes once the process of their worker has ended.
   void SettleOpenStarts(MonotonicTime now);
+  void SettleOpenStart(const RunKey& run,
+                       const OpenStart& start,
+                       MonotonicTime now);
   // Records a start of a task with crashes for the next scheduler. Returns
   // whether the run may be started; trials are stored first.
-  bool IsStartStored(JobState* job, const TaskRef& task, std::int64_t run);
+  bool IsStartStored(JobState* job,
+                     const TaskRef& task,
+                     std::int64_t run,
+                     const OpenStart& start);
   bool NeedsTrial(const TaskRef& task) const;
   // How long a run on trial is kept apart from younger runs: after one more
   // crash than the first trial takes, until the run clears its task.
@@ -369,8 +379,6 @@
   WorkerName reserved_worker;
   // Tasks of open jobs with crashes.
   std::set<TaskRef> suspects;
-  // Jobs whose stored progress has starts without a known end.
-  std::set<JobId> jobs_with_open_starts;
   std::deque<Crash> crashes;
   // Number of workers in use for trials in this pass.
   int trials = 0;
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -2,6 +2,7 @@
 // up tasks that crash the workers that run them.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "Core/Jobs/objective.h"
@@ -48,8 +49,14 @@
     // Nothing starts on a worker that is being emptied, so a run that was
     // ordered later shows that the planned work was called off.
     const RunRecord* const run = this->FindRun(key.first, key.second);
-    return this->IsEndPlanned(*worker, now) &&
-           (run == nullptr || run->ordered_at <= *worker->planned_end_at);
+    if (!this->IsEndPlanned(*worker, now) ||
+        (run != nullptr && run->ordered_at > *worker->planned_end_at)) {
+      return false;
+    }
+    if (TaskState* const state = this->FindTask(key.first)) {
+      this->CloseStart(key.first, state, key.second);
+    }
+    return true;
   });
   if (lost.empty()) {
     return;
@@ -61,7 +68,6 @@
                !this->HasLasted(*run, this->TrialDuration(key.first), now);
       });
   const bool is_trial = tried != lost.end();
-  const std::set<RunKey> suspected = is_trial ? std::set<RunKey>{*tried} : lost;
   // Another run that has not cleared its task may crash its worker late.
   const bool is_proof =
       is_trial && std::all_of(lost.begin(), lost.end(), [&](const RunKey& key) {
@@ -73,8 +79,12 @@
   Crash crash;
   crash.time = now;
   crash.worker = worker->listing;
-  for (const RunKey& run : suspected) {
-    if (this->CountCrash(run, is_proof, now)) {
+  for (const RunKey& run : lost) {
+    const Suspicion suspicion = is_trial && run != *tried
+                                    ? Suspicion::kBesideTrial
+                                : is_proof ? Suspicion::kAloneOnTrial
+                                           : Suspicion::kSuspected;
+    if (this->CountCrash(run, suspicion, now)) {
       crash.counted.insert(run);
     }
   }
@@ -86,7 +96,7 @@
 }
 
 bool PoolScheduler::CountCrash(const RunKey& key,
-                               bool is_alone_on_trial,
+                               Suspicion suspicion,
                                MonotonicTime now) {
   const TaskRef& task = key.first;
   TaskState* const state = this->FindTask(task);
@@ -101,13 +111,12 @@
       !state->crashes.runs.insert(key.second).second) {
     return false;
   }
-  const bool is_certain = run != nullptr && this->WasSeenLately(*run, now);
+  const bool is_certain = suspicion != Suspicion::kBesideTrial &&
+                          run != nullptr && this->WasSeenLately(*run, now);
   if (!is_certain) {
     state->crashes.uncertain_runs.insert(key.second);
   }
-  if (state->crashes.open_start == key.second) {
-    state->crashes.open_start = 0;
-  }
+  state->crashes.open_starts.erase(key.second);
   this->suspects.insert(task);
   this->MarkCrashesUnsaved(task, state);
   const int count = this->CountCrashes(job, task);
@@ -117,7 +126,8 @@
   // The members of a gang run on several workers, so it has no trials.
   const int certain =
       count - static_cast<int>(state->crashes.uncertain_runs.size());
-  const bool is_proof = is_alone_on_trial && !this->SpecOf(job, task).is_gang &&
+  const bool is_proof = suspicion == Suspicion::kAloneOnTrial &&
+                        !this->SpecOf(job, task).is_gang &&
                         certain >= this->settings.crashes_before_failure;
   if (is_proof || count >= this->settings.uncertain_crashes_before_failure) {
     this->RecordDecision("task_given_up", task, key.second,
@@ -212,42 +222,69 @@
 void PoolScheduler::CloseStart(const TaskRef& task,
                                TaskState* state,
                                std::int64_t run) {
-  if (state->crashes.open_start != run || run == 0) {
-    return;
-  }
-  state->crashes.open_start = 0;
-  if (!IsFinal(this->jobs.at(task.job).status)) {
+  if (state->crashes.open_starts.erase(run) != 0 &&
+      !IsFinal(this->jobs.at(task.job).status)) {
     this->MarkCrashesUnsaved(task, state);
   }
 }
 
 void PoolScheduler::SettleOpenStarts(MonotonicTime now) {
-  if (this->jobs_with_open_starts.empty() || this->IsRecovering(now)) {
-    return;
-  }
   const std::set<TaskRef> tasks = this->suspects;
   for (const TaskRef& task : tasks) {
-    if (!this->jobs_with_open_starts.contains(task.job)) {
+    const TaskState* const state = this->FindTask(task);
+    if (state == nullptr || state->is_done ||
+        IsFinal(this->jobs.at(task.job).status)) {
       continue;
     }
-    const TaskState* const state = this->FindTask(task);
-    const std::int64_t run = state->crashes.open_start;
-    if (run != 0 && this->FindRun(task, run) == nullptr) {
-      this->CountCrash({task, run}, false, now);
+    const std::map<std::int64_t, OpenStart> starts = state->crashes.open_starts;
+    for (const std::pair<const std::int64_t, OpenStart>& start : starts) {
+      // Later runs have not been sent yet.
+      if (start.first <= state->last_run &&
+          this->FindRun(task, start.first) == nullptr) {
+        this->SettleOpenStart({task, start.first}, start.second, now);
+      }
     }
   }
-  this->jobs_with_open_starts.clear();
+}
+
+void PoolScheduler::SettleOpenStart(const RunKey& run,
+                                    const OpenStart& start,
+                                    MonotonicTime now) {
+  if (start.incarnation == 0) {
+    if (run.second >= this->first_run) {
+      this->CloseStart(run.first, this->FindTask(run.first), run.second);
+    } else if (!this->IsRecovering(now)) {
+      this->CountCrash(run, Suspicion::kSuspected, now);
+    }
+    return;
+  }
+  const std::map<WorkerName, WorkerState>::const_iterator found =
+      this->workers.find(start.worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  const WorkerState& worker = found->second;
+  if (worker.is_gone || worker.listing.incarnation != start.incarnation) {
+    this->CountCrash(run, Suspicion::kSuspected, now);
+  } else if (worker.has_reported && worker.missed_reports == 0) {
+    this->RecordDecision("start_not_found", run.first, run.second, start.worker,
+                         "its worker has not crashed");
+    this->CloseStart(run.first, this->FindTask(run.first), run.second);
+  }
 }
 
 bool PoolScheduler::IsStartStored(JobState* job,
                                   const TaskRef& task,
-                                  std::int64_t run) {
+                                  std::int64_t run,
+                                  const OpenStart& start) {
   TaskState* const state = this->FindTask(task);
   if (state->crashes.runs.empty()) {
     return true;
   }
-  if (state->crashes.open_start != run) {
-    state->crashes.open_start = run;
+  const std::map<std::int64_t, OpenStart>::const_iterator found =
+      state->crashes.open_starts.find(run);
+  if (found == state->crashes.open_starts.end() || found->second != start) {
+    state->crashes.open_starts[run] = start;
     this->MarkCrashesUnsaved(task, state);
   }
   // Most tasks with one crash were merely beside the cause, so they do not wait
@@ -349,16 +386,23 @@
     return;
   }
   const PlacedTask placed = this->DescribeTask(*job, task);
+  const TaskState* const state = this->FindTask(task);
+  const std::int64_t number = std::max(state->last_run + 1, this->first_run);
+  const std::map<std::int64_t, OpenStart>::const_iterator stored =
+      state->crashes.open_starts.find(number);
   WorkerState* best = nullptr;
-  std::pair<Milliseconds, std::size_t> best_cost;
+  std::tuple<Milliseconds, bool, std::size_t> best_cost;
   for (WorkerState* const worker : this->usable_workers) {
     if (worker->trial || !placed.reserved.FitsIn(worker->listing.capacity) ||
         !IsAllowedOn(*worker, placed)) {
       continue;
     }
-    // Of equal workers, the one that would lose the fewest runs in a crash.
-    const std::pair<Milliseconds, std::size_t> cost(
-        this->TrialDelay(*worker, task, now), worker->runs.size());
+    const bool is_stored = stored != state->crashes.open_starts.end() &&
+                           stored->second.worker == worker->listing.name;
+    // Of equal workers, the one for which the start is stored, then the one
+    // that would lose the fewest runs in a crash.
+    const std::tuple<Milliseconds, bool, std::size_t> cost(
+        this->TrialDelay(*worker, task, now), !is_stored, worker->runs.size());
     if (best == nullptr || cost < best_cost) {
       best = worker;
       best_cost = cost;
@@ -369,11 +413,11 @@
   }
   best->trial = task;
   ++this->trials;
-  const std::int64_t number =
-      std::max(this->FindTask(task)->last_run + 1, this->first_run);
+  const OpenStart start{best->listing.name, best->listing.incarnation};
   // The start is not stored while the trial waits: a later scheduler would take
   // it for one that crashed its worker.
-  if (best_cost.first.count() == 0 && this->IsStartStored(job, task, number)) {
+  if (std::get<Milliseconds>(best_cost).count() == 0 &&
+      this->IsStartStored(job, task, number, start)) {
     this->RecordDecision("trial_started", task, number, best->listing.name,
                          std::to_string(best->runs.size()) + " other runs");
     this->Start(job, task, best, number, now);
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -2,7 +2,6 @@
 // active runs and run ends.
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "Core/Jobs/objective.h"
@@ -113,7 +112,8 @@
   worker.needs_report = false;
   worker.is_gone = false;
   ++worker.report_count;
-  worker.delivered_acknowledgement = worker.sent_acknowledgement;
+  worker.delivered_acknowledgement =
+      std::max(worker.delivered_acknowledgement, worker.sent_acknowledgement);
   this->UpdateWorkerClock(&worker, report.worker_clock, now);
   for (const RunEnd& end : report.ended) {
     if (end.sequence > worker.last_received_end) {
@@ -173,12 +173,17 @@
     return;
   }
   std::set<RunKey> lost;
-  std::copy_if(worker.runs.begin(), worker.runs.end(),
-               std::inserter(lost, lost.end()),
-               [this, observed_from](const RunKey& key) {
-                 return this->IsAnsweredBefore(
-                     *this->FindRun(key.first, key.second), observed_from);
-               });
+  // Includes runs without an answer, which the process may have begun.
+  std::set<RunKey> suspected;
+  for (const RunKey& key : worker.runs) {
+    const RunRecord& run = *this->FindRun(key.first, key.second);
+    if (IsAnsweredBefore(run, observed_from)) {
+      lost.insert(key);
+    }
+    if (run.ordered_at < observed_from) {
+      suspected.insert(key);
+    }
+  }
   if (worker.is_gone && lost.empty()) {
     return;
   }
@@ -191,7 +196,7 @@
   } else if (end == WorkerEnd::kDown && !worker.listing.is_draining) {
     worker.planned_end_at.reset();
   }
-  this->HandleCrash(&worker, lost, now);
+  this->HandleCrash(&worker, worker.is_gone ? lost : suspected, now);
   for (const RunKey& run : lost) {
     this->RemoveRun(run.first, run.second, PreviousRun::kWorkerGone);
   }
@@ -482,6 +487,10 @@
 void PoolScheduler::DropMissingRuns(WorkerState* worker,
                                     MonotonicTime asked_at,
                                     MonotonicTime now) {
+  // A later scheduler may have received the ends from the earlier process.
+  if (!this->is_sole_leader && worker->has_restarted_unled) {
+    return;
+  }
   std::vector<std::pair<TaskRef, std::int64_t>> missing;
   std::set<std::pair<TaskRef, std::int64_t>> lost;
   for (const std::pair<TaskRef, std::int64_t>& key : worker->runs) {
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -613,6 +613,23 @@
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+// Guards against runs that end by an observation of the process before.
+TEST_CASE("An observation from before the last report ends no runs") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fixture.ConfirmStart(starts[0]);
+  fixture.AdvanceTime(Milliseconds(10));
+  const MonotonicTime observed_from = fixture.Now();
+  fixture.AdvanceTime(Milliseconds(10));
+  fixture.SendReport(starts[0].worker.str(), {ActiveRunOf(starts[0])});
+  fixture.scheduler.OnWorkerGone(starts[0].worker, observed_from,
+                                 fixture.Now());
+  CHECK(fixture.TakeStarts().empty());
+}
+
 // Guards against a second run while a start order is on its way to a worker
 // that restarts.
 TEST_CASE(
@@ -668,6 +685,82 @@
   CHECK(asks[0].acknowledged == 0);
 }
 
+// Guards against ends of a process whose start was not noticed that are
+// acknowledged unseen, with the numbers of the process before.
+TEST_CASE("An acknowledgement that was answered is not repeated") {
+  Fixture fixture({MakeListing("w1")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(2).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 2);
+  fixture.ConfirmStart(starts[0]);
+  fixture.ConfirmStart(starts[1]);
+  fixture.AdvanceTime(Milliseconds(100));
+  fixture.SendReport("w1", {ActiveRunOf(starts[1])}, {Done(1, starts[0])});
+  const std::vector<std::pair<JobId, JobProgress>> saved =
+      fixture.scheduler.TakeUnsaved(10, fixture.Now());
+  REQUIRE(saved.size() == 1);
+  fixture.scheduler.OnSaved({saved[0].first});
+  fixture.AdvanceTime(Milliseconds(100));
+  std::vector<AskReport> asks = OrdersOfType<AskReport>(fixture.Orders());
+  REQUIRE(asks.size() == 1);
+  CHECK(asks[0].acknowledged == 1);
+  fixture.SendReport("w1", {ActiveRunOf(starts[1])});
+  fixture.AdvanceTime(Milliseconds(100));
+  asks = OrdersOfType<AskReport>(fixture.Orders());
+  REQUIRE(asks.size() == 1);
+  CHECK(asks[0].acknowledged == 0);
+}
+
+// Guards against a run that a later scheduler has found: a replaced scheduler
+// started its task again when its own wait for unknown runs was over.
+TEST_CASE("The wait for unknown runs does not end without a valid lease") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")}, Milliseconds(1000));
+  fixture.SendReport("w1");
+  fixture.Add(JobBuilder("j").Step(1).Build(), true);
+  CHECK(fixture.TakeStarts().empty());
+  fixture.scheduler.SetSole(false);
+  SECTION("by time") {
+    fixture.AdvanceTime(Milliseconds(2000));
+  }
+  SECTION("by the end of the last worker") {
+    fixture.AdvanceTime(Milliseconds(10));
+    fixture.scheduler.OnWorkerGone(WorkerName("w2"), fixture.Now(),
+                                   fixture.Now());
+  }
+  fixture.SendReport("w1");
+  CHECK(fixture.TakeStarts().empty());
+  fixture.scheduler.SetSole(true);
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
+// Guards against a run whose end a later scheduler has acknowledged to the
+// process that the worker had before.
+TEST_CASE(
+    "A restarted worker keeps its runs while another scheduler may lead") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")});
+  fixture.SendAllReports();
+  fixture.Add(JobBuilder("j").Step(1).Build());
+  const std::vector<StartRun> starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fixture.ConfirmStart(starts[0]);
+  fixture.scheduler.SetSole(false);
+  fixture.AdvanceTime(Milliseconds(10));
+  RunReport restarted;
+  restarted.worker_clock = Milliseconds(1);
+  restarted.incarnation = 8;
+  const std::string other = starts[0].worker.str() == "w1" ? "w2" : "w1";
+  fixture.SendReport(other);
+  fixture.scheduler.OnReport(starts[0].worker, restarted, fixture.Now(),
+                             fixture.Now());
+  CHECK(fixture.TakeStarts().empty());
+  fixture.scheduler.SetSole(true);
+  fixture.AdvanceTime(Milliseconds(10));
+  fixture.scheduler.OnReport(starts[0].worker, restarted, fixture.Now(),
+                             fixture.Now());
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
 // Guards against a second run of a task whose start order was repeated by the
 // transport after the run had ended.
 TEST_CASE("A refused repetition of a start waits for the next report") {
