Jobs: a stored start on a worker of unknown process is no crash

Found in reading the merged code. A worker that a new scheduler knows by its stored name only has no start time, and a stored start there counted as a crash at once, though the worker may merely be cut off. It now counts once a later process or the end of the worker is known. The test failed before.

--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -264,7 +264,9 @@
     return;
   }
   const WorkerState& worker = found->second;
-  if (worker.is_gone || worker.listing.incarnation != start.incarnation) {
+  const bool is_later_process = worker.listing.incarnation != 0 &&
+                                worker.listing.incarnation != start.incarnation;
+  if (worker.is_gone || is_later_process) {
     this->CountCrash(run, Suspicion::kSuspected, now);
   } else if (worker.has_reported && worker.missed_reports == 0) {
     this->RecordDecision("start_not_found", run.first, run.second, start.worker,
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -685,6 +685,20 @@
   CHECK(asks[0].acknowledged == 0);
 }
 
+// Guards against crashes that are counted for a worker which is only cut off.
+TEST_CASE("A stored start on a worker of unknown process is no crash") {
+  Fixture fixture({MakeListing("w2")}, Milliseconds(1000));
+  fixture.scheduler.ExpectRunsOn({MakeListing("w1")}, fixture.Now());
+  JobProgress progress;
+  const TaskRef task{JobId("j"), 0, 0, 0};
+  progress.crashes[task].runs = {101};
+  progress.crashes[task].open_starts[102] = OpenStart{WorkerName("w1"), 7};
+  fixture.scheduler.AddJob(JobBuilder("j").Step(1).Build(), progress, true,
+                           fixture.Now());
+  fixture.Orders();
+  CHECK(fixture.scheduler.TakeUnsaved(10, fixture.Now()).empty());
+}
+
 // Guards against ends of a process whose start was not noticed that are
 // acknowledged unseen, with the numbers of the process before.
 TEST_CASE("An acknowledgement that was answered is not repeated") {
