--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -207,6 +207,11 @@
   this->changed.notify_all();
 }
 
+void Store::GoDownAfterNextWrite(Ms duration) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->armed = duration;
+}
+
 void Store::Remove(const std::string& key) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   ++this->revision;
@@ -252,10 +257,17 @@
     return std::nullopt;
   }
   Sleep(kStoreLatency);
+  const Json::Value body = Parse(request.body);
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->down_until && Clock::now() < *this->down_until) {
+      return Reply{503, "{}"};
+    }
+    this->down_until.reset();
+  }
   if (request.path == "/v1/kv-watch") {
     return this->Watch(request);
   }
-  const Json::Value body = Parse(request.body);
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->ExpireLeases();
   if (request.path == "/v1/kv-range") {
@@ -271,7 +283,17 @@
     return Reply{200, Text(row)};
   }
   if (request.path == "/v1/kv-txn") {
-    return this->Transaction(body);
+    const Reply reply = this->Transaction(body);
+    if (this->armed && reply.status == 200 && !body["SetKeys"].empty()) {
+      this->down_until = Clock::now() + *this->armed;
+      this->armed.reset();
+      this->changed.notify_all();
+      this->record->Line("the store has carried out a write of " +
+                         body["SetKeys"][0]["Key"].asString() +
+                         " and goes down without an answer");
+      return std::nullopt;
+    }
+    return reply;
   }
   if (request.path == "/v1/kv-lease") {
     const Ms duration(body["TtlMs"].asInt64());
@@ -392,7 +414,7 @@
     if (!reply["events"].empty() || Clock::now() >= until) {
       return Reply{200, Text(reply)};
     }
-    if (this->is_stopped) {
+    if (this->is_stopped || this->down_until) {
       return std::nullopt;
     }
     this->changed.wait_until(lock, until);
@@ -441,9 +463,14 @@
   Json::Value entry;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (!this->is_up) {
+    const Clock::time_point now = Clock::now();
+    if (!this->is_up || !this->reaches_store) {
+      if (now - this->registered_at > 3 * kHeartbeat) {
+        this->site->store.Remove("servers/" + this->name);
+      }
       return;
     }
+    this->registered_at = now;
     entry["Service"] = this->service;
     entry["Address"] = this->server->address();
     entry["Zone"] = this->zone;
@@ -604,27 +631,40 @@
   return Reply{status, Text(body)};
 }
 
+bool Worker::Hears(std::int64_t token) const {
+  return !this->silent && token >= this->lowest_token &&
+         token <= this->highest_token;
+}
+
+void Worker::SetReachableFor(std::int64_t lowest, std::int64_t highest) {
+  this->lowest_token = lowest;
+  this->highest_token = highest;
+}
+
+std::int64_t Worker::Fence() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->fence;
+}
+
 std::optional<Reply> Worker::Handle(const Request& request) {
-  if (this->silent) {
-    const std::int64_t boot = this->boots;
-    while (this->silent && boot == this->boots && !this->is_stopped) {
-      Sleep(Ms(20));
-    }
+  const Json::Value body = Parse(request.body);
+  const std::int64_t given = body["FencingToken"].asInt64();
+  if (!this->Hears(given)) {
+    // The caller waits for an answer until it gives up.
+    Await(Ms(3000), [&]() { return this->is_stopped; });
     return std::nullopt;
   }
   const auto expected = request.headers.find("x-expect-instance");
-  if (expected != request.headers.end() && expected->second != this->name) {
+  if (expected != request.headers.end() && expected->second != this->id()) {
     return Reply{421, "{}"};
   }
   if (request.path == "/health") {
     return Reply{200, "{}"};
   }
-  const Json::Value body = Parse(request.body);
   std::unique_lock<std::mutex> lock(this->mutex);
   if (!this->is_up) {
     return std::nullopt;
   }
-  const std::int64_t given = body["FencingToken"].asInt64();
   Json::Value refused;
   if (given < this->fence) {
     refused["Reason"] = "fence";
@@ -724,7 +764,7 @@
          !this->is_stopped) {
     this->changed.wait_until(*lock, until);
   }
-  if (boot != this->boots) {
+  if (boot != this->boots || !this->Hears(body["FencingToken"].asInt64())) {
     return std::nullopt;
   }
   Json::Value reply;
@@ -756,8 +796,6 @@
 
 Site::Site(const std::string& root, const std::string& folder, Record* record)
     : store(record), record(record), root(root), folder(folder) {
-  this->machines = std::make_unique<Server>(
-      [this](const Request& request) { return this->HandleMachines(request); });
   this->ticker = std::thread([this]() {
     Clock::time_point next = Clock::now();
     while (!this->is_stopped) {
@@ -822,8 +860,8 @@
       {"Ip", "127.0.0.1"},
       {"PortRange.0", std::to_string(FreePort())},
       {"platform.Address", instance.store->address()},
-      {"Cloud.Address", this->machines->address()},
-      {"Advice", this->machines->address()},
+      {"Cloud.Address", instance.machines->address()},
+      {"Advice", instance.machines->address()},
       {"Limits.CpuShare", "0.25"},
       {"Limits.Cores", "1"}};
   for (const auto& [name, value] : fields) {
@@ -842,6 +880,12 @@
       std::make_unique<Server>([this, raw](const Request& request) {
         return this->store.Handle(request, raw->store_mode);
       });
+  instance->machines =
+      std::make_unique<Server>([this, raw](const Request& request) {
+        return raw->store_mode == StoreMode::kSilent
+                   ? std::nullopt
+                   : this->HandleMachines(request);
+      });
   instance->settings = this->folder + "/" + name + ".toml";
   std::ofstream(instance->settings) << this->Settings(*instance);
   this->instances[name] = std::move(instance);
@@ -910,22 +954,31 @@
               body, 3500);
 }
 
+int Site::SubmitOnce(const std::string& instance,
+                     const std::string& prefix,
+                     const std::string& id,
+                     const std::string& key,
+                     const Json::Value& body,
+                     const JobFacts& facts) {
+  {
+    const std::lock_guard<std::mutex> lock(this->jobs_mutex);
+    this->jobs[id] = facts;
+  }
+  const Answer answer =
+      this->Ask(instance, "POST", prefix + id, key, Text(body));
+  this->record->Line("POST " + prefix + id + " at " + instance + " -> " +
+                     std::to_string(answer.status) + " " + answer.body);
+  return answer.status;
+}
+
 bool Site::Submit(const std::string& instance,
                   const std::string& prefix,
                   const std::string& id,
                   const std::string& key,
                   const Json::Value& body,
                   const JobFacts& facts) {
-  {
-    const std::lock_guard<std::mutex> lock(this->jobs_mutex);
-    this->jobs[id] = facts;
-  }
   return Await(Ms(5000), [&]() {
-    const Answer answer =
-        this->Ask(instance, "POST", prefix + id, key, Text(body));
-    this->record->Line("POST " + prefix + id + " at " + instance + " -> " +
-                       std::to_string(answer.status));
-    return answer.status == 200;
+    return this->SubmitOnce(instance, prefix, id, key, body, facts) == 200;
   });
 }
 
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -56,6 +57,9 @@
   // The value of the key, null if there is none.
   Json::Value Get(const std::string& key);
   void Stop();
+  // The store goes down when it has next carried out a write and not answered
+  // it yet: all channels are reset, and calls get 503 for `duration`.
+  void GoDownAfterNextWrite(Ms duration);
 
  private:
   struct Item {
@@ -92,6 +96,8 @@
   std::vector<Event> history;
   std::int64_t revision = 10;
   std::int64_t next_lease = 1;
+  std::optional<Ms> armed;
+  std::optional<Clock::time_point> down_until;
   bool is_stopped = false;
   std::thread expiry;
 };
@@ -108,6 +114,9 @@
 
 class Worker {
  public:
+  static constexpr std::int64_t kAnyToken =
+      std::numeric_limits<std::int64_t>::max();
+
   Worker(Site* site,
          const std::string& id,
          const std::string& pool,
@@ -126,6 +135,11 @@
   void Move(const std::string& pool);
   // While silent, calls get no answer and are not carried out; the runs go on.
   void SetSilent(bool is_silent) { this->silent = is_silent; }
+  // A cut of the network: only calls with a fencing token in this range arrive.
+  void SetReachableFor(std::int64_t lowest, std::int64_t highest);
+  // A cut between the worker and the store.
+  void SetReachesStore(bool reaches) { this->reaches_store = reaches; }
+  std::int64_t Fence();
   bool IsUp();
   bool Runs(const std::string& task);
   bool RunsJob(const std::string& job);
@@ -166,7 +180,13 @@
   std::mutex mutex;
   std::optional<Clock::time_point> joins_at;  // of a machine that moves
   std::condition_variable changed;
+  bool Hears(std::int64_t token) const;
+
   std::atomic<bool> silent = false;
+  std::atomic<bool> reaches_store = true;
+  std::atomic<std::int64_t> lowest_token = 0;
+  std::atomic<std::int64_t> highest_token = kAnyToken;
+  Clock::time_point registered_at;
   bool is_up = true;
   bool is_stopped = false;
   std::int64_t boots = 0;
@@ -189,7 +209,9 @@
   std::string settings;
   pid_t process = 0;
   std::atomic<StoreMode> store_mode = StoreMode::kServes;
-  std::unique_ptr<Server> store;  // the store's address for this instance
+  // The addresses of the store and of the list of machines for this instance.
+  std::unique_ptr<Server> store;
+  std::unique_ptr<Server> machines;
 };
 
 class Site {
@@ -217,6 +239,13 @@
              const std::string& path,
              const std::string& key,
              const std::string& body = "");
+  // Sends a job once and returns the status of the answer, 0 if there is none.
+  int SubmitOnce(const std::string& instance,
+                 const std::string& prefix,
+                 const std::string& id,
+                 const std::string& key,
+                 const Json::Value& body,
+                 const JobFacts& facts);
   // Sends a job until it is accepted, or not for 5 s.
   bool Submit(const std::string& instance,
               const std::string& prefix,
@@ -254,7 +283,6 @@
   std::mutex machines_mutex;
   std::mutex jobs_mutex;
   std::map<std::string, JobFacts> jobs;
-  std::unique_ptr<Server> machines;
   std::atomic<bool> is_stopped = false;
   std::thread ticker;
 };
