--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -641,6 +641,11 @@
   this->highest_token = highest;
 }
 
+void Worker::TurnGreyAtNextStart(Ms duration) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->grey_for = duration;
+}
+
 std::int64_t Worker::Fence() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->fence;
@@ -672,7 +677,22 @@
   }
   this->fence = given;
   if (request.path == "/v1/run-start") {
+    if (this->grey_until && Clock::now() < *this->grey_until) {
+      this->site->record->Line("worker " + this->name + " answers 503 to the " +
+                               "start of " + body["Task"].asString() + " " +
+                               body["Run"].asString());
+      return Reply{503, "{}"};
+    }
     const Reply reply = this->Start(body);
+    if (this->grey_for && reply.status == 200) {
+      this->grey_until = Clock::now() + *this->grey_for;
+      this->grey_for.reset();
+      this->site->record->Line("worker " + this->name +
+                               " has started it; its channel is reset");
+      lock.unlock();
+      this->site->on_start(body["Task"].asString(), *this);
+      return std::nullopt;
+    }
     lock.unlock();
     if (reply.status == 200 && this->site->on_start) {
       this->site->on_start(body["Task"].asString(), *this);
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -127,6 +127,7 @@
 
   std::string id();
   std::string pool();
+  const std::string& machine_name() const { return this->machine; }
   const std::string& zone_name() const { return this->zone; }
   // The process ends without a word; nothing answers until Boot().
   void Crash();
@@ -135,6 +136,9 @@
   void Move(const std::string& pool);
   // While silent, calls get no answer and are not carried out; the runs go on.
   void SetSilent(bool is_silent) { this->silent = is_silent; }
+  // The next order to start a run is carried out and its channel reset before
+  // the answer; then such orders get 503 for `duration`, and nothing is done.
+  void TurnGreyAtNextStart(Ms duration);
   // A cut of the network: only calls with a fencing token in this range arrive.
   void SetReachableFor(std::int64_t lowest, std::int64_t highest);
   // A cut between the worker and the store.
@@ -182,6 +186,8 @@
   std::condition_variable changed;
   bool Hears(std::int64_t token) const;
 
+  std::optional<Ms> grey_for;
+  std::optional<Clock::time_point> grey_until;
   std::atomic<bool> silent = false;
   std::atomic<bool> reaches_store = true;
   std::atomic<std::int64_t> lowest_token = 0;
