--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -428,7 +428,8 @@
                const std::string& pool,
                const std::string& zone,
                const std::string& rack,
-               std::int64_t cpu)
+               std::int64_t cpu,
+               const std::string& kind)
     : site(site),
       machine(id),
       name(id),
@@ -436,6 +437,7 @@
       zone(zone),
       rack(rack),
       capacity(cpu),
+      kind(kind),
       born(UnixMs()),
       born_at(Clock::now()) {
   this->server = std::make_unique<Server>(
@@ -481,7 +483,7 @@
     entry["Capacity"]["Cpu"] = Json::Int64(this->capacity);
     entry["Capacity"]["MemMb"] = 131072;
     entry["Capacity"]["Gpu"] = 0;
-    entry["Labels"].append("a");
+    entry["Labels"].append(this->kind);
     entry["Labels"].append(this->rack);
     entry["Seq"] = Json::Int64(++this->seq);
     entry["born"] = Json::Int64(this->born);
@@ -855,9 +857,10 @@
                      const std::string& pool,
                      const std::string& zone,
                      const std::string& rack,
-                     std::int64_t cpu) {
+                     std::int64_t cpu,
+                     const std::string& kind) {
   std::unique_ptr<Worker> worker =
-      std::make_unique<Worker>(this, id, pool, zone, rack, cpu);
+      std::make_unique<Worker>(this, id, pool, zone, rack, cpu, kind);
   const std::lock_guard<std::mutex> lock(this->workers_mutex);
   this->workers[id] = std::move(worker);
 }
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -122,7 +122,8 @@
          const std::string& pool,
          const std::string& zone,
          const std::string& rack,
-         std::int64_t cpu);
+         std::int64_t cpu,
+         const std::string& kind = "a");
   ~Worker();
 
   std::string id();
@@ -181,6 +182,7 @@
   const std::string zone;
   const std::string rack;
   const std::int64_t capacity;
+  const std::string kind;  // the first label
   std::mutex mutex;
   std::optional<Clock::time_point> joins_at;  // of a machine that moves
   std::condition_variable changed;
@@ -230,7 +232,8 @@
                  const std::string& pool,
                  const std::string& zone,
                  const std::string& rack,
-                 std::int64_t cpu);
+                 std::int64_t cpu,
+                 const std::string& kind = "a");
   void AddInstance(const std::string& name, const std::string& zone);
   void StartInstance(const std::string& name);
   void KillInstance(const std::string& name, int signal);
