--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -758,6 +758,10 @@
   run.team = facts.team;
   run.duration = facts.duration;
   const std::size_t nth = static_cast<std::size_t>(number);
+  if (facts.duration.count() == 0 && facts.first_run.count() > 0 && nth == 1) {
+    run.duration = facts.first_run;
+    run.end_as = facts.ends.front();
+  }
   if (facts.duration.count() > 0) {
     run.end_as =
         nth <= facts.ends.size() ? facts.ends[nth - 1] : std::string("done");
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -107,6 +107,7 @@
   std::string team;
   std::int64_t cpu = 0;
   Ms duration{0};                 // 0: it lasts
+  Ms first_run{0};                // of a task that lasts; 0: it lasts as well
   std::vector<std::string> ends;  // of the first runs of a task; then "done"
 };
 
