--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -790,7 +790,11 @@
          !this->is_stopped) {
     this->changed.wait_until(*lock, until);
   }
-  if (boot != this->boots || !this->Hears(body["FencingToken"].asInt64())) {
+  while (boot == this->boots && !this->is_stopped &&
+         !this->Hears(body["FencingToken"].asInt64())) {
+    this->changed.wait_for(*lock, Ms(20));
+  }
+  if (boot != this->boots || this->is_stopped) {
     return std::nullopt;
   }
   Json::Value reply;
