--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -428,8 +428,7 @@
                const std::string& pool,
                const std::string& zone,
                const std::string& rack,
-               std::int64_t cpu,
-               const std::string& kind)
+               std::int64_t cpu)
     : site(site),
       machine(id),
       name(id),
@@ -437,7 +436,6 @@
       zone(zone),
       rack(rack),
       capacity(cpu),
-      kind(kind),
       born(UnixMs()),
       born_at(Clock::now()) {
   this->server = std::make_unique<Server>(
@@ -483,7 +481,7 @@
     entry["Capacity"]["Cpu"] = Json::Int64(this->capacity);
     entry["Capacity"]["MemMb"] = 131072;
     entry["Capacity"]["Gpu"] = 0;
-    entry["Labels"].append(this->kind);
+    entry["Labels"].append("a");
     entry["Labels"].append(this->rack);
     entry["Seq"] = Json::Int64(++this->seq);
     entry["born"] = Json::Int64(this->born);
@@ -633,30 +631,15 @@
   return Reply{status, Text(body)};
 }
 
-bool Worker::Hears(std::int64_t token) const {
-  return !this->silent && token >= this->lowest_token &&
-         token <= this->highest_token;
-}
-
-void Worker::SetReachableFor(std::int64_t lowest, std::int64_t highest) {
-  this->lowest_token = lowest;
-  this->highest_token = highest;
-}
-
 void Worker::TurnGreyAtNextStart(Ms duration) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->grey_for = duration;
 }
 
-std::int64_t Worker::Fence() {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->fence;
-}
-
 std::optional<Reply> Worker::Handle(const Request& request) {
   const Json::Value body = Parse(request.body);
   const std::int64_t given = body["FencingToken"].asInt64();
-  if (!this->Hears(given)) {
+  if (this->silent) {
     // The caller waits for an answer until it gives up.
     Await(Ms(3000), [&]() { return this->is_stopped; });
     return std::nullopt;
@@ -758,10 +741,6 @@
   run.team = facts.team;
   run.duration = facts.duration;
   const std::size_t nth = static_cast<std::size_t>(number);
-  if (facts.duration.count() == 0 && facts.first_run.count() > 0 && nth == 1) {
-    run.duration = facts.first_run;
-    run.end_as = facts.ends.front();
-  }
   if (facts.duration.count() > 0) {
     run.end_as =
         nth <= facts.ends.size() ? facts.ends[nth - 1] : std::string("done");
@@ -790,8 +769,7 @@
          !this->is_stopped) {
     this->changed.wait_until(*lock, until);
   }
-  while (boot == this->boots && !this->is_stopped &&
-         !this->Hears(body["FencingToken"].asInt64())) {
+  while (boot == this->boots && !this->is_stopped && this->silent) {
     this->changed.wait_for(*lock, Ms(20));
   }
   if (boot != this->boots || this->is_stopped) {
@@ -865,10 +843,9 @@
                      const std::string& pool,
                      const std::string& zone,
                      const std::string& rack,
-                     std::int64_t cpu,
-                     const std::string& kind) {
+                     std::int64_t cpu) {
   std::unique_ptr<Worker> worker =
-      std::make_unique<Worker>(this, id, pool, zone, rack, cpu, kind);
+      std::make_unique<Worker>(this, id, pool, zone, rack, cpu);
   const std::lock_guard<std::mutex> lock(this->workers_mutex);
   this->workers[id] = std::move(worker);
 }
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -14,7 +14,6 @@
 #include <deque>
 #include <fstream>
 #include <functional>
-#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -107,7 +106,6 @@
   std::string team;
   std::int64_t cpu = 0;
   Ms duration{0};                 // 0: it lasts
-  Ms first_run{0};                // of a task that lasts; 0: it lasts as well
   std::vector<std::string> ends;  // of the first runs of a task; then "done"
 };
 
@@ -115,16 +113,12 @@
 
 class Worker {
  public:
-  static constexpr std::int64_t kAnyToken =
-      std::numeric_limits<std::int64_t>::max();
-
   Worker(Site* site,
          const std::string& id,
          const std::string& pool,
          const std::string& zone,
          const std::string& rack,
-         std::int64_t cpu,
-         const std::string& kind = "a");
+         std::int64_t cpu);
   ~Worker();
 
   std::string id();
@@ -141,11 +135,8 @@
   // The next order to start a run is carried out and its channel reset before
   // the answer; then such orders get 503 for `duration`, and nothing is done.
   void TurnGreyAtNextStart(Ms duration);
-  // A cut of the network: only calls with a fencing token in this range arrive.
-  void SetReachableFor(std::int64_t lowest, std::int64_t highest);
   // A cut between the worker and the store.
   void SetReachesStore(bool reaches) { this->reaches_store = reaches; }
-  std::int64_t Fence();
   bool IsUp();
   bool Runs(const std::string& task);
   bool RunsJob(const std::string& job);
@@ -183,18 +174,13 @@
   const std::string zone;
   const std::string rack;
   const std::int64_t capacity;
-  const std::string kind;  // the first label
   std::mutex mutex;
   std::optional<Clock::time_point> joins_at;  // of a machine that moves
   std::condition_variable changed;
-  bool Hears(std::int64_t token) const;
-
   std::optional<Ms> grey_for;
   std::optional<Clock::time_point> grey_until;
   std::atomic<bool> silent = false;
   std::atomic<bool> reaches_store = true;
-  std::atomic<std::int64_t> lowest_token = 0;
-  std::atomic<std::int64_t> highest_token = kAnyToken;
   Clock::time_point registered_at;
   bool is_up = true;
   bool is_stopped = false;
@@ -233,8 +219,7 @@
                  const std::string& pool,
                  const std::string& zone,
                  const std::string& rack,
-                 std::int64_t cpu,
-                 const std::string& kind = "a");
+                 std::int64_t cpu);
   void AddInstance(const std::string& name, const std::string& zone);
   void StartInstance(const std::string& name);
   void KillInstance(const std::string& name, int signal);
