--- a/Source/Core/Transport/http_client.cc
+++ b/Source/Core/Transport/http_client.cc
@@ -60,7 +60,14 @@
   HttpResponse response;
   curl_slist* header_list = nullptr;
   CURL* handle = nullptr;
+  bool was_sent = false;  // at least partly
 
+  // libcurl sends a request again by itself if a reused connection breaks
+  // before any part of the response arrived.
+  bool MayBeSent() const {
+    return !this->was_sent || this->request.is_idempotent ||
+           this->request.method == "GET" || this->request.method == "HEAD";
+  }
   bool HasSilenceLimit() const {
     return this->request.silence_timeout.count() > 0;
   }
@@ -161,27 +168,43 @@
 
 Error ToError(CURLcode code, const Exchange& exchange) {
   Errc errc = Errc::kProtocol;
-  // The transfer times do not show whether the request was sent: on a reused
-  // connection they may all be zero. Neither does the last error: libcurl
-  // retries on a new connection if a reused one breaks after the request was
-  // sent.
-  long sent_bytes = 0;
-  curl_easy_getinfo(exchange.handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  std::string detail = curl_easy_strerror(code);
   if (code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT) {
     errc = Errc::kUnavailable;
   } else if (code == CURLE_COULDNT_CONNECT ||
              code == CURLE_OPERATION_TIMEDOUT) {
-    errc = sent_bytes == 0 ? Errc::kUnavailable : Errc::kTimeout;
+    // The error may be that of a second sending.
+    errc = exchange.was_sent ? Errc::kTimeout : Errc::kUnavailable;
+  } else if (code == CURLE_ABORTED_BY_CALLBACK) {
+    detail = "the connection broke before a response arrived";
   }
   return Error{errc, "http." + exchange.request.method, exchange.request.url,
-               curl_easy_strerror(code)};
+               detail};
+}
+
+// Called when a connection is there, before each sending of the request.
+int OnSending(void* context,
+              char* /*peer_address*/,
+              char* /*local_address*/,
+              int /*peer_port*/,
+              int /*local_port*/) {
+  Exchange* exchange = static_cast<Exchange*>(context);
+  if (!exchange->MayBeSent()) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  exchange->was_sent = true;
+  return CURL_PREREQFUNC_OK;
 }
 
 // Makes closing a connection reset it, so that an abandoned request
-// does not reach its peer later, when a network partition ends.
-int OnSocketCreated(void* /*context*/,
+// does not reach its peer later, when a network partition ends. Does not let
+// libcurl connect for a second sending that would be prevented.
+int OnSocketCreated(void* context,
                     curl_socket_t socket,
                     curlsocktype /*purpose*/) {
+  if (!static_cast<const Exchange*>(context)->MayBeSent()) {
+    return CURL_SOCKOPT_ERROR;
+  }
   const linger reset_on_close{1, 0};
   return setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset_on_close,
                     sizeof(reset_on_close)) == 0
@@ -221,6 +244,9 @@
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, exchange);
+  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnSending);
+  curl_easy_setopt(handle, CURLOPT_PREREQDATA, exchange);
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &OnSocketClosing);
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, poller);
   curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
--- a/Source/Core/Transport/http_client.h
+++ b/Source/Core/Transport/http_client.h
@@ -33,15 +33,18 @@
   // requests wait for one of them to end, so that few connections are opened. A
   // request that waits longer than its timeout fails with kUnavailable.
   int max_in_progress = 0;
+  // Whether the request may be sent again on a new connection if a reused one
+  // breaks before any part of the response arrived. The response to the second
+  // sending must then be valid for both. GET and HEAD requests always may.
+  bool is_idempotent = false;
 };
 
 // Asynchronous HTTP/1.1 client based on libcurl, which runs on its own thread.
 //
 // Errors: kUnavailable means that no connection was made, so the request was
-// certainly not received; after any other error it may have been. libcurl may
-// repeat a request on a new connection if a reused one turns out to be closed
-// before any byte of the response arrived, so requests that must not be
-// processed twice need an identifier that the peer checks.
+// certainly not received; after any other error it may have been. Requests that
+// are not idempotent are sent at most once, so that a response tells what
+// became of the only sending.
 class HttpClient {
  public:
   using Callback = std::function<void(Result<HttpResponse>)>;
--- a/Source/Ctl/server_client.cc
+++ b/Source/Ctl/server_client.cc
@@ -58,8 +58,8 @@
   request.body = call.body;
   request.connect_timeout = std::min(kConnectTimeout, this->timeout);
   request.timeout = this->timeout + call.server_wait;
-  // libcurl may resend a request if a reused connection turns out to be closed.
-  // A write must not be sent twice.
+  // The server may close a reused connection while a write is on its way, which
+  // would leave the outcome unknown.
   request.fresh_connection = call.method != "GET";
   std::promise<Result<HttpResponse>> promise;
   std::future<Result<HttpResponse>> future = promise.get_future();
--- a/Source/UnitTests/Transport/broken_connection_test.cc
+++ b/Source/UnitTests/Transport/broken_connection_test.cc
@@ -8,6 +8,7 @@
 #include "Core/Transport/event_loop.h"
 #include "Core/Transport/http_client.h"
 #include "UnitTests/Transport/listening_socket.h"
+#include "UnitTests/Transport/resetting_server.h"
 
 namespace daisyroad {
 namespace {
@@ -71,5 +72,55 @@
   CHECK(second.error().code != Errc::kUnavailable);
 }
 
+// Sends the request on a new connection and, after the response, again on the
+// same one, which the server resets. Returns the second result.
+Result<HttpResponse> SendOnBreakingConnection(
+    const HttpClientRequest& request) {
+  EventLoop loop;
+  HttpClient client(
+      [&loop](std::function<void()> function) { loop.Post(function); });
+  Result<HttpResponse> second = Error{Errc::kInternal, "test", "", ""};
+  client.Send(request, [&](const Result<HttpResponse>& first) {
+    CHECK(first.ok());
+    client.Send(request, [&](const Result<HttpResponse>& response) {
+      second = response;
+      loop.Stop();
+    });
+  });
+  loop.RunFor(std::chrono::seconds(10));
+  return second;
+}
+
+// Guards against a response to a repetition that is taken for the answer to the
+// first sending, which may have taken effect (review/1).
+TEST_CASE("A request that is not idempotent is sent once") {
+  for (const std::string method : {"POST", "PUT", "DELETE"}) {
+    CAPTURE(method);
+    ResettingServer server(503, "{}");
+    HttpClientRequest request;
+    request.method = method;
+    request.url = server.url();
+    request.body = "x";
+    const Result<HttpResponse> response = SendOnBreakingConnection(request);
+    REQUIRE_FALSE(response.ok());
+    CHECK(response.error().code != Errc::kUnavailable);
+    CHECK(server.requests() == 2);
+  }
+}
+
+TEST_CASE("An idempotent request is sent again on a new connection") {
+  for (const std::string method : {"GET", "POST"}) {
+    CAPTURE(method);
+    ResettingServer server(200, "{}");
+    HttpClientRequest request;
+    request.method = method;
+    request.url = server.url();
+    request.is_idempotent = method == "POST";
+    const Result<HttpResponse> response = SendOnBreakingConnection(request);
+    CHECK(response.ok());
+    CHECK(server.requests() == 3);
+  }
+}
+
 }  // namespace
 }  // namespace daisyroad
--- a/Source/UnitTests/Transport/listening_socket.h
+++ b/Source/UnitTests/Transport/listening_socket.h
@@ -30,11 +30,15 @@
   ListeningSocket(const ListeningSocket&) = delete;
   ListeningSocket& operator=(const ListeningSocket&) = delete;
 
-  std::string url() const {
-    return "http://127.0.0.1:" + std::to_string(this->port) + "/";
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(this->port);
   }
-  // Waits for a connection and returns its descriptor.
+  std::string url() const { return "http://" + this->address() + "/"; }
+  // Waits for a connection and returns its descriptor, or a negative number
+  // after Shutdown().
   int Accept() const { return accept(this->listener, nullptr, nullptr); }
+  // Ends the waits for a connection.
+  void Shutdown() const { shutdown(this->listener, SHUT_RDWR); }
   void Close() {
     if (this->listener >= 0) {
       close(this->listener);
