--- a/Source/UnitTests/Izarra/platform_stand_in.h
+++ b/Source/UnitTests/Izarra/platform_stand_in.h
@@ -31,6 +31,7 @@
   PlatformStandIn& operator=(const PlatformStandIn&) = delete;
 
   std::string address() const;
+  std::uint16_t port() const { return this->server.port(); }
   // Writes and removes entries as operators and workers do.
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
