--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -24,6 +24,7 @@
 #include "Core/Jobs/run_report.h"
 #include "Core/Jobs/scheduler_settings.h"
 #include "Core/Jobs/start_outcome.h"
+#include "Core/Jobs/team_demand.h"
 #include "Core/Jobs/worker_end.h"
 #include "Core/Jobs/worker_listing.h"
 #include "Core/Jobs/worker_state.h"
@@ -129,13 +130,17 @@
   std::optional<JobStatus> StatusOf(const JobId& job) const;
   // Number of open jobs of the queue of which no task has started.
   int PendingJobs(const QueueName& queue) const;
-  // Resources used by the runs of each team, and resources requested by tasks
-  // that wait for the team's allotment.
+  // Resources used by the runs of each team, and what its tasks lack that wait
+  // for the team's allotment only.
   const std::map<TeamName, Resources>& usage() const { return this->used; }
-  const std::map<TeamName, Resources>& wanted() const { return this->unmet; }
+  const std::map<TeamName, TeamDemand>& demands() const { return this->unmet; }
   PoolLoad Load(MonotonicTime now, WallTime wall) const;
   bool IsFenced() const { return this->is_fenced; }
   bool IsRecovering(MonotonicTime now) const;
+  // Whether the pool certainly has no runs that this scheduler does not know.
+  bool AreRunsKnown(MonotonicTime now) const {
+    return this->is_sole_leader && !this->IsRecovering(now);
+  }
   // Returns one log line for each decision since the last call.
   std::vector<std::string> TakeDecisions();
 
@@ -372,7 +377,7 @@
   std::set<JobId> unconfirmed_jobs;
   std::map<WorkerName, WorkerState> workers;
   std::map<TeamName, Resources> used;
-  std::map<TeamName, Resources> unmet;
+  std::map<TeamName, TeamDemand> unmet;
   // Workers that may get runs in this pass.
   std::vector<WorkerState*> usable_workers;
   // Worker kept free in this pass for a task that fits on no worker yet.
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -388,8 +388,9 @@
   }
   const std::map<TeamName, Resources>::const_iterator use =
       this->used.find(team);
-  return (use == this->used.end() ? request : use->second + request)
-      .FitsIn(allotment->second);
+  return FitsBeside(request,
+                    use == this->used.end() ? Resources() : use->second,
+                    allotment->second);
 }
 
 PoolScheduler::Placement PoolScheduler::PlaceTask(JobState* job,
@@ -400,12 +401,19 @@
     return Placement::kBlocked;
   }
   if (!this->HasAllotment(job->job.team, step.request)) {
+    // An allotment that no worker has room for would be missing in other pools.
+    if (!this->NeedsTrial(task) &&
+        this->ChooseWorker(*job, task, RackName()) == nullptr) {
+      return Placement::kBlocked;
+    }
     // The remaining tasks of the step wait for the allotment as well.
     const StepState& state =
         job->occurrences.at(task.occurrence).steps[task.step];
+    TeamDemand& demand = this->unmet[job->job.team];
+    demand.requests.Add(step.request);
     for (int i = task.index; i < step.task_count; ++i) {
       if (this->IsPlaceable(state.tasks[i], step)) {
-        this->unmet[job->job.team] += step.request;
+        demand.total += step.request;
       }
     }
     return Placement::kBlocked;
@@ -443,7 +451,9 @@
     return Placement::kBlocked;
   }
   if (!this->HasAllotment(job->job.team, request)) {
-    this->unmet[job->job.team] += request;
+    TeamDemand& demand = this->unmet[job->job.team];
+    demand.requests.Add(request);
+    demand.total += request;
     return Placement::kBlocked;
   }
   bool is_stored = true;
--- a/Source/Core/Jobs/resources.h
+++ b/Source/Core/Jobs/resources.h
@@ -38,6 +38,18 @@
   }
 };
 
+// Whether `request` fits in `limit` beside `used`. A resource of which nothing
+// is requested does not count: its use may exceed a lowered limit.
+inline bool FitsBeside(const Resources& request,
+                       const Resources& used,
+                       const Resources& limit) {
+  const Resources sum = used + request;
+  return (request.cpu_millicores == 0 ||
+          sum.cpu_millicores <= limit.cpu_millicores) &&
+         (request.memory_mb == 0 || sum.memory_mb <= limit.memory_mb) &&
+         (request.accelerators == 0 || sum.accelerators <= limit.accelerators);
+}
+
 }  // namespace daisyroad
 
 #endif  // SOURCE_CORE_JOBS_RESOURCES_H_
--- a/Source/Core/Site/allotment_manager.cc
+++ b/Source/Core/Site/allotment_manager.cc
@@ -1,6 +1,9 @@
 #include "Core/Site/allotment_manager.h"
 
+#include <algorithm>
+
 #include "Core/Common/logging.h"
+#include "Core/Jobs/team_demand.h"
 #include "Core/Site/store_keys.h"
 
 namespace daisyroad {
@@ -8,8 +11,10 @@
 
 // How often unused allotments are released; other pools may wait for them.
 constexpr Milliseconds kReleaseInterval{400};
-// How often the record is read to learn what other pools hold.
+// How often the record is read to learn what other pools hold, also while a
+// pool waits for what they release.
 constexpr Milliseconds kReadInterval{1000};
+constexpr Milliseconds kWaitingReadInterval{300};
 // Minimum time between two writes of an instance to the record.
 constexpr Milliseconds kWritePause{40};
 // How often the allotments of a pool are compared with its usage.
@@ -21,10 +26,10 @@
          limit.accelerators < kUnlimited;
 }
 
-Resources FindOrZero(const std::map<TeamName, Resources>& table,
-                     const TeamName& team) {
-  const std::map<TeamName, Resources>::const_iterator found = table.find(team);
-  return found == table.end() ? Resources() : found->second;
+template <typename T>
+T FindOrDefault(const std::map<TeamName, T>& table, const TeamName& team) {
+  const typename std::map<TeamName, T>::const_iterator found = table.find(team);
+  return found == table.end() ? T() : found->second;
 }
 
 }  // namespace
@@ -41,7 +46,7 @@
 }
 
 void AllotmentManager::Read(MonotonicTime now) {
-  this->next_read = now + kReadInterval;
+  this->last_read = now;
   const std::weak_ptr<bool> alive = this->is_alive;
   this->store->Get(kLimitsKey, kCommitTimeout,
                    [this, alive](const Result<std::optional<StoreItem>>& item) {
@@ -78,11 +83,22 @@
   return allotments;
 }
 
+bool AllotmentManager::IsWaiting(const PoolName& pool) const {
+  return std::any_of(
+      this->limits.begin(), this->limits.end(),
+      [this, &pool](const std::pair<const TeamName, Resources>& team) {
+        return this->table.IsWaiting(team.first, pool);
+      });
+}
+
 void AllotmentManager::Report(const PoolName& pool,
                               const std::map<TeamName, Resources>& used,
-                              const std::map<TeamName, Resources>& wanted,
+                              const std::map<TeamName, TeamDemand>& demands,
+                              bool are_runs_known,
                               MonotonicTime now) {
-  if (now >= this->next_read && !this->limits.empty()) {
+  const Milliseconds read_interval =
+      this->IsWaiting(pool) ? kWaitingReadInterval : kReadInterval;
+  if (now >= this->last_read + read_interval && !this->limits.empty()) {
     this->Read(now);
   }
   MonotonicTime& next_compare = this->next_compare[pool];
@@ -92,16 +108,16 @@
   }
   next_compare = now + kCompareInterval;
   MonotonicTime& next_release = this->next_release[pool];
-  const bool may_release = now >= next_release;
+  const bool may_release = are_runs_known && now >= next_release;
   if (may_release) {
     next_release = now + kReleaseInterval;
   }
   AllotmentTable changed = this->table;
   bool is_changed = false;
   for (const std::pair<const TeamName, Resources>& team : this->limits) {
-    is_changed |= changed.Adjust(team.first, pool, team.second,
-                                 FindOrZero(used, team.first),
-                                 FindOrZero(wanted, team.first), may_release);
+    is_changed |= changed.Adjust(
+        team.first, pool, team.second, FindOrDefault(used, team.first),
+        FindOrDefault(demands, team.first), may_release);
   }
   if (!is_changed) {
     return;
@@ -122,7 +138,7 @@
         this->is_writing = false;
         if (!result.ok()) {
           // Read the record at once to learn whether the change was made.
-          this->next_read = MonotonicTime();
+          this->last_read = MonotonicTime();
           CLOG(WARNING, kLimitsLog)
               << "event=limits_not_written pool=" << pool << " error=\""
               << result.error().ToString() << "\"";
--- a/Source/Core/Site/allotment_manager.h
+++ b/Source/Core/Site/allotment_manager.h
@@ -15,6 +15,8 @@
 
 namespace daisyroad {
 
+struct TeamDemand;
+
 // Acquires and releases the team allotments of the pools that this instance
 // schedules.
 class AllotmentManager {
@@ -27,15 +29,19 @@
   // Returns the pool's allotment for each team that has an upper limit.
   std::map<TeamName, Resources> AllotmentsOf(const PoolName& pool) const;
   // Adjusts the allotments to what the runs of the pool use and what its
-  // waiting tasks need.
+  // waiting tasks need. Releases nothing unless `are_runs_known`: the pool may
+  // have runs that `used` leaves out.
   void Report(const PoolName& pool,
               const std::map<TeamName, Resources>& used,
-              const std::map<TeamName, Resources>& wanted,
+              const std::map<TeamName, TeamDemand>& demands,
+              bool are_runs_known,
               MonotonicTime now);
 
  private:
   void Read(MonotonicTime now);
   void Adopt(const std::string& value, std::int64_t revision);
+  // Whether the pool waits for a part of the limit of any team.
+  bool IsWaiting(const PoolName& pool) const;
 
   RevisionStore* store;
   std::map<TeamName, Resources> limits;
@@ -43,7 +49,7 @@
   std::int64_t revision = 0;
   bool is_loaded = false;
   bool is_writing = false;
-  MonotonicTime next_read;
+  MonotonicTime last_read;
   // When unused allotments of a pool may next be released.
   std::map<PoolName, MonotonicTime> next_release;
   std::map<PoolName, MonotonicTime> next_compare;
--- a/Source/Core/Site/pool_leader.cc
+++ b/Source/Core/Site/pool_leader.cc
@@ -123,7 +123,8 @@
   }
   const MonotonicTime sent_at = Now();
   this->context.allotments->Report(this->pool, this->scheduler.usage(),
-                                   this->scheduler.wanted(), now);
+                                   this->scheduler.demands(),
+                                   this->scheduler.AreRunsKnown(now), now);
   this->PersistWorkers(now);
   this->CheckMachines(now);
   this->Save(now);
--- a/Source/Core/Site/team_allotments.cc
+++ b/Source/Core/Site/team_allotments.cc
@@ -4,16 +4,20 @@
 #include <cstdint>
 
 #include "Core/Common/json.h"
+#include "Core/Jobs/team_demand.h"
 
 namespace daisyroad {
 namespace {
 
+// Prefix of the entries that list the pools that wait for a part of the limit.
+// Earlier versions take these for teams with empty allotments.
+constexpr char kWaitingPrefix[] = "waiting:";
 // A pool acquires more than it is missing, so that a burst does not cause one
 // write per task: this multiple of it, and at least this fraction of the limit.
 constexpr double kGrantFactor = 1.5;
 constexpr double kMinGrantFraction = 0.05;
-// An allotment above this multiple of what is needed is released while less
-// than this fraction of the limit is free for other pools.
+// While no other pool waits, an allotment above this multiple of what is needed
+// is released if less than this fraction of the limit is free.
 constexpr double kRetainFactor = 1.3;
 constexpr double kScarceFraction = 0.25;
 
@@ -21,34 +25,100 @@
   return static_cast<std::int64_t>(static_cast<double>(value) * factor);
 }
 
-// Adjusts one resource component; see AllotmentTable::Adjust.
-std::int64_t AdjustComponent(std::int64_t held,
-                             std::int64_t sum,
-                             std::int64_t limit,
-                             std::int64_t used,
-                             std::int64_t wanted,
-                             bool may_release) {
-  const std::int64_t needed = used + wanted;
-  if (needed > held) {
-    const std::int64_t free = std::max<std::int64_t>(0, limit - sum);
-    const std::int64_t missing = needed - held;
-    return held + std::min(free, std::max(Scale(missing, kGrantFactor),
-                                          Scale(limit, kMinGrantFraction)));
+// What the adjustment of an allotment depends on.
+struct Adjustment {
+  Resources limit;
+  Resources free;  // part of the limit that no pool holds
+  Resources needed;
+  int others_waiting = 0;
+};
+
+std::int64_t GrowComponent(std::int64_t held,
+                           std::int64_t limit,
+                           std::int64_t free,
+                           std::int64_t needed,
+                           int others_waiting) {
+  const std::int64_t missing = needed - held;
+  if (missing <= 0 || free <= 0) {
+    return held;
   }
-  const bool is_scarce = limit - sum < Scale(limit, kScarceFraction);
-  if (sum > limit ||
-      (may_release && is_scarce && Scale(needed, kRetainFactor) < held)) {
-    return std::max(used, std::min(held, Scale(needed, kRetainFactor)));
+  if (others_waiting > 0) {
+    return held + std::min(missing, free / (others_waiting + 1));
+  }
+  return held + std::min(free, std::max(Scale(missing, kGrantFactor),
+                                        Scale(limit, kMinGrantFraction)));
+}
+
+std::int64_t ReleaseComponent(std::int64_t held,
+                              std::int64_t limit,
+                              std::int64_t free,
+                              std::int64_t needed,
+                              int others_waiting) {
+  if (others_waiting > 0) {
+    return std::min(held, needed);
   }
-  return held;
+  return free < Scale(limit, kScarceFraction)
+             ? std::min(held, Scale(needed, kRetainFactor))
+             : held;
+}
+
+// Raises the allotment towards what is needed.
+Resources Grow(const Resources& held, const Adjustment& adjustment) {
+  const Resources& limit = adjustment.limit;
+  const Resources& free = adjustment.free;
+  const Resources& needed = adjustment.needed;
+  const int others = adjustment.others_waiting;
+  return Resources{
+      GrowComponent(held.cpu_millicores, limit.cpu_millicores,
+                    free.cpu_millicores, needed.cpu_millicores, others),
+      GrowComponent(held.memory_mb, limit.memory_mb, free.memory_mb,
+                    needed.memory_mb, others),
+      GrowComponent(held.accelerators, limit.accelerators, free.accelerators,
+                    needed.accelerators, others)};
 }
 
+// Lowers the allotment towards what is needed.
+Resources Release(const Resources& held, const Adjustment& adjustment) {
+  const Resources& limit = adjustment.limit;
+  const Resources& free = adjustment.free;
+  const Resources& needed = adjustment.needed;
+  const int others = adjustment.others_waiting;
+  return Resources{
+      ReleaseComponent(held.cpu_millicores, limit.cpu_millicores,
+                       free.cpu_millicores, needed.cpu_millicores, others),
+      ReleaseComponent(held.memory_mb, limit.memory_mb, free.memory_mb,
+                       needed.memory_mb, others),
+      ReleaseComponent(held.accelerators, limit.accelerators, free.accelerators,
+                       needed.accelerators, others)};
+}
+
+Resources Max(const Resources& left, const Resources& right) {
+  return Resources{std::max(left.cpu_millicores, right.cpu_millicores),
+                   std::max(left.memory_mb, right.memory_mb),
+                   std::max(left.accelerators, right.accelerators)};
+}
+
+// Nothing of a resource is usable while the pools hold more than the limit:
+// what they use may exceed it already.
 std::int64_t UsableComponent(std::int64_t held,
                              std::int64_t sum,
                              std::int64_t limit) {
-  return sum <= limit || sum == 0 ? held
-                                  : Scale(held, static_cast<double>(limit) /
-                                                    static_cast<double>(sum));
+  return sum <= limit ? held : 0;
+}
+
+std::int64_t WithoutExcess(std::int64_t held,
+                           std::int64_t sum,
+                           std::int64_t limit,
+                           std::int64_t used) {
+  return sum <= limit ? held : used;
+}
+
+Json::Value ToJson(const Resources& resources) {
+  Json::Value cell(Json::arrayValue);
+  cell.append(Json::Int64(resources.cpu_millicores));
+  cell.append(Json::Int64(resources.memory_mb));
+  cell.append(Json::Int64(resources.accelerators));
+  return cell;
 }
 
 }  // namespace
@@ -67,6 +137,13 @@
     if (!row.isObject()) {
       return malformed;
     }
+    if (team.starts_with(kWaitingPrefix)) {
+      for (const std::string& pool : row.getMemberNames()) {
+        table.waiting[TeamName(team.substr(sizeof(kWaitingPrefix) - 1))].insert(
+            PoolName(pool));
+      }
+      continue;
+    }
     for (const std::string& pool : row.getMemberNames()) {
       const Json::Value& cell = row[pool];
       if (!cell.isArray() || cell.size() != 3 || !cell[0].isInt64() ||
@@ -84,10 +161,14 @@
   Json::Value json(Json::objectValue);
   for (const std::pair<const TeamName, Row>& row : this->rows) {
     for (const std::pair<const PoolName, Resources>& cell : row.second) {
-      Json::Value& target = json[row.first.str()][cell.first.str()];
-      target.append(Json::Int64(cell.second.cpu_millicores));
-      target.append(Json::Int64(cell.second.memory_mb));
-      target.append(Json::Int64(cell.second.accelerators));
+      json[row.first.str()][cell.first.str()] = ToJson(cell.second);
+    }
+  }
+  for (const std::pair<const TeamName, std::set<PoolName>>& entry :
+       this->waiting) {
+    for (const PoolName& pool : entry.second) {
+      json[kWaitingPrefix + entry.first.str()][pool.str()] =
+          ToJson(Resources());
     }
   }
   return WriteJson(json);
@@ -120,26 +201,70 @@
       UsableComponent(held.accelerators, sum.accelerators, limit.accelerators)};
 }
 
+bool AllotmentTable::IsWaiting(const TeamName& team,
+                               const PoolName& pool) const {
+  const std::map<TeamName, std::set<PoolName>>::const_iterator found =
+      this->waiting.find(team);
+  return found != this->waiting.end() && found->second.contains(pool);
+}
+
+int AllotmentTable::CountOthersWaiting(const TeamName& team,
+                                       const PoolName& pool) const {
+  const std::map<TeamName, std::set<PoolName>>::const_iterator found =
+      this->waiting.find(team);
+  return found == this->waiting.end()
+             ? 0
+             : static_cast<int>(found->second.size() -
+                                found->second.count(pool));
+}
+
 bool AllotmentTable::Adjust(const TeamName& team,
                             const PoolName& pool,
                             const Resources& limit,
                             const Resources& used,
-                            const Resources& wanted,
+                            const TeamDemand& demand,
                             bool may_release) {
   const Resources sum = this->Sum(team);
+  const Resources free = Max(limit - sum, Resources());
   Resources& held = this->rows[team][pool];
-  const Resources adjusted{
-      AdjustComponent(held.cpu_millicores, sum.cpu_millicores,
-                      limit.cpu_millicores, used.cpu_millicores,
-                      wanted.cpu_millicores, may_release),
-      AdjustComponent(held.memory_mb, sum.memory_mb, limit.memory_mb,
-                      used.memory_mb, wanted.memory_mb, may_release),
-      AdjustComponent(held.accelerators, sum.accelerators, limit.accelerators,
-                      used.accelerators, wanted.accelerators, may_release)};
-  if (adjusted == held) {
+  const Resources before = held;
+  if (may_release) {
+    held = Resources{WithoutExcess(held.cpu_millicores, sum.cpu_millicores,
+                                   limit.cpu_millicores, used.cpu_millicores),
+                     WithoutExcess(held.memory_mb, sum.memory_mb,
+                                   limit.memory_mb, used.memory_mb),
+                     WithoutExcess(held.accelerators, sum.accelerators,
+                                   limit.accelerators, used.accelerators)};
+  }
+  const Adjustment adjustment{limit, free, used + demand.total,
+                              this->CountOthersWaiting(team, pool)};
+  const Resources grown = Grow(held, adjustment);
+  if (demand.requests.empty() || demand.requests.AnyWithin(held - used)) {
+    held = may_release ? Release(grown, adjustment) : grown;
+  } else if (demand.requests.AnyWithin(grown - used)) {
+    held = grown;
+  } else if (const std::optional<Resources> request =
+                 demand.requests.FindWithin(held + free - used)) {
+    held = Max(held, used + *request);
+  } else if (may_release) {
+    held = used;
+  }
+  const bool is_waiting =
+      demand.requests.AnyWithin(limit) && !demand.requests.AnyWithin(held - used);
+  return this->SetWaiting(team, pool, is_waiting) || held != before;
+}
+
+bool AllotmentTable::SetWaiting(const TeamName& team,
+                                const PoolName& pool,
+                                bool is_waiting) {
+  if (is_waiting == this->IsWaiting(team, pool)) {
     return false;
   }
-  held = adjusted;
+  if (is_waiting) {
+    this->waiting[team].insert(pool);
+  } else {
+    this->waiting[team].erase(pool);
+  }
   return true;
 }
 
--- a/Source/Core/Site/team_allotments.h
+++ b/Source/Core/Site/team_allotments.h
@@ -2,7 +2,7 @@
 #define SOURCE_CORE_SITE_TEAM_ALLOTMENTS_H_
 
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 
 #include "Core/Common/identifiers.h"
@@ -11,11 +11,16 @@
 
 namespace daisyroad {
 
+struct TeamDemand;
+
 // Divides the upper limits of the teams among the pools. The scheduler of a
 // pool starts tasks of a team only within the allotment of the pool, so that no
 // limit is exceeded even though schedulers do not communicate with each other.
 // Allotments belong to pools: a new scheduler takes over those of its
 // predecessor.
+//
+// A pool that lacks the allotment for each of its tasks is recorded as waiting;
+// the other pools then keep no more than they need.
 class AllotmentTable {
  public:
   using Row = std::map<PoolName, Resources>;
@@ -23,27 +28,35 @@
   static Result<AllotmentTable> Parse(const std::string& text);
   std::string Serialize() const;
 
-  // What the pool may use. Less than its allotment if the limit has been
-  // lowered since it was granted.
+  // What the pool may use for new runs: its allotment, or nothing of a resource
+  // of which the pools hold more than a lowered limit.
   Resources Usable(const TeamName& team,
                    const PoolName& pool,
                    const Resources& limit) const;
 
   // Adjusts the allotment of the pool so that it covers `used` and, as far as
-  // the limit allows, `wanted` in addition. Unused allotments are released only
-  // if `may_release` is set or the sum exceeds the limit. Returns whether the
-  // allotment changed.
+  // the limit allows, `demand` in addition. An allotment that lets the pool
+  // start none of its tasks is not kept, since other pools may be able to use
+  // it. Unused allotments are released only if `may_release` is set. Returns
+  // whether the table changed.
   bool Adjust(const TeamName& team,
               const PoolName& pool,
               const Resources& limit,
               const Resources& used,
-              const Resources& wanted,
+              const TeamDemand& demand,
               bool may_release);
 
+  // Whether the pool has tasks of the team, but lacks the allotment for any.
+  bool IsWaiting(const TeamName& team, const PoolName& pool) const;
+
  private:
   Resources Sum(const TeamName& team) const;
+  int CountOthersWaiting(const TeamName& team, const PoolName& pool) const;
+  // Returns whether the table changed.
+  bool SetWaiting(const TeamName& team, const PoolName& pool, bool is_waiting);
 
   std::map<TeamName, Row> rows;
+  std::map<TeamName, std::set<PoolName>> waiting;
 };
 
 }  // namespace daisyroad
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -815,7 +815,20 @@
       {{TeamName("team"), Resources{2000, 100000, 10}}});
   fixture.Add(JobBuilder("j").Step(4).Build());
   CHECK(fixture.TakeStarts().size() == 2);
-  CHECK(fixture.scheduler.wanted().at(TeamName("team")).cpu_millicores == 2000);
+  const TeamDemand& demand = fixture.scheduler.demands().at(TeamName("team"));
+  CHECK(demand.total.cpu_millicores == 2000);
+  CHECK(demand.requests.AnyWithin(Resources{1000, 100000, 10}));
+}
+
+// Guards against taking a part of the team's limit from pools that can use it.
+TEST_CASE("A full pool asks for no allotment") {
+  Fixture fixture({MakeListing("w1")});
+  fixture.SendAllReports();
+  fixture.scheduler.SetAllotments(
+      {{TeamName("team"), Resources{4000, 100000, 10}}});
+  fixture.Add(JobBuilder("j").Step(5).Build());
+  CHECK(fixture.TakeStarts().size() == 4);
+  CHECK_FALSE(fixture.scheduler.demands().contains(TeamName("team")));
 }
 
 // Guards against starting tasks on workers without a ticket from the advisor.
