--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -16,6 +16,7 @@
 #include "Core/Common/time.h"
 #include "Core/Jobs/job_progress.h"
 #include "Core/Jobs/job_state.h"
+#include "Core/Jobs/minimal_requests.h"
 #include "Core/Jobs/order.h"
 #include "Core/Jobs/placement_ticket.h"
 #include "Core/Jobs/pool_load.h"
@@ -262,8 +263,7 @@
   void CollectUsableWorkers(MonotonicTime now);
   // Number of tasks of the step that may be placed now.
   int CountPlaceableTasks(const Candidate& candidate) const;
-  // Returns false if a task of the step was not placed.
-  bool PlaceStep(const Candidate& candidate, MonotonicTime now);
+  void PlaceStep(const Candidate& candidate, MonotonicTime now);
   bool IsStepReady(const JobState& job,
                    const OccurrenceState& state,
                    int step) const;
@@ -278,9 +278,18 @@
   WorkerState* ChooseWorker(const JobState& job,
                             const TaskRef& task,
                             const RackName& rack);
+  // Like ChooseWorker on any rack. Records requests without room.
+  WorkerState* FindWorker(const JobState& job, const TaskRef& task);
+  // Whether some workers may not run the task, whatever their free capacity.
+  static bool IsRestricted(const PlacedTask& placed);
+  // Whether the free capacity allows the gang, without regard to other
+  // restrictions.
+  bool HasRoomForGang(const StepSpec& step) const;
   // Requests tickets for the step from the advisor if none are valid.
   bool HasTickets(JobState* job, const TaskRef& task, MonotonicTime now);
   bool HasAllotment(const TeamName& team, const Resources& request) const;
+  // Records a task that only lacks the allotment of its team.
+  void AddDemand(const TeamName& team, const Resources& request);
   // Whether more start orders may be sent before others are answered.
   bool MaySendStarts() const {
     return this->unanswered_starts < this->settings.max_unanswered_starts;
@@ -382,6 +391,10 @@
   std::vector<WorkerState*> usable_workers;
   // Worker kept free in this pass for a task that fits on no worker yet.
   WorkerName reserved_worker;
+  // Requests for which no worker has room in this pass.
+  MinimalRequests unplaceable;
+  // Steps without room for which this pass has requested tickets.
+  int advised_ahead = 0;
   // Tasks of open jobs with crashes.
   std::set<TaskRef> suspects;
   std::deque<Crash> crashes;
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -383,8 +383,11 @@
                                const TaskRef& task,
                                MonotonicTime now) {
   const StepSpec& step = this->SpecOf(*job, task);
-  if (!this->HasTickets(job, task, now) ||
-      !this->HasAllotment(job->job.team, step.request)) {
+  if (!this->HasTickets(job, task, now)) {
+    return;
+  }
+  if (!this->HasAllotment(job->job.team, step.request)) {
+    this->AddDemand(job->job.team, step.request);
     return;
   }
   const PlacedTask placed = this->DescribeTask(*job, task);
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -14,10 +14,6 @@
 constexpr int kInTimeTier = 1;   // jobs that can still meet their objective
 constexpr int kLateTier = 2;
 
-// A pass stops placing tasks after this many consecutive candidates that were
-// not placed: the pool is full, and the remaining ones come later in the order.
-constexpr int kMaxConsecutiveUnplaced = 24;
-
 // Weights of the placement cost. 1.0 is the cost of an empty worker.
 constexpr double kRemoteRackCost = 4.0;
 constexpr double kInterferenceCost = 2.0;
@@ -27,6 +23,9 @@
 constexpr double kSuspectNeighborCost = 8.0;
 constexpr double kCrashLossCost = 2.0;
 
+// Steps without room for which a pass requests tickets, so that they have some
+// when there is room.
+constexpr int kMaxAdvisedAhead = 24;
 // The advisor accepts at most this many workers in one request.
 constexpr std::size_t kMaxWorkersPerAdvice = 100;
 // Delay before the advisor is asked again for the same step.
@@ -44,6 +43,8 @@
 
 void PoolScheduler::PlaceTasks(MonotonicTime now, WallTime wall) {
   this->unmet.clear();
+  this->unplaceable.Clear();
+  this->advised_ahead = 0;
   this->reserved_worker = WorkerName();
   this->waiting_millicores = 0;
   std::vector<Candidate> candidates;
@@ -56,15 +57,13 @@
                std::tie(right.tier, right.priority, right.job->remaining_work,
                         right.job->job.id, right.occurrence, right.step);
       });
-  if (now >= this->no_starts_before) {
+  const bool may_start = now >= this->no_starts_before;
+  if (may_start) {
     this->PlaceTrials(candidates, now);
   }
-  int consecutive_unplaced =
-      now < this->no_starts_before ? kMaxConsecutiveUnplaced : 0;
   for (const Candidate& candidate : candidates) {
-    if (consecutive_unplaced < kMaxConsecutiveUnplaced) {
-      consecutive_unplaced =
-          this->PlaceStep(candidate, now) ? 0 : consecutive_unplaced + 1;
+    if (may_start && this->MaySendStarts()) {
+      this->PlaceStep(candidate, now);
     }
     const StepSpec& step = candidate.job->job.spec.steps[candidate.step];
     this->waiting_millicores +=
@@ -163,10 +162,17 @@
                                         }));
 }
 
-bool PoolScheduler::PlaceStep(const Candidate& candidate, MonotonicTime now) {
+void PoolScheduler::PlaceStep(const Candidate& candidate, MonotonicTime now) {
   JobState* const job = candidate.job;
   const StepSpec& step = job->job.spec.steps[candidate.step];
   TaskRef task{job->job.id, candidate.occurrence, candidate.step, 0};
+  if (this->unplaceable.AnyWithin(ReservedBy(step))) {
+    if (this->PolicyOf(*job).advice &&
+        this->advised_ahead++ < kMaxAdvisedAhead) {
+      this->HasTickets(job, task, now);
+    }
+    return;
+  }
   Placement placement = Placement::kPlaced;
   if (step.is_gang) {
     placement = this->PlaceGang(job, task, now);
@@ -187,7 +193,6 @@
     task.index = 0;
     this->ReserveWorker(*job, task);
   }
-  return placement == Placement::kPlaced || placement == Placement::kWaiting;
 }
 
 bool PoolScheduler::IsPlaceable(const TaskState& task,
@@ -330,6 +335,35 @@
   return best;
 }
 
+WorkerState* PoolScheduler::FindWorker(const JobState& job,
+                                       const TaskRef& task) {
+  WorkerState* const worker = this->ChooseWorker(job, task, RackName());
+  if (worker == nullptr) {
+    const PlacedTask placed = this->DescribeTask(job, task);
+    if (!IsRestricted(placed)) {
+      this->unplaceable.Add(placed.reserved);
+    }
+  }
+  return worker;
+}
+
+bool PoolScheduler::IsRestricted(const PlacedTask& placed) {
+  return placed.needs_ticket || !placed.step.required_label.empty() ||
+         placed.step.max_per_worker > 0 || !placed.state.crashes.runs.empty();
+}
+
+bool PoolScheduler::HasRoomForGang(const StepSpec& step) const {
+  const Resources reserved = ReservedBy(step);
+  std::int64_t members = 0;
+  for (const WorkerState* const worker : this->usable_workers) {
+    Resources room = worker->listing.capacity - worker->used;
+    for (; reserved.FitsIn(room) && members < step.task_count; ++members) {
+      room -= reserved;
+    }
+  }
+  return members >= step.task_count;
+}
+
 bool PoolScheduler::HasTickets(JobState* job,
                                const TaskRef& task,
                                MonotonicTime now) {
@@ -393,6 +427,12 @@
                     allotment->second);
 }
 
+void PoolScheduler::AddDemand(const TeamName& team, const Resources& request) {
+  TeamDemand& demand = this->unmet[team];
+  demand.requests.Add(request);
+  demand.total += request;
+}
+
 PoolScheduler::Placement PoolScheduler::PlaceTask(JobState* job,
                                                   const TaskRef& task,
                                                   MonotonicTime now) {
@@ -400,30 +440,27 @@
   if (!this->MaySendStarts() || !this->HasTickets(job, task, now)) {
     return Placement::kBlocked;
   }
+  if (this->NeedsTrial(task)) {
+    return Placement::kWaiting;
+  }
   if (!this->HasAllotment(job->job.team, step.request)) {
     // An allotment that no worker has room for would be missing in other pools.
-    if (!this->NeedsTrial(task) &&
-        this->ChooseWorker(*job, task, RackName()) == nullptr) {
+    if (this->FindWorker(*job, task) == nullptr) {
       return Placement::kBlocked;
     }
     // The remaining tasks of the step wait for the allotment as well.
     const StepState& state =
         job->occurrences.at(task.occurrence).steps[task.step];
-    TeamDemand& demand = this->unmet[job->job.team];
-    demand.requests.Add(step.request);
     for (int i = task.index; i < step.task_count; ++i) {
       if (this->IsPlaceable(state.tasks[i], step)) {
-        demand.total += step.request;
+        this->AddDemand(job->job.team, step.request);
       }
     }
     return Placement::kBlocked;
   }
   const std::int64_t number =
       std::max(this->FindTask(task)->last_run + 1, this->first_run);
-  if (this->NeedsTrial(task)) {
-    return Placement::kWaiting;
-  }
-  WorkerState* const worker = this->ChooseWorker(*job, task, RackName());
+  WorkerState* const worker = this->FindWorker(*job, task);
   if (worker == nullptr) {
     return Placement::kNoRoom;
   }
@@ -450,10 +487,11 @@
   if (!this->MaySendStarts() || !this->HasTickets(job, task, now)) {
     return Placement::kBlocked;
   }
+  if (!this->HasRoomForGang(step)) {
+    return Placement::kNoRoom;
+  }
   if (!this->HasAllotment(job->job.team, request)) {
-    TeamDemand& demand = this->unmet[job->job.team];
-    demand.requests.Add(request);
-    demand.total += request;
+    this->AddDemand(job->job.team, request);
     return Placement::kBlocked;
   }
   bool is_stored = true;
