Tests: no job runs whose tries were all refused, over random faults of the store

The users saw 57 and 52 jobs run after all of their tries were turned away (REFUSED), with real processes on machines of their own.

--- a/Source/UnitTests/Izarra/refused_job_program_test.cc
+++ b/Source/UnitTests/Izarra/refused_job_program_test.cc
@@ -1,12 +1,18 @@
 // The program with faults on its link to the store while it takes jobs.
+//
+// DAISYROAD_FIRST_SEED (1) and DAISYROAD_SEEDS (1) select the random sequences.
 
 #include <catch2/catch.hpp>
 #include <cstdint>
+#include <cstdlib>
 #include <deque>
+#include <iterator>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include "Core/Common/random.h"
 #include "UnitTests/Izarra/deployment.h"
 #include "UnitTests/Izarra/faulty_link.h"
 
@@ -16,8 +22,22 @@
 constexpr Milliseconds kStartTimeout{15000};
 // Long enough for late writes and the starts that follow.
 constexpr Milliseconds kSettleTime{4000};
+constexpr int kCallers = 8;
+constexpr int kJobsPerCaller = 12;
+constexpr int kMaxFaults = 4;
+constexpr int kMaxTries = 2;
+constexpr LinkFault kFaults[] = {LinkFault::kRefuse, LinkFault::kReset,
+                                 LinkFault::kResetDelivered, LinkFault::kSilent,
+                                 LinkFault::kLate};
+
+std::uint64_t NumberFromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* const text = std::getenv(name);
+  return text == nullptr ? fallback : std::stoull(text);
+}
+
+// A response that promises that the job never runs.
 bool IsRefusal(int status) {
-  return status == 429 || status == 503;
+  return status == 401 || status == 404 || status == 429 || status == 503;
 }
 
 std::string JobName(std::uint64_t number) {
@@ -99,5 +119,54 @@
   CHECK_FALSE(deployment.HasStarted(submission));
 }
 
+// Sends jobs from several callers, with random faults. Returns what became of
+// each.
+std::vector<Submission> SubmitWithFaults(FaultyDeployment* deployment,
+                                         std::uint64_t seed) {
+  std::vector<Submission> submissions(kCallers * kJobsPerCaller);
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([deployment, &submissions, caller, seed]() {
+      Random random(seed * kCallers + static_cast<std::uint64_t>(caller));
+      for (int i = 0; i < kJobsPerCaller; ++i) {
+        const int number = caller * kJobsPerCaller + i;
+        std::deque<LinkFault> faults;
+        const std::uint64_t count = 1 + random.Below(kMaxFaults);
+        while (faults.size() < count) {
+          faults.push_back(kFaults[random.Below(std::size(kFaults))]);
+        }
+        submissions[number] = deployment->Submit(
+            JobName(static_cast<std::uint64_t>(number)), faults, kMaxTries);
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  return submissions;
+}
+
+// Guards against the same for other sequences of faults, with callers that try
+// again.
+TEST_CASE("No job starts whose tries were all refused", "[sequences]") {
+  const std::uint64_t first = NumberFromEnvironment("DAISYROAD_FIRST_SEED", 1);
+  const std::uint64_t seeds = NumberFromEnvironment("DAISYROAD_SEEDS", 1);
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    CAPTURE(seed);
+    FaultyDeployment deployment;
+    const std::vector<Submission> submissions =
+        SubmitWithFaults(&deployment, seed);
+    std::this_thread::sleep_for(kSettleTime);
+    int refused = 0;
+    for (const Submission& submission : submissions) {
+      CAPTURE(submission.job, submission.story);
+      refused += submission.is_refused;
+      const bool has_started = deployment.HasStarted(submission);
+      CHECK_FALSE((submission.is_refused && has_started));
+    }
+    CHECK(refused > 0);
+  }
+}
+
 }  // namespace
 }  // namespace daisyroad::platform
