--- a/Source/Core/Site/team_allotments.cc
+++ b/Source/Core/Site/team_allotments.cc
@@ -249,8 +249,8 @@
   } else if (may_release) {
     held = used;
   }
-  const bool is_waiting =
-      demand.requests.AnyWithin(limit) && !demand.requests.AnyWithin(held - used);
+  const bool is_waiting = demand.requests.AnyWithin(limit) &&
+                          !demand.requests.AnyWithin(held - used);
   return this->SetWaiting(team, pool, is_waiting) || held != before;
 }
 
