Site: workers that are listed again after a lost answer get runs

Cause: a scheduler stores its workers before it uses them and skips the write if the record is as it last stored it. While the store is away or loses an answer, entries of workers expire, the record without them is written with an unknown outcome, and the workers are listed again. The new record then equals the one known as stored, so it was not written, and the workers, whose mark as stored was lost with their entry, got no run again.

Evidence: two cases of worker_record, one with a lost answer, one with a silent store: before the change the task never ran (0 == 1).

Change: from the beginning of a write on, what is stored counts as unknown. Both cases pass.

--- a/Source/Core/Site/pool_leader_state.h
+++ b/Source/Core/Site/pool_leader_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -89,8 +90,8 @@
   std::unique_ptr<PrefixMirror> inbox;
   std::map<WorkerName, WorkerListing> listing;
   std::map<WorkerName, WorkerListing> known_workers;
-  // Worker record as last stored, and its revision.
-  std::string persisted_value;
+  // Worker record as last stored, if known, and its revision.
+  std::optional<std::string> persisted_value;
   std::int64_t persisted_revision = 0;
   bool is_persisting_workers = false;
   MonotonicTime next_persist;
--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -120,6 +120,8 @@
                           {key, this->persisted_revision}};
   transaction.writes.push_back({key, value, 0});
   this->is_persisting_workers = true;
+  // Unknown until the answer arrives, which may be lost.
+  this->persisted_value.reset();
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.store->Commit(
       transaction, kSaveTimeout,
