Jobs: a new scheduler waits only for workers that earlier ones stored

Cause: a new scheduler holds all jobs that it finds until each worker that it knows has reported, has ended or the leases of earlier schedulers are over. That included workers that only its own list of workers has, which may be as old as the last term of its instance, and each worker that was listed during the wait. None of them can have runs of an earlier scheduler, which stores a worker before it uses it, under the fence of its term.

The new test failed before (0 == 1 starts).

Change: only workers of the stored record are waited for.

Test changed: "The wait for unknown runs does not end without a valid lease" now says that its two workers were stored, which it took for granted; its checks are the same. `jobs`, `takeover_wait` and `takeover_schedule` pass.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -257,8 +257,7 @@
   }
   return std::any_of(this->workers.begin(), this->workers.end(),
                      [](const std::pair<const WorkerName, WorkerState>& entry) {
-                       return !entry.second.has_reported &&
-                              !entry.second.is_gone;
+                       return entry.second.AreRunsUnknown();
                      });
 }
 
@@ -547,11 +546,11 @@
     return;
   }
   this->was_recovering = is_recovering;
-  const std::ptrdiff_t silent = std::count_if(
-      this->workers.begin(), this->workers.end(),
-      [](const std::pair<const WorkerName, WorkerState>& entry) {
-        return !entry.second.has_reported && !entry.second.is_gone;
-      });
+  const std::ptrdiff_t silent =
+      std::count_if(this->workers.begin(), this->workers.end(),
+                    [](const std::pair<const WorkerName, WorkerState>& entry) {
+                      return entry.second.AreRunsUnknown();
+                    });
   this->RecordDecision(is_recovering ? "recovery_begun" : "recovery_over",
                        TaskRef(), 0, WorkerName(),
                        std::to_string(silent) + " workers have not reported");
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -67,8 +67,8 @@
   void SetVacating(const std::set<WorkerName>& workers,
                    const std::set<WorkerName>& due);
 
-  // Adds workers that may have runs of an earlier scheduler, whether they are
-  // listed now or not.
+  // Adds the workers that earlier schedulers stored, whether they are listed
+  // now or not. No others can have runs of an earlier scheduler.
   void ExpectRunsOn(const std::vector<WorkerListing>& workers,
                     MonotonicTime now);
   // Workers that the next scheduler must ask for their runs.
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -47,12 +47,13 @@
 void PoolScheduler::ExpectRunsOn(const std::vector<WorkerListing>& workers,
                                  MonotonicTime now) {
   for (const WorkerListing& listing : workers) {
-    if (this->workers.contains(listing.name)) {
-      continue;
-    }
+    const bool is_known = this->workers.contains(listing.name);
     WorkerState& worker = this->workers[listing.name];
-    worker.listing = listing;
-    worker.next_report = now;
+    worker.may_have_unknown_runs = true;
+    if (!is_known) {
+      worker.listing = listing;
+      worker.next_report = now;
+    }
   }
 }
 
@@ -254,8 +255,8 @@
   std::vector<WorkerName> silent;
   for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
     const WorkerState& worker = entry.second;
-    const bool may_run_unknown = !worker.has_reported && !worker.is_gone &&
-                                 now < this->unknown_runs_over_at;
+    const bool may_run_unknown =
+        worker.AreRunsUnknown() && now < this->unknown_runs_over_at;
     if (worker.missed_reports > 0 &&
         (may_run_unknown || !worker.runs.empty())) {
       silent.push_back(entry.first);
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -119,7 +119,7 @@
       [may_run_unknown](const std::pair<const WorkerName, WorkerState>& entry) {
         const WorkerState& worker = entry.second;
         return !worker.is_listed && worker.runs.empty() &&
-               (worker.has_reported || worker.is_gone || !may_run_unknown);
+               !(worker.AreRunsUnknown() && may_run_unknown);
       });
 }
 
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -31,6 +31,8 @@
   // The worker is recorded in the store, so the next scheduler asks it for its
   // runs.
   bool is_remembered = false;
+  // An earlier scheduler stored the worker, so it may have runs of that one.
+  bool may_have_unknown_runs = false;
   // The worker has reported to this scheduler since it last restarted. It
   // therefore rejects orders from earlier schedulers, and all its runs are
   // known.
@@ -105,6 +107,10 @@
   MonotonicTime no_starts_before;
 
   bool IsReachable() const { return this->missed_reports < 2; }
+  // Whether its runs of earlier schedulers, if any, are not known.
+  bool AreRunsUnknown() const {
+    return this->may_have_unknown_runs && !this->has_reported && !this->is_gone;
+  }
 };
 
 }  // namespace daisyroad
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -306,6 +306,17 @@
   CHECK(starts[0].task.job == JobId("old"));
 }
 
+// Guards against tasks that last wait for workers that no earlier scheduler has
+// used (LOST after outages of the store).
+TEST_CASE("A new scheduler does not wait for workers that were not stored") {
+  Fixture fixture({MakeListing("w1"), MakeListing("w2")}, Milliseconds(6300));
+  fixture.scheduler.ExpectRunsOn({MakeListing("w1")}, fixture.Now());
+  fixture.Add(JobBuilder("old").Step(1).Build(), true);
+  CHECK(fixture.TakeStarts().empty());
+  fixture.SendReport("w1");
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
 // Guards against losing runs at a change of the scheduler.
 TEST_CASE("A new scheduler adopts the runs that workers report") {
   Fixture fixture({MakeListing("w1")}, Milliseconds(6300));
@@ -730,6 +741,8 @@
 // started its task again when its own wait for unknown runs was over.
 TEST_CASE("The wait for unknown runs does not end without a valid lease") {
   Fixture fixture({MakeListing("w1"), MakeListing("w2")}, Milliseconds(1000));
+  fixture.scheduler.ExpectRunsOn({MakeListing("w1"), MakeListing("w2")},
+                                 fixture.Now());
   fixture.SendReport("w1");
   fixture.Add(JobBuilder("j").Step(1).Build(), true);
   CHECK(fixture.TakeStarts().empty());
