Site: a new scheduler learns that a worker without a machine has ended

Cause: a worker that ended is noticed in the list of machines, if its machine is known. A worker may be stored without it, when the store goes away before the first list of machines, and a list that no longer shows the worker can't tell where it was. It was passed over without a log line, and the next scheduler waited for it until all leases were over. An instance also took the workers of its last term for present ones, asked them and stored them for its successors.

The tests failed before: takeover_wait (0 == 1 workers with the task, 2 s after the term began), site (a directory that isn't needed keeps its workers).

Change: a worker that isn't listed has ended once two lists of machines in a row don't report it, and each machine of its pool that is up reports another one. A silent worker without a known machine has a log line. The directory of workers is empty while no duty needs it.

`site`, `takeover_wait`, `late_machine_list`, `absent_machine` and `worker_record` pass.

--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -18,8 +18,9 @@
 constexpr Milliseconds kSaveTimeout{600};
 constexpr Milliseconds kRetryPause{150};
 constexpr Milliseconds kMachineCheckInterval{400};
-// A machine counts as removed once this many consecutive lists omit it. One
-// list is not enough, because its pages are not a snapshot.
+// A machine counts as removed, and a worker as without a machine, once this
+// many consecutive lists omit it. One list is not enough, because its pages are
+// not a snapshot.
 constexpr int kAbsencesUntilRemoved = 2;
 // Time until the next check if the last one found no silent worker and no
 // worker without a known machine.
@@ -195,13 +196,13 @@
 void PoolLeader::State::CheckSilentWorker(const WorkerName& worker,
                                           const std::vector<Machine>& machines,
                                           MonotonicTime requested_at) {
-  const std::map<WorkerName, MachineName>::const_iterator host =
+  const std::map<WorkerName, MachineName>::const_iterator found =
       this->machine_of.find(worker);
-  if (host == this->machine_of.end()) {
-    return;
-  }
+  const MachineName host =
+      found == this->machine_of.end() ? MachineName() : found->second;
   const WorkerLiveness life =
-      ClassifyWorkerLiveness(worker, this->pool, host->second, machines);
+      host.empty() ? ClassifyUnplacedWorker(this->pool, machines)
+                   : ClassifyWorkerLiveness(worker, this->pool, host, machines);
   int& absences = this->absences[worker];
   absences = life == WorkerLiveness::kMachineAbsent ? absences + 1 : 0;
   const bool is_over =
@@ -209,14 +210,13 @@
       (absences >= kAbsencesUntilRemoved && !this->listing.contains(worker));
   CLOG(INFO, kTasksLog)
       << "decision=silent_worker pool=" << this->pool << " worker=" << worker
-      << " machine=" << host->second << " life=" << ToString(life)
+      << " machine=" << host << " life=" << ToString(life)
       << " absences=" << absences << " over=" << is_over << " list_age_ms="
       << std::chrono::duration_cast<Milliseconds>(Now() - requested_at).count();
   if (is_over) {
     this->absences.erase(worker);
-    this->scheduler.OnWorkerGone(
-        worker, requested_at, Now(),
-        ClassifyWorkerEnd(this->pool, host->second, machines));
+    this->scheduler.OnWorkerGone(worker, requested_at, Now(),
+                                 ClassifyWorkerEnd(this->pool, host, machines));
   }
 }
 
--- a/Source/Core/Site/worker_directory.cc
+++ b/Source/Core/Site/worker_directory.cc
@@ -42,6 +42,9 @@
       [this]() { this->Start(); });
   if (this->listener.is_needed()) {
     this->Refresh();
+  } else {
+    this->entries.clear();
+    this->listed.clear();
   }
 }
 
--- a/Source/Core/Site/worker_directory.h
+++ b/Source/Core/Site/worker_directory.h
@@ -20,9 +20,10 @@
 class EventLoop;
 class SiteCodec;
 
-// The workers registered in the store, polled while they are needed. Workers
-// write their entries every one or two seconds and each write would complete a
-// watch, so polling costs the store less than watching.
+// The workers registered in the store, polled while they are needed and
+// forgotten otherwise. Workers write their entries every one or two seconds and
+// each write would complete a watch, so polling costs the store less than
+// watching.
 class WorkerDirectory {
  public:
   using Workers = std::map<WorkerName, WorkerListing>;
--- a/Source/Core/Site/worker_liveness.cc
+++ b/Source/Core/Site/worker_liveness.cc
@@ -41,6 +41,18 @@
              : WorkerLiveness::kTerminated;
 }
 
+WorkerLiveness ClassifyUnplacedWorker(const PoolName& pool,
+                                      const std::vector<Machine>& machines) {
+  const bool may_be_there = std::any_of(
+      machines.begin(), machines.end(), [&pool](const Machine& machine) {
+        return machine.pool == pool && machine.worker.empty() &&
+               (machine.state == MachineState::kUp ||
+                machine.state == MachineState::kUnknown);
+      });
+  return machines.empty() || may_be_there ? WorkerLiveness::kMayBeRunning
+                                          : WorkerLiveness::kMachineAbsent;
+}
+
 WorkerEnd ClassifyWorkerEnd(const PoolName& pool,
                             const MachineName& machine,
                             const std::vector<Machine>& machines) {
--- a/Source/Core/Site/worker_liveness.h
+++ b/Source/Core/Site/worker_liveness.h
@@ -24,6 +24,12 @@
                                       const MachineName& machine,
                                       const std::vector<Machine>& machines);
 
+// The same for a worker whose machine is not known and which no machine of the
+// list reports: it has no machine any more, unless one of its pool does not
+// tell its worker.
+WorkerLiveness ClassifyUnplacedWorker(const PoolName& pool,
+                                      const std::vector<Machine>& machines);
+
 // Why the worker of the machine has ended. Only this system moves machines and
 // takes them into maintenance, but a machine that is to be moved may also
 // crash.
--- a/Source/UnitTests/Site/takeover_wait_test.cc
+++ b/Source/UnitTests/Site/takeover_wait_test.cc
@@ -44,6 +44,37 @@
   CHECK(fixture.workers.WorkersOf(task) == std::vector<WorkerName>{kReachable});
 }
 
+// Guards against a wait for a worker that ended before a list of machines
+// showed where it was.
+TEST_CASE("A worker that no machine reports is not waited for") {
+  PoolLeaderFixture fixture;
+  const WorkerName next("w3");
+  const bool is_next_known = GENERATE(true, false);
+  fixture.workers.Crash(kUnreachable);
+  for (Machine& machine : fixture.machines.machines) {
+    if (machine.worker == kUnreachable) {
+      machine.worker = is_next_known ? next : WorkerName();
+    }
+  }
+  const AcceptedJob job = JobBuilder("j").Service(1, 1).Build();
+  fixture.Store(job);
+  std::vector<PersistedWorker> used;
+  for (const std::pair<const WorkerName, WorkerListing>& worker :
+       fixture.listing) {
+    used.push_back(PersistedWorker{worker.second, MachineName()});
+  }
+  fixture.store.Put(WorkersKey(fixture.pool), SerializePersistedWorkers(used));
+  fixture.listing.erase(kUnreachable);
+
+  Term term = fixture.FirstTerm();
+  term.number = 2;
+  term.is_predecessor_gone = false;
+  fixture.Lead(term);
+  fixture.loop.RunFor(Milliseconds(2000));
+  CHECK(fixture.workers.WorkersOf(TaskRef{job.id, 0, 0, 0}).size() ==
+        (is_next_known ? 1 : 0));
+}
+
 // Guards against leases that a process renews when it goes on after a pause, in
 // which its term has ended.
 TEST_CASE("A term that has ended issues no orders") {
--- a/Source/UnitTests/Site/worker_directory_test.cc
+++ b/Source/UnitTests/Site/worker_directory_test.cc
@@ -88,5 +88,23 @@
   CHECK(idle.directory.workers().empty());
 }
 
+// Guards against a new scheduler that takes the workers of its last term for
+// present ones, which it would ask and store.
+TEST_CASE("Workers are forgotten while they are not needed") {
+  Fixture fixture;
+  fixture.store.Put("worker/1", "north");
+  fixture.directory.Start();
+  fixture.loop.RunFor(Milliseconds(100));
+  REQUIRE(fixture.directory.workers().size() == 1);
+  fixture.is_needed = false;
+  fixture.loop.RunFor(Milliseconds(600));
+  CHECK(fixture.directory.workers().empty());
+  fixture.is_needed = true;
+  fixture.directory.Refresh();
+  fixture.loop.RunFor(Milliseconds(100));
+  CHECK(fixture.directory.workers().size() == 1);
+  CHECK(fixture.changes == 2);
+}
+
 }  // namespace
 }  // namespace daisyroad
--- a/Source/UnitTests/Site/worker_liveness_test.cc
+++ b/Source/UnitTests/Site/worker_liveness_test.cc
@@ -67,5 +67,19 @@
   CHECK(Classify({}) == WorkerLiveness::kMachineAbsent);
 }
 
+// Guards against giving up runs of a worker whose machine does not report it.
+TEST_CASE("A worker without a known machine may be on one without a worker") {
+  CHECK(ClassifyUnplacedWorker(kPool,
+                               MachinesWith(MachineState::kUp, WorkerName())) ==
+        WorkerLiveness::kMayBeRunning);
+  CHECK(ClassifyUnplacedWorker(kPool, {}) == WorkerLiveness::kMayBeRunning);
+  CHECK(ClassifyUnplacedWorker(
+            kPool, MachinesWith(MachineState::kUp, WorkerName("next"))) ==
+        WorkerLiveness::kMachineAbsent);
+  CHECK(ClassifyUnplacedWorker(
+            kPool, MachinesWith(MachineState::kUpkeep, WorkerName())) ==
+        WorkerLiveness::kMachineAbsent);
+}
+
 }  // namespace
 }  // namespace daisyroad
