--- a/Source/UnitTests/Izarra/reset_order_test.cc
+++ b/Source/UnitTests/Izarra/reset_order_test.cc
@@ -49,5 +49,34 @@
   }
 }
 
+// Guards against ends that the next process of a worker discards unread: it got
+// an acknowledgement that was meant for the one before.
+TEST_CASE("An acknowledgement whose connection is reset is not repeated") {
+  for (const std::int64_t acknowledged : {0, 57}) {
+    CAPTURE(acknowledged);
+    ResettingServer server(200, R"({"ClockMs":1000,"Running":[],"Ended":[]})");
+    EventLoop loop;
+    HttpClient http(
+        [&loop](std::function<void()> function) { loop.Post(function); });
+    HttpRunClient client(&http);
+    WorkerListing worker;
+    worker.name = WorkerName("w");
+    worker.address = server.address();
+    AskReport order;
+    order.worker = worker.name;
+    std::optional<bool> is_answered;
+    client.Report(worker, order, 1, [&](const Result<RunReport>&) {
+      order.acknowledged = acknowledged;
+      client.Report(worker, order, 1, [&](const Result<RunReport>& report) {
+        is_answered = report.ok();
+        loop.Stop();
+      });
+    });
+    loop.RunFor(kTimeout);
+    CHECK(is_answered == (acknowledged == 0));
+    CHECK(server.requests() == (acknowledged == 0 ? 3 : 2));
+  }
+}
+
 }  // namespace
 }  // namespace daisyroad::platform
