Site: workers that are listed again after their last run get runs

Cause: a worker that is unlisted while it has runs stays in the record of workers. With its last run it is dropped, and the record is compared up to a second later. If it is listed again before that, the record equals the one that is stored and is not written, and the worker, whose mark as stored was lost with its entry, got no run again. No fault of the store is needed, only an entry of a worker that is away for less than a second after its last run.

Evidence: the test unlists both workers, ends their runs and lists them again.

--- a/Source/UnitTests/Site/worker_record_test.cc
+++ b/Source/UnitTests/Site/worker_record_test.cc
@@ -45,5 +45,27 @@
   CHECK(fixture.workers.WorkersOf(TaskRef{job.id, 0, 0, 0}).size() == 1);
 }
 
+// Guards against the same without a fault of the store: the record was not
+// written while the worker was unlisted.
+TEST_CASE("Workers that are listed again after their last run are used") {
+  PoolLeaderFixture fixture;
+  fixture.settings.report_wait = Milliseconds(20);
+  fixture.Lead(fixture.FirstTerm());
+  const AcceptedJob first = JobBuilder("first").Service(2, 1).Build();
+  fixture.Store(first);
+  fixture.loop.RunFor(PoolLeaderFixture::kSettled);
+  REQUIRE(fixture.workers.WorkersOf(TaskRef{first.id, 0, 0, 0}).size() == 1);
+  fixture.leader->SetListing({});
+  fixture.loop.RunFor(Milliseconds(50));
+  fixture.store.Put(CancelKey(fixture.pool, first.id), "");
+  fixture.loop.RunFor(PoolLeaderFixture::kSettled);
+  fixture.leader->SetListing(fixture.listing);
+
+  const AcceptedJob second = JobBuilder("second").Service(1, 1).Build();
+  fixture.Store(second);
+  fixture.loop.RunFor(PoolLeaderFixture::kSettled);
+  CHECK(fixture.workers.WorkersOf(TaskRef{second.id, 0, 0, 0}).size() == 1);
+}
+
 }  // namespace
 }  // namespace daisyroad
