Site: the record of workers is written again after a pause

What callers saw: nothing; calls of the store are paid for, also refused ones, and count towards its limit.

Cause: a write that failed was repeated with the next pass. Since the stored record counts as unknown from the beginning of a write on, also a record that has not changed is repeated.

Evidence: the test lets the store refuse all writes for 1 s with a pass each 10 ms.

--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -134,14 +134,16 @@
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.store->Commit(
       transaction, kSaveTimeout,
-      [self, key, workers, value](const Result<TransactionResult>& result) {
+      [self, key, workers, value,
+       now](const Result<TransactionResult>& result) {
         self->is_persisting_workers = false;
-        self->next_persist = MonotonicTime();
+        self->next_persist = now + kRetryPause;
         if (self->is_stopped || !result.ok()) {
           return;
         }
         if (const TransactionCommitted* const committed =
                 std::get_if<TransactionCommitted>(&result.value())) {
+          self->next_persist = MonotonicTime();
           self->persisted_revision = committed->revision;
           self->persisted_value = value;
           self->SetPersisted(workers);
@@ -150,7 +152,8 @@
         }
         for (const StoreItem& item :
              std::get<TransactionConflict>(result.value()).items) {
-          if (item.key == key) {
+          if (item.key == key && item.revision != self->persisted_revision) {
+            self->next_persist = MonotonicTime();
             self->persisted_revision = item.revision;
           }
         }
--- a/Source/UnitTests/Site/worker_record_test.cc
+++ b/Source/UnitTests/Site/worker_record_test.cc
@@ -85,5 +85,19 @@
   CHECK(fixture.workers.WorkersOf(TaskRef{job.id, 0, 0, 0}).empty());
 }
 
+// Guards against writes in every pass while the store refuses them.
+TEST_CASE("A record that the store refuses is written again after a pause") {
+  PoolLeaderFixture fixture;
+  fixture.Lead(fixture.FirstTerm());
+  fixture.store.Put(kLeaderPrefix + fixture.FirstTerm().duty, "another");
+  fixture.leader->SetListing({});
+  const int commits = fixture.store.commits;
+  for (int i = 0; i < 100; ++i) {
+    fixture.leader->SetOperatorState(OperatorState());
+    fixture.loop.RunFor(Milliseconds(10));
+  }
+  CHECK(fixture.store.commits - commits <= 10);
+}
+
 }  // namespace
 }  // namespace daisyroad
