--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -71,9 +71,9 @@
   // now or not. No others can have runs of an earlier scheduler.
   void ExpectRunsOn(const std::vector<WorkerListing>& workers,
                     MonotonicTime now);
-  // Does the same for each worker that is listed, now or later, because the
-  // stored ones are not known.
-  void ExpectRunsOnListed();
+  // Called instead if it is not known which workers these are. Their runs have
+  // ended from `unknown_runs_over_at` on.
+  void ExpectRunsAnywhere() { this->are_earlier_workers_known = false; }
   // Workers that the next scheduler must ask for their runs.
   std::vector<WorkerListing> WorkersToRemember() const;
   // Sets the workers that are stored for the next scheduler. Only these get
@@ -112,7 +112,10 @@
                StartOutcome outcome,
                std::optional<Milliseconds> worker_clock,
                MonotonicTime now);
-  void OnStop(const StopRun& order, bool is_answered, MonotonicTime now);
+  void OnStop(const StopRun& order,
+              bool is_answered,
+              MonotonicTime asked_at,
+              MonotonicTime now);
 
   // `tickets` is empty if the advisor did not answer.
   void OnAdvice(const TaskRef& step,
@@ -380,9 +383,8 @@
   PoolName pool;
   SchedulerSettings settings;
   std::int64_t first_run;
-  // The workers that earlier schedulers stored are not known.
-  bool may_listed_have_unknown_runs = false;
   MonotonicTime unknown_runs_over_at;
+  bool are_earlier_workers_known = true;
   std::map<QueueName, QueuePolicy> policies;
   std::set<ZoneName> zones_out;
   std::map<TeamName, Resources> allotments;
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -40,7 +40,6 @@
     worker.is_listed = true;
     if (is_new) {
       worker.next_report = now;
-      worker.may_have_unknown_runs = this->may_listed_have_unknown_runs;
     }
   }
 }
@@ -58,13 +57,6 @@
   }
 }
 
-void PoolScheduler::ExpectRunsOnListed() {
-  this->may_listed_have_unknown_runs = true;
-  for (std::pair<const WorkerName, WorkerState>& entry : this->workers) {
-    entry.second.may_have_unknown_runs = true;
-  }
-}
-
 std::vector<WorkerListing> PoolScheduler::WorkersToRemember() const {
   std::vector<WorkerListing> listings;
   for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
@@ -284,7 +276,10 @@
     return;
   }
   WorkerState& worker = found->second;
-  if (worker_clock) {
+  RunRecord* const run = this->FindRun(order.task, order.run);
+  const bool is_from_present_process =
+      run == nullptr || run->ordered_at >= worker.process_changed_at;
+  if (worker_clock && is_from_present_process) {
     // The worker's clock restarts with each process, and so do the sequence
     // numbers of its ends. Ends of the new process must not be acknowledged
     // with the old numbers.
@@ -293,7 +288,6 @@
     }
     this->UpdateWorkerClock(&worker, *worker_clock, now);
   }
-  RunRecord* const run = this->FindRun(order.task, order.run);
   if (run == nullptr || run->worker != order.worker) {
     return;
   }
@@ -353,16 +347,21 @@
 
 void PoolScheduler::OnStop(const StopRun& order,
                            bool is_answered,
+                           MonotonicTime asked_at,
                            MonotonicTime now) {
   RunRecord* const run = this->FindRun(order.task, order.run);
-  if (run == nullptr || run->worker != order.worker) {
+  if (run == nullptr || run->worker != order.worker || !is_answered) {
     return;
   }
-  if (is_answered) {
-    run->stop_answered_at = now;
-    WorkerState& worker = this->workers.at(order.worker);
-    worker.next_report = std::min(worker.next_report, now);
+  WorkerState& worker = this->workers.at(order.worker);
+  worker.next_report = std::min(worker.next_report, now);
+  if (asked_at < worker.process_changed_at && !run->confirmed_at) {
+    // The earlier process may have answered.
+    run->stop_sent_at = MonotonicTime();
+    this->has_pending_stops = true;
+    return;
   }
+  run->stop_answered_at = now;
 }
 
 void PoolScheduler::UpdateWorkerClock(WorkerState* worker,
--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -65,7 +65,8 @@
   if (!workers.ok()) {
     CLOG(ERROR, kTasksLog) << "event=workers_unreadable pool=" << this->pool
                            << " error=\"" << workers.error().ToString() << "\"";
-    this->scheduler.ExpectRunsOnListed();
+    this->is_record_unreadable = true;
+    this->scheduler.ExpectRunsAnywhere();
     return;
   }
   this->persisted_value = item.value;
@@ -103,6 +104,10 @@
   if (this->is_persisting_workers || now < this->next_persist) {
     return;
   }
+  // The next scheduler must not take a new record for the whole one.
+  if (this->is_record_unreadable && this->scheduler.IsRecovering(now)) {
+    return;
+  }
   this->next_persist = now + kPersistInterval;
   std::vector<PersistedWorker> workers;
   for (const WorkerListing& worker : this->scheduler.WorkersToRemember()) {
@@ -114,6 +119,8 @@
   }
   const std::string value = SerializePersistedWorkers(workers);
   if (value == this->persisted_value) {
+    // A worker that was dropped and listed again since is a new one here.
+    this->SetPersisted(workers);
     return;
   }
   const std::string key = WorkersKey(this->pool);
@@ -127,14 +134,16 @@
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.store->Commit(
       transaction, kSaveTimeout,
-      [self, key, workers, value](const Result<TransactionResult>& result) {
+      [self, key, workers, value,
+       now](const Result<TransactionResult>& result) {
         self->is_persisting_workers = false;
-        self->next_persist = MonotonicTime();
+        self->next_persist = now + kRetryPause;
         if (self->is_stopped || !result.ok()) {
           return;
         }
         if (const TransactionCommitted* const committed =
                 std::get_if<TransactionCommitted>(&result.value())) {
+          self->next_persist = MonotonicTime();
           self->persisted_revision = committed->revision;
           self->persisted_value = value;
           self->SetPersisted(workers);
@@ -143,7 +152,8 @@
         }
         for (const StoreItem& item :
              std::get<TransactionConflict>(result.value()).items) {
-          if (item.key == key) {
+          if (item.key == key && item.revision != self->persisted_revision) {
+            self->next_persist = MonotonicTime();
             self->persisted_revision = item.revision;
           }
         }
