Jobs, Site: runs that a new scheduler cannot see count for the limit

Cause: the next scheduler compared the pool's allotment, which covers the runs of earlier schedulers, with the runs that it knows. Found jobs wait for workers that have not reported, jobs accepted since do not.

Change: while workers may have unknown runs, what earlier schedulers had of the allotment counts as used, less the runs found and up to what found jobs can use. What the pool acquires in the present term is free for new runs.

--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -10,6 +10,32 @@
 namespace {
 
 const QueuePolicy kDefaultPolicy;
+// Stands for the use of a step whose tasks may run any number of times.
+constexpr std::int64_t kUnbounded = std::int64_t{1} << 40;
+
+// The most that runs of the job use at a time, if an earlier scheduler started
+// them.
+Resources MaxUse(const JobSpec& spec) {
+  Resources use;
+  for (const StepSpec& step : spec.steps) {
+    if (step.allows_copies) {
+      use += Resources{kUnbounded, kUnbounded, kUnbounded};
+      continue;
+    }
+    const std::int64_t tasks =
+        std::int64_t{step.task_count} * std::max(1, spec.occurrences);
+    use += Resources{tasks * step.request.cpu_millicores,
+                     tasks * step.request.memory_mb,
+                     tasks * step.request.accelerators};
+  }
+  return use;
+}
+
+Resources FindOrNone(const std::map<TeamName, Resources>& table,
+                     const TeamName& team) {
+  const std::map<TeamName, Resources>::const_iterator found = table.find(team);
+  return found == table.end() ? Resources() : found->second;
+}
 
 }  // namespace
 
@@ -34,6 +60,10 @@
   this->allotments = std::move(allotments);
 }
 
+void PoolScheduler::SetInherited(std::map<TeamName, Resources> inherited) {
+  this->inherited = std::move(inherited);
+}
+
 void PoolScheduler::HoldStartsUntil(MonotonicTime time) {
   this->no_starts_before = time;
 }
@@ -82,6 +112,9 @@
   state.status = progress.status;
   state.may_have_unknown_runs = may_have_runs;
   state.objective = ObjectiveOf(state.job, this->PolicyOf(state));
+  if (may_have_runs) {
+    this->found_work[state.job.team] += MaxUse(state.job.spec);
+  }
   if (IsFinal(state.status)) {
     return;
   }
@@ -261,6 +294,14 @@
                      });
 }
 
+std::map<TeamName, Resources> PoolScheduler::MaxUsage() const {
+  std::map<TeamName, Resources> usage = this->used;
+  for (const std::pair<const TeamName, Resources>& team : this->unknown_use) {
+    usage[team.first] += team.second;
+  }
+  return usage;
+}
+
 std::vector<std::string> PoolScheduler::TakeDecisions() {
   return std::exchange(this->decisions, {});
 }
@@ -283,6 +324,7 @@
     this->StopStalledRuns(now);
   }
   this->RecordRecovery(now);
+  this->ReviewUnknownUse(now);
   this->CollectUsableWorkers(now);
   this->SettleOpenStarts(now);
   this->ReviewSuspects(now);
@@ -556,6 +598,18 @@
                        std::to_string(silent) + " workers have not reported");
 }
 
+void PoolScheduler::ReviewUnknownUse(MonotonicTime now) {
+  this->unknown_use.clear();
+  if (!this->IsRecovering(now)) {
+    return;
+  }
+  for (const std::pair<const TeamName, Resources>& team : this->inherited) {
+    this->unknown_use[team.first] =
+        Remainder(Lesser(team.second, FindOrNone(this->found_work, team.first)),
+                  FindOrNone(this->adopted, team.first));
+  }
+}
+
 void PoolScheduler::RecordStart(const JobState& job,
                                 const TaskRef& task,
                                 std::int64_t run,
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -54,6 +54,8 @@
   void SetZonesOut(std::set<ZoneName> zones);
   // Resources that each team with an upper limit may use in this pool.
   void SetAllotments(std::map<TeamName, Resources> allotments);
+  // The part of each allotment that earlier schedulers had and may use still.
+  void SetInherited(std::map<TeamName, Resources> inherited);
   // Set to false while another scheduler may have taken over. During that time,
   // runs on unresponsive workers are not dropped, since the other scheduler may
   // have adopted them, and newly added jobs do not start, since the other
@@ -131,9 +133,10 @@
   std::optional<JobStatus> StatusOf(const JobId& job) const;
   // Number of open jobs of the queue of which no task has started.
   int PendingJobs(const QueueName& queue) const;
-  // Resources used by the runs of each team, and what its tasks lack that wait
-  // for the team's allotment only.
-  const std::map<TeamName, Resources>& usage() const { return this->used; }
+  // Resources that the runs of each team use at most, with those that are not
+  // known as of the last pass, and what its tasks lack that wait for the team's
+  // allotment only.
+  std::map<TeamName, Resources> MaxUsage() const;
   const std::map<TeamName, TeamDemand>& demands() const { return this->unmet; }
   PoolLoad Load(MonotonicTime now, WallTime wall) const;
   bool IsFenced() const { return this->is_fenced; }
@@ -211,6 +214,8 @@
   void CloseJob(JobState* job, JobStatus status, MonotonicTime now);
   // Records when the wait for unknown runs begins and ends.
   void RecordRecovery(MonotonicTime now);
+  // Updates what runs that are not known may use of the allotments.
+  void ReviewUnknownUse(MonotonicTime now);
   void RecordStart(const JobState& job,
                    const TaskRef& task,
                    std::int64_t run,
@@ -386,6 +391,15 @@
   std::set<JobId> unconfirmed_jobs;
   std::map<WorkerName, WorkerState> workers;
   std::map<TeamName, Resources> used;
+  std::map<TeamName, Resources> inherited;
+  // The most that runs of jobs found at the beginning can use.
+  std::map<TeamName, Resources> found_work;
+  // What the runs found so far of earlier schedulers used when they were found.
+  // Their ends do not count, since the earlier scheduler may not know of them.
+  std::map<TeamName, Resources> adopted;
+  std::set<RunKey> adopted_runs;
+  // What runs that are not known may use, as of the last pass.
+  std::map<TeamName, Resources> unknown_use;
   std::map<TeamName, TeamDemand> unmet;
   // Workers that may get runs in this pass.
   std::vector<WorkerState*> usable_workers;
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -420,11 +420,14 @@
   if (allotment == this->allotments.end()) {
     return true;
   }
-  const std::map<TeamName, Resources>::const_iterator use =
-      this->used.find(team);
-  return FitsBeside(request,
-                    use == this->used.end() ? Resources() : use->second,
-                    allotment->second);
+  Resources use;
+  for (const std::map<TeamName, Resources>* const part :
+       {&this->used, &this->unknown_use}) {
+    const std::map<TeamName, Resources>::const_iterator found =
+        part->find(team);
+    use += found == part->end() ? Resources() : found->second;
+  }
+  return FitsBeside(request, use, allotment->second);
 }
 
 void PoolScheduler::AddDemand(const TeamName& team, const Resources& request) {
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -457,6 +457,10 @@
     run =
         this->AddRun(&job, active.task, active.run, worker->listing.name, now);
     run->state = RunState::kActive;
+    if (active.run < this->first_run &&
+        this->adopted_runs.emplace(active.task, active.run).second) {
+      this->adopted[job.job.team] += this->SpecOf(job, active.task).request;
+    }
     // An earlier scheduler may have ordered the worker to stop the run.
     run->adoption_uncertain_until = now + this->settings.longest_stop;
     const bool is_surplus =
--- a/Source/Core/Jobs/resources.h
+++ b/Source/Core/Jobs/resources.h
@@ -1,6 +1,7 @@
 #ifndef SOURCE_CORE_JOBS_RESOURCES_H_
 #define SOURCE_CORE_JOBS_RESOURCES_H_
 
+#include <algorithm>
 #include <cstdint>
 
 namespace daisyroad {
@@ -38,6 +39,21 @@
   }
 };
 
+// The lesser of each resource.
+inline Resources Lesser(const Resources& left, const Resources& right) {
+  return Resources{std::min(left.cpu_millicores, right.cpu_millicores),
+                   std::min(left.memory_mb, right.memory_mb),
+                   std::min(left.accelerators, right.accelerators)};
+}
+
+// What `taken` leaves of `whole`, nothing of a resource of which it is more.
+inline Resources Remainder(const Resources& whole, const Resources& taken) {
+  const Resources rest = whole - taken;
+  return Resources{std::max<std::int64_t>(rest.cpu_millicores, 0),
+                   std::max<std::int64_t>(rest.memory_mb, 0),
+                   std::max<std::int64_t>(rest.accelerators, 0)};
+}
+
 // Whether `request` fits in `limit` beside `used`. A resource of which nothing
 // is requested does not count: its use may exceed a lowered limit.
 inline bool FitsBeside(const Resources& request,
--- a/Source/Core/Site/allotment_manager.cc
+++ b/Source/Core/Site/allotment_manager.cc
@@ -83,6 +83,25 @@
   return allotments;
 }
 
+void AllotmentManager::BeginTerm(const PoolName& pool) {
+  this->acquired[pool] = std::make_shared<Acquired>();
+}
+
+std::map<TeamName, Resources> AllotmentManager::InheritedOf(
+    const PoolName& pool) const {
+  const std::map<PoolName, std::shared_ptr<Acquired>>::const_iterator found =
+      this->acquired.find(pool);
+  std::map<TeamName, Resources> inherited;
+  for (const std::pair<const TeamName, Resources>& team : this->limits) {
+    const Resources acquired = found == this->acquired.end()
+                                   ? Resources()
+                                   : FindOrDefault(*found->second, team.first);
+    inherited[team.first] =
+        Remainder(this->table.Allotted(team.first, pool), acquired);
+  }
+  return inherited;
+}
+
 bool AllotmentManager::IsWaiting(const PoolName& pool) const {
   return std::any_of(
       this->limits.begin(), this->limits.end(),
@@ -114,10 +133,13 @@
   }
   AllotmentTable changed = this->table;
   bool is_changed = false;
+  Acquired acquired;
   for (const std::pair<const TeamName, Resources>& team : this->limits) {
     is_changed |= changed.Adjust(
         team.first, pool, team.second, FindOrDefault(used, team.first),
         FindOrDefault(demands, team.first), may_release);
+    acquired[team.first] = Remainder(changed.Allotted(team.first, pool),
+                                     this->table.Allotted(team.first, pool));
   }
   if (!is_changed) {
     return;
@@ -130,8 +152,8 @@
   const std::weak_ptr<bool> alive = this->is_alive;
   this->store->Commit(
       transaction, kCommitTimeout,
-      [this, alive, value = transaction.writes.front().value,
-       pool](const Result<TransactionResult>& result) {
+      [this, alive, value = transaction.writes.front().value, pool, acquired,
+       term = this->acquired[pool]](const Result<TransactionResult>& result) {
         if (alive.expired()) {
           return;
         }
@@ -147,6 +169,11 @@
         if (const TransactionCommitted* const committed =
                 std::get_if<TransactionCommitted>(&result.value())) {
           this->Adopt(value, committed->revision);
+          if (term != nullptr) {
+            for (const std::pair<const TeamName, Resources>& team : acquired) {
+              (*term)[team.first] += team.second;
+            }
+          }
           return;
         }
         for (const StoreItem& item :
--- a/Source/Core/Site/allotment_manager.h
+++ b/Source/Core/Site/allotment_manager.h
@@ -26,8 +26,13 @@
 
   void SetTeams(const std::map<TeamName, TeamConfig>& teams);
 
+  // To be called when this instance begins to schedule the pool.
+  void BeginTerm(const PoolName& pool);
   // Returns the pool's allotment for each team that has an upper limit.
   std::map<TeamName, Resources> AllotmentsOf(const PoolName& pool) const;
+  // Returns the part of them that this instance has not acquired in this term.
+  // Earlier schedulers of the pool may use as much.
+  std::map<TeamName, Resources> InheritedOf(const PoolName& pool) const;
   // Adjusts the allotments to what the runs of the pool use and what its
   // waiting tasks need. Releases nothing unless `are_runs_known`: the pool may
   // have runs that `used` leaves out.
@@ -38,6 +43,9 @@
               MonotonicTime now);
 
  private:
+  // What a term has acquired, by team.
+  using Acquired = std::map<TeamName, Resources>;
+
   void Read(MonotonicTime now);
   void Adopt(const std::string& value, std::int64_t revision);
   // Whether the pool waits for a part of the limit of any team.
@@ -50,6 +58,7 @@
   bool is_loaded = false;
   bool is_writing = false;
   MonotonicTime last_read;
+  std::map<PoolName, std::shared_ptr<Acquired>> acquired;
   // When unused allotments of a pool may next be released.
   std::map<PoolName, MonotonicTime> next_release;
   std::map<PoolName, MonotonicTime> next_compare;
--- a/Source/Core/Site/pool_leader.cc
+++ b/Source/Core/Site/pool_leader.cc
@@ -74,6 +74,7 @@
   if (this->term.number > 1) {
     this->scheduler.HoldStartsUntil(this->begun_at + kTakeoverStartDelay);
   }
+  this->context.allotments->BeginTerm(this->pool);
   this->LoadWorkers();
   this->Tick();
 }
@@ -116,13 +117,15 @@
   }
   this->scheduler.SetAllotments(
       this->context.allotments->AllotmentsOf(this->pool));
+  this->scheduler.SetInherited(
+      this->context.allotments->InheritedOf(this->pool));
   const std::vector<Order> orders = this->scheduler.TakeOrders(now, Wall());
   const MonotonicTime decided_at = Now();
   for (const Order& order : orders) {
     this->Send(order);
   }
   const MonotonicTime sent_at = Now();
-  this->context.allotments->Report(this->pool, this->scheduler.usage(),
+  this->context.allotments->Report(this->pool, this->scheduler.MaxUsage(),
                                    this->scheduler.demands(),
                                    this->scheduler.AreRunsKnown(now), now);
   this->PersistWorkers(now);
--- a/Source/Core/Site/team_allotments.cc
+++ b/Source/Core/Site/team_allotments.cc
@@ -185,14 +185,18 @@
   return sum;
 }
 
+Resources AllotmentTable::Allotted(const TeamName& team,
+                                   const PoolName& pool) const {
+  const std::map<TeamName, Row>::const_iterator row = this->rows.find(team);
+  return row == this->rows.end() || !row->second.contains(pool)
+             ? Resources()
+             : row->second.at(pool);
+}
+
 Resources AllotmentTable::Usable(const TeamName& team,
                                  const PoolName& pool,
                                  const Resources& limit) const {
-  const std::map<TeamName, Row>::const_iterator row = this->rows.find(team);
-  if (row == this->rows.end() || !row->second.contains(pool)) {
-    return Resources();
-  }
-  const Resources& held = row->second.at(pool);
+  const Resources held = this->Allotted(team, pool);
   const Resources sum = this->Sum(team);
   return Resources{
       UsableComponent(held.cpu_millicores, sum.cpu_millicores,
--- a/Source/Core/Site/team_allotments.h
+++ b/Source/Core/Site/team_allotments.h
@@ -28,6 +28,8 @@
   static Result<AllotmentTable> Parse(const std::string& text);
   std::string Serialize() const;
 
+  // What the pool holds.
+  Resources Allotted(const TeamName& team, const PoolName& pool) const;
   // What the pool may use for new runs: its allotment, or nothing of a resource
   // of which the pools hold more than a lowered limit.
   Resources Usable(const TeamName& team,
