--- a/Source/UnitTests/Jobs/takeover_simulation.h
+++ b/Source/UnitTests/Jobs/takeover_simulation.h
@@ -258,6 +258,7 @@
   std::vector<WorkerListing> remembered;
   std::map<WorkerName, ListedWorker> listed;
   MonotonicTime store_away_until;
+  MonotonicTime no_faults_until;
   std::int64_t revision = 0;
   std::map<JobId, std::int64_t> progress_revisions;
   std::int64_t workers_revision = 0;
--- a/Source/UnitTests/Jobs/takeover_simulation_faults.cc
+++ b/Source/UnitTests/Jobs/takeover_simulation_faults.cc
@@ -41,6 +41,10 @@
     this->StopStore(this->random.Chance(0.5)
                         ? this->Upto(2500)
                         : Milliseconds(1500) + this->Upto(10000));
+    // Without other faults, the same instance may begin the next term.
+    if (this->random.Chance(0.5)) {
+      this->no_faults_until = this->store_away_until + Milliseconds(1500);
+    }
   }
 }
 
@@ -82,6 +86,9 @@
 }
 
 void TakeoverSimulation::InjectFault() {
+  if (this->Now() < this->no_faults_until) {
+    return;
+  }
   this->InjectOptionalFault();
   const int leading = this->LeadingInstance();
   Host& host = this->hosts.at(
