--- a/Source/UnitTests/Jobs/takeover_simulation_store.cc
+++ b/Source/UnitTests/Jobs/takeover_simulation_store.cc
@@ -69,6 +69,8 @@
   const std::vector<WorkerListing> workers =
       leader->scheduler.WorkersToRemember();
   if (workers == leader->persisted) {
+    // A worker may have been unlisted and listed again meanwhile.
+    leader->scheduler.SetRemembered(RememberedBy(leader->scheduler, workers));
     return;
   }
   leader->is_persisting = true;
