Site: workers that are listed again just after an answer get runs

What callers would see: tasks that last don't run, with capacity for them (LOST), until the list of workers changes again or the term ends.

Cause: while a record of workers is being written, one of them is no longer listed and is forgotten. If it is listed again after the answer and before the next pass, the record to write equals the stored one, so nothing was written, and its new entry was never marked as stored.

--- a/Source/Core/Site/pool_leader_workers.cc
+++ b/Source/Core/Site/pool_leader_workers.cc
@@ -119,6 +119,8 @@
   }
   const std::string value = SerializePersistedWorkers(workers);
   if (value == this->persisted_value) {
+    // A worker may have been unlisted and listed again meanwhile.
+    this->SetPersisted(workers);
     return;
   }
   const std::string key = WorkersKey(this->pool);
