Review: case 8, members of a gang resume from different checkpoints

After the crash of one member's worker the next run of a gang starts its members with different checkpoints (UNASKED).

--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -248,7 +248,7 @@
 int RunGang(const Case& run) {
   constexpr int kMembers = 3;
   Deployment site(run, Config(7, {Route("book", "reservas")}, {"reservas"}),
-                  PlanWorkers("reservas", 5), 3);
+                  PlanWorkers("reservas", 8), 3);
   if (!site.system.AwaitReady(15000)) {
     return kNotRun;
   }
