--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -28,8 +28,8 @@
 constexpr int kBroken = 1;
 constexpr int kNotRun = 2;
 
-constexpr char kJob[] = "5c0e7a21d94b36f8";
-constexpr char kOtherJob[] = "00000000000000a1";
+constexpr char kJob[] = "5c0e7a21d94b36cf";
+constexpr char kOtherJob[] = "00000000000000ae";
 
 struct Case {
   std::string root;
@@ -135,14 +135,16 @@
   System system;
 };
 
-std::string StateOf(System* system, const std::string& path,
+std::string StateOf(System* system,
+                    const std::string& path,
                     const std::string& key) {
   const Response response = system->AskAgain("GET", path, key, "", 10000);
   return response.status == 200 ? ToJson(response.body)["State"].asString()
                                 : std::to_string(response.status);
 }
 
-int CountEnds(Workers* workers, const std::string& job,
+int CountEnds(Workers* workers,
+              const std::string& job,
               const std::string& how) {
   const std::vector<End> ends = workers->ends();
   return static_cast<int>(
@@ -231,9 +233,9 @@
   }
   int running = 0;
   for (int i = 0; i < kTasks; ++i) {
-    running += !site.workers
-                    .RunningOn(std::string(kJob) + ".0.0." + std::to_string(i))
-                    .empty();
+    running +=
+        !site.workers.RunningOn(std::string(kJob) + ".0.0." + std::to_string(i))
+             .empty();
   }
   run.record->Line("crashes " + std::to_string(crashes) +
                    ", runs that ended 'failed' " +
@@ -387,9 +389,11 @@
   run.record->Line(
       "the ordinary job was accepted: " +
       std::string(is_accepted ? "yes" : "no") + ", " + std::to_string(waited) +
-      " s ago, has run: " + (has_run ? "yes" : "no") + ", state shown: " +
-      state + "; 4 workers are empty; machines over their memory three times "
-      "or more: " + std::to_string(often) + " of 3");
+      " s ago, has run: " + (has_run ? "yes" : "no") +
+      ", state shown: " + state +
+      "; 4 workers are empty; machines over their memory three times "
+      "or more: " +
+      std::to_string(often) + " of 3");
   if (!is_accepted) {
     return often >= 2 ? kBroken : kNotRun;
   }
@@ -444,9 +448,9 @@
     return kNotRun;
   }
   Sleep(3000);
-  const Response accepted = site.system.AskAgain(
-      "POST", museum, "key-museum", R"({"Spec":"of the museum",)" + steps,
-      10000);
+  const Response accepted =
+      site.system.AskAgain("POST", museum, "key-museum",
+                           R"({"Spec":"of the museum",)" + steps, 10000);
   Sleep(10000);
   bool has_run = false;
   for (const Start& start : site.workers.starts()) {
@@ -455,14 +459,13 @@
   const std::string seen = StateOf(&site.system, museum, "key-museum");
   site.system.AskAgain("DELETE", museum, "key-museum", "", 10000);
   Sleep(5000);
-  const std::string school_state =
-      StateOf(&site.system, school, "key-school");
-  run.record->Line("the museum's job was answered " +
-                   std::to_string(accepted.status) + ", has run: " +
-                   (has_run ? "yes" : "no") + ", was shown as " + seen +
-                   "; the school's job, which the school has not cancelled, is "
-                   "shown as " +
-                   school_state);
+  const std::string school_state = StateOf(&site.system, school, "key-school");
+  run.record->Line(
+      "the museum's job was answered " + std::to_string(accepted.status) +
+      ", has run: " + (has_run ? "yes" : "no") + ", was shown as " + seen +
+      "; the school's job, which the school has not cancelled, is "
+      "shown as " +
+      school_state);
   const bool is_lost = accepted.status / 100 == 2 && !has_run;
   return is_lost || school_state == "cancelled" ? kBroken : kHeld;
 }
@@ -558,8 +561,7 @@
     starts += start.task.starts_with(kJob);
   }
   run.record->Line("starts " + std::to_string(starts) + ", ends 'failed' " +
-                   std::to_string(
-                       CountEnds(&site.workers, kJob, "failed")));
+                   std::to_string(CountEnds(&site.workers, kJob, "failed")));
   return starts > 1 ? kBroken : kHeld;
 }
 
@@ -627,9 +629,9 @@
   for (const auto& [task, at_s] : last) {
     const double idle = run.record->Seconds() - at_s;
     const bool is_running = !site.workers.RunningOn(task).empty();
-    run.record->Line(task + (is_running ? " runs" : " does not run since " +
-                                                        std::to_string(idle) +
-                                                        " s"));
+    run.record->Line(task + (is_running ? " runs"
+                                        : " does not run since " +
+                                              std::to_string(idle) + " s"));
     // 6 s after its last run, for 3 s.
     is_broken |= !is_running && idle >= 9.0;
   }
--- a/review/standin-2/http.cc
+++ b/review/standin-2/http.cc
@@ -205,12 +205,11 @@
                         : ReadQuery(target.substr(question + 1));
     const Response response = this->handler(request);
     if (response.status == 0 ||
-        !WriteAll(connection,
-                  "HTTP/1.1 " + std::to_string(response.status) +
-                      " X\r\nContent-Type: application/json\r\n"
-                      "Content-Length: " +
-                      std::to_string(response.body.size()) + "\r\n\r\n" +
-                      response.body)) {
+        !WriteAll(connection, "HTTP/1.1 " + std::to_string(response.status) +
+                                  " X\r\nContent-Type: application/json\r\n"
+                                  "Content-Length: " +
+                                  std::to_string(response.body.size()) +
+                                  "\r\n\r\n" + response.body)) {
       break;
     }
   }
--- a/review/standin-2/platform.cc
+++ b/review/standin-2/platform.cc
@@ -19,14 +19,13 @@
   for (std::size_t i = 0; i < text.size(); i += 3) {
     std::uint32_t bits = 0;
     for (std::size_t j = 0; j < 3; ++j) {
-      bits = bits << 8 | (i + j < text.size()
-                              ? static_cast<unsigned char>(text[i + j])
-                              : 0U);
+      bits =
+          bits << 8 |
+          (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
-      encoded.push_back(i + j > text.size() ? '='
-                                            : kDigits[bits >> (18 - 6 * j) &
-                                                      63]);
+      encoded.push_back(
+          i + j > text.size() ? '=' : kDigits[bits >> (18 - 6 * j) & 63]);
     }
   }
   return encoded;
@@ -189,8 +188,8 @@
   for (const Json::Value& row : body["ExpectedRev"]) {
     const auto found = this->items.find(row["Key"].asString());
     const bool is_absent = found == this->items.end();
-    holds &= (is_absent ? 0 : found->second.revision) ==
-             row["Revision"].asInt64();
+    holds &=
+        (is_absent ? 0 : found->second.revision) == row["Revision"].asInt64();
     if (!is_absent) {
       conflict["items"].append(this->RowOf(found->first, found->second));
     }
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -62,7 +62,8 @@
   Response HandleLease(const Request& request);
   Response HandleMachines(const Request& request);
   Json::Value RowOf(const std::string& key, const Item& item) const;
-  void Write(const std::string& key, const std::string& value,
+  void Write(const std::string& key,
+             const std::string& value,
              std::int64_t lease);
   void Erase(const std::string& key);
   void ExpireLeases();
--- a/review/standin-2/system.cc
+++ b/review/standin-2/system.cc
@@ -151,8 +151,8 @@
 }
 
 bool System::AwaitReady(int limit_ms) const {
-  const auto until = std::chrono::steady_clock::now() +
-                     std::chrono::milliseconds(limit_ms);
+  const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(limit_ms);
   for (int i = 0; i < this->entry_count();) {
     if (this->IsReady(i)) {
       ++i;
@@ -166,8 +166,8 @@
 }
 
 long System::MemoryMb(int entry) const {
-  std::ifstream status(
-      "/proc/" + std::to_string(this->entries[entry].process) + "/status");
+  std::ifstream status("/proc/" + std::to_string(this->entries[entry].process) +
+                       "/status");
   for (std::string word; status >> word;) {
     if (word == "VmRSS:") {
       long kb = 0;
@@ -217,12 +217,11 @@
                      const std::string& key,
                      const std::string& body) {
   const Response response = this->AskQuietly(entry, method, path, key, body);
-  this->record->Line(this->entries[entry].name + ": " + method + " " + path +
-                     (key.empty() ? "" : " key " + key) + " " +
-                     body.substr(0, 300) + " -> " +
-                     (response.status == 0 ? "no answer"
-                                           : std::to_string(response.status)) +
-                     " " + response.body.substr(0, 120));
+  this->record->Line(
+      this->entries[entry].name + ": " + method + " " + path +
+      (key.empty() ? "" : " key " + key) + " " + body.substr(0, 300) + " -> " +
+      (response.status == 0 ? "no answer" : std::to_string(response.status)) +
+      " " + response.body.substr(0, 120));
   return response;
 }
 
@@ -231,14 +230,14 @@
                           const std::string& key,
                           const std::string& body,
                           int limit_ms) {
-  const auto until = std::chrono::steady_clock::now() +
-                     std::chrono::milliseconds(limit_ms);
+  const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(limit_ms);
   while (true) {
     this->next_entry = (this->next_entry + 1) % this->entry_count();
     const Response response =
         this->Ask(this->next_entry, method, path, key, body);
-    const bool is_final = response.status != 0 && response.status != 429 &&
-                          response.status < 500;
+    const bool is_final =
+        response.status != 0 && response.status != 429 && response.status < 500;
     if (is_final || std::chrono::steady_clock::now() > until) {
       return response;
     }
--- a/review/standin-2/workers.cc
+++ b/review/standin-2/workers.cc
@@ -330,11 +330,10 @@
   }
   this->started.push_back(Start{this->record->Seconds(), worker->plan.id, task,
                                 number, body["Spec"].asString(), run.saved});
-  this->record->Line("worker " + worker->plan.id + " starts " + task +
-                     " run " + std::to_string(number) + " checkpoint \"" +
-                     run.saved + "\" spec \"" +
-                     body["Spec"].asString().substr(0, 40) + "\" fence " +
-                     std::to_string(worker->fence));
+  this->record->Line("worker " + worker->plan.id + " starts " + task + " run " +
+                     std::to_string(number) + " checkpoint \"" + run.saved +
+                     "\" spec \"" + body["Spec"].asString().substr(0, 40) +
+                     "\" fence " + std::to_string(worker->fence));
   this->GatherGangs();
   return Reply(200, this->Answer(*worker));
 }
@@ -409,8 +408,8 @@
   row.append(how);
   row.append(run.plan.has_checkpoints ? run.saved : "");
   worker->ended.push_back(row);
-  this->finished.push_back(End{this->record->Seconds(), worker->plan.id, task,
-                               run.number, how});
+  this->finished.push_back(
+      End{this->record->Seconds(), worker->plan.id, task, run.number, how});
   this->record->Line("worker " + worker->plan.id + " ends " + task + " run " +
                      std::to_string(run.number) + ": " + how + " saved \"" +
                      run.saved + "\"");
@@ -487,8 +486,7 @@
       } else if (run.is_working && run.plan.has_checkpoints) {
         const std::int64_t step =
             this->WorkedMs(run) / kCheckpointMs * kCheckpointMs;
-        const std::int64_t last =
-            run.saved.empty() ? 0 : std::stoll(run.saved);
+        const std::int64_t last = run.saved.empty() ? 0 : std::stoll(run.saved);
         if (step > last) {
           run.saved = MakeCheckpoint(step, task);
         }
