Review: checks of cases 6, 8 and 9 made stricter

Case 6 measures what is in use while the ordinary job waits. Case 9 counts only starts after an end failed that was taken note of.

--- a/review/standin-2/workers.h
+++ b/review/standin-2/workers.h
@@ -84,8 +84,12 @@
   std::vector<std::string> RunningOn(const std::string& task);
   // Milliseconds that the task has run on this worker; -1 if it does not.
   int RunningFor(const std::string& worker, const std::string& task);
+  // Thousandths of a core that runs hold on all workers.
+  int CpuInUse();
   std::vector<Start> starts();
   std::vector<End> ends();
+  // Ends that the system has taken note of, by `LastSeen`.
+  std::vector<End> noted_ends();
 
  private:
   struct Run {
@@ -144,6 +148,7 @@
   std::map<std::string, TaskPlan> plans;
   std::vector<Start> started;
   std::vector<End> finished;
+  std::vector<End> noted;
   std::atomic<bool> stopping = false;
   std::thread ticker;
 };
