--- a/Source/Core/Jobs/job_codec.cc
+++ b/Source/Core/Jobs/job_codec.cc
@@ -29,9 +29,24 @@
   return json;
 }
 
+bool IsIndex(const Json::Value& json) {
+  return json.isInt() && json.asInt() >= 0 &&
+         json.asInt() <= IndexRanges::kMaxIndex;
+}
+
+// Adds a row of the first and the last index of a range to `ranges`.
+bool ReadRange(const Json::Value& row, IndexRanges* ranges) {
+  if (!row.isArray() || row.size() != 2 || !IsIndex(row[0]) ||
+      !IsIndex(row[1]) || row[0].asInt() > row[1].asInt()) {
+    return false;
+  }
+  ranges->Add(row[0].asInt(), row[1].asInt());
+  return true;
+}
+
 bool ReadTask(const JobId& job, const Json::Value& json, TaskRef* task) {
-  if (!json.isArray() || json.size() < kTaskRefColumns || !json[0].isInt() ||
-      !json[1].isInt() || !json[2].isInt()) {
+  if (!json.isArray() || json.size() < kTaskRefColumns || !IsIndex(json[0]) ||
+      !IsIndex(json[1]) || !IsIndex(json[2])) {
     return false;
   }
   *task = TaskRef{job, json[0].asInt(), json[1].asInt(), json[2].asInt()};
@@ -97,6 +112,12 @@
 Json::Value ToJson(const JobProgress& progress) {
   Json::Value json(Json::objectValue);
   json["status"] = ToString(progress.status);
+  for (const std::pair<const int, int>& range : progress.finished.ranges()) {
+    Json::Value row(Json::arrayValue);
+    row.append(range.first);
+    row.append(range.second);
+    json["finished"].append(row);
+  }
   for (const TaskRef& task : progress.done) {
     json["done"].append(TaskToJson(task));
   }
@@ -153,6 +174,12 @@
   if (!is_known) {
     return BadRecord(job, "unknown job status " + status.value());
   }
+  for (const Json::Value& row : json["finished"]) {
+    if (!ReadRange(row, &progress.finished)) {
+      return BadRecord(job,
+                       "malformed entry in the list of finished occurrences");
+    }
+  }
   for (const Json::Value& row : json["done"]) {
     TaskRef task;
     if (!ReadTask(job, row, &task)) {
--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -11,6 +11,7 @@
 
 #include "Core/Common/identifiers.h"
 #include "Core/Common/time.h"
+#include "Core/Jobs/index_ranges.h"
 #include "Core/Jobs/job_progress.h"
 #include "Core/Jobs/job_spec.h"
 #include "Core/Jobs/previous_run.h"
@@ -85,14 +86,24 @@
 struct OccurrenceState {
   std::vector<StepState> steps;
   int steps_done = 0;
+  int runs = 0;  // of all its tasks
+
+  bool IsFinished() const {
+    return this->steps_done == static_cast<int>(this->steps.size());
+  }
 };
 
 struct JobState {
   AcceptedJob job;
   JobStatus status = JobStatus::kQueued;
   std::size_t share_account = 0;  // of its team, see TeamShares
+  // The open occurrences: those that are not finished or have runs.
   std::map<int, OccurrenceState> occurrences;
-  int occurrences_done = 0;
+  // All occurrences that were opened, and those that are finished.
+  IndexRanges opened;
+  IndexRanges finished;
+  // Some occurrences are due and wait until others have ended.
+  bool has_backlog = false;
   bool has_started = false;
   // Target completion time, derived from the policy of the queue.
   WallTime objective;
--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -25,7 +25,7 @@
 
 const OccurrenceState* FirstIncompleteOccurrence(const JobState& job) {
   for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
-    if (entry.second.steps_done < static_cast<int>(entry.second.steps.size())) {
+    if (!entry.second.IsFinished()) {
       return &entry.second;
     }
   }
@@ -85,9 +85,30 @@
   return reserved;
 }
 
-bool IsDue(const JobSpec& spec, int occurrence, WallTime wall) {
-  return spec.occurrences == 0 ||
-         wall >= spec.first_due + occurrence * spec.interval;
+int CountOccurrences(const JobSpec& spec) {
+  return std::max(1, spec.occurrences);
+}
+
+int CountDueOccurrences(const JobSpec& spec, WallTime wall) {
+  if (spec.occurrences == 0) {
+    return 1;
+  }
+  if (wall < spec.first_due) {
+    return 0;
+  }
+  if (spec.interval <= Milliseconds(0)) {
+    return spec.occurrences;
+  }
+  return static_cast<int>(
+      std::min<std::int64_t>((wall - spec.first_due) / spec.interval,
+                             spec.occurrences - 1) +
+      1);
+}
+
+bool HasTask(const JobSpec& spec, const TaskRef& task) {
+  return task.occurrence >= 0 && task.occurrence < CountOccurrences(spec) &&
+         task.step >= 0 && task.step < static_cast<int>(spec.steps.size()) &&
+         task.index >= 0 && task.index < spec.steps[task.step].task_count;
 }
 
 OccurrenceState NewOccurrence(const JobSpec& spec) {
@@ -105,7 +126,11 @@
   if (IsFinal(job.status)) {
     return progress;
   }
+  progress.finished = job.finished;
   for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
+    if (entry.second.IsFinished()) {
+      continue;
+    }
     for (std::size_t s = 0; s < entry.second.steps.size(); ++s) {
       const std::vector<TaskState>& tasks = entry.second.steps[s].tasks;
       for (std::size_t i = 0; i < tasks.size(); ++i) {
--- a/Source/Core/Jobs/objective.h
+++ b/Source/Core/Jobs/objective.h
@@ -25,9 +25,13 @@
 Resources ReservedBy(const StepSpec& step);
 OccurrenceState NewOccurrence(const JobSpec& spec);
 
-// Whether the occurrence may start; the only one of an unscheduled job always
-// may.
-bool IsDue(const JobSpec& spec, int occurrence, WallTime wall);
+// Number of times that the steps run; 1 for an unscheduled job.
+int CountOccurrences(const JobSpec& spec);
+// Number of occurrences that may start; the only one of an unscheduled job
+// always may.
+int CountDueOccurrences(const JobSpec& spec, WallTime wall);
+// Whether the job has such a task.
+bool HasTask(const JobSpec& spec, const TaskRef& task);
 // Returns the part of the job's state that must be saved.
 JobProgress ProgressOf(const JobState& job);
 
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -23,7 +23,7 @@
       continue;
     }
     const std::int64_t tasks =
-        std::int64_t{step.task_count} * std::max(1, spec.occurrences);
+        std::int64_t{step.task_count} * CountOccurrences(spec);
     use += Resources{tasks * step.request.cpu_millicores,
                      tasks * step.request.memory_mb,
                      tasks * step.request.accelerators};
@@ -128,36 +128,41 @@
     this->RecordDecision("job_held", TaskRef{id}, 0, WorkerName(),
                          "another scheduler may be the leader");
   }
-  if (state.job.spec.occurrences == 0) {
-    this->OpenDueOccurrences(&state, WallTime::max());
-  } else {
-    // Recreate the occurrences that the stored progress refers to, and those
-    // before them.
-    int last = -1;
-    for (const TaskRef& task : progress.done) {
-      last = std::max(last, task.occurrence);
-    }
-    for (const std::pair<const TaskRef, std::set<std::int64_t>>& entry :
-         progress.failures) {
-      last = std::max(last, entry.first.occurrence);
-    }
-    for (const std::pair<const TaskRef, CrashRecord>& entry :
-         progress.crashes) {
-      last = std::max(last, entry.first.occurrence);
-    }
-    for (int i = 0; i <= last; ++i) {
-      state.occurrences[i] = NewOccurrence(state.job.spec);
+  this->AdoptProgress(&state, progress, now);
+  if (!may_have_runs && state.job.spec.occurrences == 0) {
+    this->arrivals.emplace_back(now, state.remaining_work);
+  }
+  this->RecordDecision("job_known", TaskRef{id}, 0, WorkerName(),
+                       may_have_runs ? "found" : "accepted");
+}
+
+void PoolScheduler::AdoptProgress(JobState* job,
+                                  const JobProgress& progress,
+                                  MonotonicTime now) {
+  const int count = CountOccurrences(job->job.spec);
+  for (const std::pair<const int, int>& range : progress.finished.ranges()) {
+    if (range.first < count) {
+      job->finished.Add(range.first, std::min(range.second, count - 1));
     }
-    RefreshRemaining(&state);
+  }
+  job->opened = job->finished;
+  if (job->job.spec.occurrences == 0) {
+    this->OpenOccurrence(job, 0);
   }
   for (const std::pair<const TaskRef, std::set<std::int64_t>>& entry :
        progress.failures) {
-    if (TaskState* const task = this->FindTask(entry.first)) {
+    if (job->finished.Contains(entry.first.occurrence)) {
+      continue;
+    }
+    if (TaskState* const task = this->OpenTask(entry.first)) {
       task->failed_runs = entry.second;
     }
   }
   for (const std::pair<const TaskRef, CrashRecord>& entry : progress.crashes) {
-    if (TaskState* const task = this->FindTask(entry.first)) {
+    if (job->finished.Contains(entry.first.occurrence)) {
+      continue;
+    }
+    if (TaskState* const task = this->OpenTask(entry.first)) {
       task->crashes = entry.second;
       if (!entry.second.open_starts.empty()) {
         task->last_run =
@@ -167,14 +172,14 @@
     }
   }
   for (const TaskRef& task : progress.done) {
-    state.has_started = true;
-    this->FinishTask(&state, task, now);
-  }
-  if (!may_have_runs && state.job.spec.occurrences == 0) {
-    this->arrivals.emplace_back(now, state.remaining_work);
+    job->has_started = true;
+    if (!job->finished.Contains(task.occurrence) &&
+        this->OpenTask(task) != nullptr) {
+      this->FinishTask(job, task, now);
+    }
   }
-  this->RecordDecision("job_known", TaskRef{id}, 0, WorkerName(),
-                       may_have_runs ? "found" : "accepted");
+  job->has_started |= !job->finished.empty();
+  RefreshRemaining(job);
 }
 
 void PoolScheduler::CancelJob(const JobId& job, MonotonicTime now) {
@@ -393,9 +398,11 @@
                                  std::int64_t number,
                                  const WorkerName& worker,
                                  MonotonicTime now) {
-  TaskState* const state = this->FindTask(task);
+  TaskState* const state = this->OpenTask(task);
+  OccurrenceState& occurrence = job->occurrences.at(task.occurrence);
+  ++occurrence.runs;
   if (state->runs.empty() && !state->is_done) {
-    ++job->occurrences.at(task.occurrence).steps[task.step].done_or_running;
+    ++occurrence.steps[task.step].done_or_running;
   }
   RunRecord record;
   record.number = number;
@@ -450,9 +457,12 @@
   if (how != PreviousRun::kLeaseExpired) {
     this->CloseStart(task, state, number);
   }
+  OccurrenceState& occurrence = job.occurrences.at(task.occurrence);
+  --occurrence.runs;
   if (state->runs.empty() && !state->is_done) {
-    --job.occurrences.at(task.occurrence).steps[task.step].done_or_running;
+    --occurrence.steps[task.step].done_or_running;
   }
+  CloseOccurrence(&job, task.occurrence);
 }
 
 void PoolScheduler::StopRunOf(const TaskRef& task,
@@ -492,30 +502,108 @@
 
 void PoolScheduler::OpenDueOccurrences(JobState* job, WallTime wall) {
   const JobSpec& spec = job->job.spec;
-  const int count = std::max(1, spec.occurrences);
-  for (int i = static_cast<int>(job->occurrences.size()); i < count; ++i) {
-    if (!IsDue(spec, i, wall)) {
-      return;
+  const int due = CountDueOccurrences(spec, wall);
+  int next = job->opened.FirstMissing(0);
+  if (next >= due) {
+    job->has_backlog = false;
+    return;
+  }
+  std::vector<std::int64_t> waiting = CountWaitingFirst(*job);
+  const auto may_open = [this, job, &spec, &waiting]() {
+    const std::size_t steps = (job->occurrences.size() + 1) * spec.steps.size();
+    return job->occurrences.empty() ||
+           (steps <= static_cast<std::size_t>(this->settings.max_open_steps) &&
+            *std::min_element(waiting.begin(), waiting.end()) <
+                this->settings.min_waiting_tasks);
+  };
+  for (; next < due && may_open(); next = job->opened.FirstMissing(next)) {
+    this->OpenOccurrence(job, next);
+    std::size_t first = 0;
+    for (const StepSpec& step : spec.steps) {
+      if (step.after.empty()) {
+        waiting[first++] += step.task_count;
+      }
     }
-    job->occurrences.emplace(i, NewOccurrence(spec));
+  }
+  if (next < due && !job->has_backlog) {
+    this->RecordDecision("occurrences_wait", TaskRef{job->job.id, next}, 0,
+                         WorkerName(),
+                         std::to_string(due - next) + " are due, " +
+                             std::to_string(job->occurrences.size()) + " open");
+  }
+  job->has_backlog = next < due;
+}
+
+std::vector<std::int64_t> PoolScheduler::CountWaitingFirst(
+    const JobState& job) {
+  std::vector<std::int64_t> waiting;
+  const std::vector<StepSpec>& steps = job.job.spec.steps;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    if (!steps[i].after.empty()) {
+      continue;
+    }
+    waiting.push_back(0);
+    for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
+      waiting.back() +=
+          steps[i].task_count - entry.second.steps[i].done_or_running;
+    }
+  }
+  return waiting;
+}
+
+OccurrenceState* PoolScheduler::OpenOccurrence(JobState* job, int occurrence) {
+  const std::map<int, OccurrenceState>::iterator found =
+      job->occurrences.find(occurrence);
+  if (found != job->occurrences.end()) {
+    return &found->second;
+  }
+  OccurrenceState& state =
+      job->occurrences.emplace(occurrence, NewOccurrence(job->job.spec))
+          .first->second;
+  if (job->finished.Contains(occurrence)) {
+    for (StepState& step : state.steps) {
+      step.done = static_cast<int>(step.tasks.size());
+      step.done_or_running = step.done;
+      for (TaskState& task : step.tasks) {
+        task.is_done = true;
+      }
+    }
+    state.steps_done = static_cast<int>(state.steps.size());
+  } else {
+    job->opened.Add(occurrence, occurrence);
     RefreshRemaining(job);
   }
+  return &state;
 }
 
-void PoolScheduler::OpenReportedOccurrence(const TaskRef& task) {
-  const std::unordered_map<JobId, JobState>::iterator found =
+TaskState* PoolScheduler::OpenTask(const TaskRef& task) {
+  const std::unordered_map<JobId, JobState>::iterator job =
       this->jobs.find(task.job);
-  if (found == this->jobs.end() || IsFinal(found->second.status)) {
-    return;
+  if (job == this->jobs.end() || !HasTask(job->second.job.spec, task)) {
+    return nullptr;
   }
-  JobState& job = found->second;
-  if (task.occurrence >= job.job.spec.occurrences) {
-    return;
+  return &this->OpenOccurrence(&job->second, task.occurrence)
+              ->steps[task.step]
+              .tasks[task.index];
+}
+
+void PoolScheduler::FinishOccurrence(JobState* job,
+                                     int occurrence,
+                                     MonotonicTime now) {
+  job->finished.Add(occurrence, occurrence);
+  CloseOccurrence(job, occurrence);
+  if (job->finished.size() >= CountOccurrences(job->job.spec)) {
+    this->RecordEnd(*job);
+    this->CloseJob(job, JobStatus::kCompleted, now);
   }
-  for (int i = static_cast<int>(job.occurrences.size()); i <= task.occurrence;
-       ++i) {
-    job.occurrences.emplace(i, NewOccurrence(job.job.spec));
-    RefreshRemaining(&job);
+}
+
+void PoolScheduler::CloseOccurrence(JobState* job, int occurrence) {
+  const std::map<int, OccurrenceState>::const_iterator found =
+      job->occurrences.find(occurrence);
+  if (found != job->occurrences.end() && found->second.runs == 0 &&
+      (found->second.IsFinished() || IsFinal(job->status))) {
+    job->occurrences.erase(found);
   }
 }
 
@@ -547,12 +635,9 @@
   if (step.done < static_cast<int>(step.tasks.size())) {
     return;
   }
-  if (++occurrence.steps_done < static_cast<int>(occurrence.steps.size())) {
-    return;
-  }
-  if (++job->occurrences_done >= std::max(1, job->job.spec.occurrences)) {
-    this->RecordEnd(*job);
-    this->CloseJob(job, JobStatus::kCompleted, now);
+  ++occurrence.steps_done;
+  if (occurrence.IsFinished()) {
+    this->FinishOccurrence(job, task.occurrence, now);
   }
 }
 
@@ -587,6 +672,10 @@
   this->MarkUnsaved(job);
   this->has_unsaved_final = true;
   this->StopAllRuns(job, now);
+  std::erase_if(job->occurrences,
+                [](const std::pair<const int, OccurrenceState>& entry) {
+                  return entry.second.runs == 0;
+                });
   this->RecordDecision("job_closed", TaskRef{job->job.id}, 0, WorkerName(),
                        ToString(status));
 }
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -232,10 +232,23 @@
   void StopRunOf(const TaskRef& task, RunRecord* run, MonotonicTime now);
   void StopAllRuns(JobState* job, MonotonicTime now);
   void MarkUnsaved(JobState* job);
+  // Opens the occurrences that are due, as far as their tasks can start soon.
+  // Occurrences are closed when they are finished and have no runs.
   void OpenDueOccurrences(JobState* job, WallTime wall);
-  // Opens the occurrence of a run that a worker reports, and those before it,
-  // if the job has them. A scheduler with another clock may have started it.
-  void OpenReportedOccurrence(const TaskRef& task);
+  // Number of tasks that wait in each step without predecessors.
+  static std::vector<std::int64_t> CountWaitingFirst(const JobState& job);
+  // Opens the occurrence unless it is open. One that is finished gets only done
+  // tasks.
+  OccurrenceState* OpenOccurrence(JobState* job, int occurrence);
+  // Opens the occurrence of the task, though it may not be due by the clock of
+  // this scheduler. Returns null if there is no such task.
+  TaskState* OpenTask(const TaskRef& task);
+  void FinishOccurrence(JobState* job, int occurrence, MonotonicTime now);
+  // Closes the occurrence if it is finished, or the job is, and has no runs.
+  static void CloseOccurrence(JobState* job, int occurrence);
+  void AdoptProgress(JobState* job,
+                     const JobProgress& progress,
+                     MonotonicTime now);
   void FinishTask(JobState* job, const TaskRef& task, MonotonicTime now);
   void FailTask(JobState* job,
                 const TaskRef& task,
@@ -267,6 +280,12 @@
   // with its new process.
   void HandleWorkerRestart(WorkerState* worker, MonotonicTime now);
   void HandleRunEnd(WorkerState* worker, const RunEnd& end, MonotonicTime now);
+  // Updates the task of a run that has ended, unless its job or its occurrence
+  // has.
+  void RecordTaskEnd(WorkerState* worker,
+                     JobState* job,
+                     const RunEnd& end,
+                     MonotonicTime now);
   void HandleActiveRun(WorkerState* worker,
                        const ActiveRun& active,
                        MonotonicTime now);
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -237,9 +237,10 @@
       continue;
     }
     const std::map<std::int64_t, OpenStart> starts = state->crashes.open_starts;
+    const std::int64_t last_run = state->last_run;
     for (const std::pair<const std::int64_t, OpenStart>& start : starts) {
       // Later runs have not been sent yet.
-      if (start.first <= state->last_run &&
+      if (start.first <= last_run &&
           this->FindRun(task, start.first) == nullptr) {
         this->SettleOpenStart({task, start.first}, start.second, now);
       }
@@ -250,6 +251,10 @@
 void PoolScheduler::SettleOpenStart(const RunKey& run,
                                     const OpenStart& start,
                                     MonotonicTime now) {
+  if (this->FindTask(run.first) == nullptr) {
+    // An earlier start has closed the job.
+    return;
+  }
   if (start.incarnation == 0) {
     if (run.second >= this->first_run) {
       this->CloseStart(run.first, this->FindTask(run.first), run.second);
--- a/Source/Core/Jobs/pool_scheduler_overload.cc
+++ b/Source/Core/Jobs/pool_scheduler_overload.cc
@@ -46,7 +46,7 @@
   const WallTime begin =
       spec.occurrences > 0 ? spec.first_due : job.job.accepted_at;
   const int occurrence =
-      std::clamp(job.occurrences_done, 0, std::max(0, spec.occurrences - 1));
+      std::min(job.finished.FirstMissing(0), CountOccurrences(spec) - 1);
   waiting.time_left = std::chrono::duration_cast<Milliseconds>(
       job.objective + occurrence * spec.interval - wall);
   waiting.objective_length =
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -90,13 +90,15 @@
     candidate.priority = this->PolicyOf(job).priority;
     candidate.tier =
         kFirstJobTier + static_cast<int>(this->StandingOf(job, wall));
+    const int due = CountDueOccurrences(job.job.spec, wall);
     for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
-      if (!IsDue(job.job.spec, entry.first, wall)) {
-        continue;
+      // A report opens its occurrence at any time.
+      if (entry.first >= due) {
+        break;
       }
       const int steps = static_cast<int>(entry.second.steps.size());
       candidate.occurrence = entry.first;
-      for (int s = 0; entry.second.steps_done < steps && s < steps; ++s) {
+      for (int s = 0; !entry.second.IsFinished() && s < steps; ++s) {
         if (this->IsStepReady(job, entry.second, s)) {
           candidate.step = s;
           this->CollectStep(candidate, candidates);
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -396,13 +396,11 @@
 void PoolScheduler::HandleRunEnd(WorkerState* worker,
                                  const RunEnd& end,
                                  MonotonicTime now) {
-  this->OpenReportedOccurrence(end.task);
   const std::unordered_map<JobId, JobState>::iterator found =
       this->jobs.find(end.task.job);
-  TaskState* const task = this->FindTask(end.task);
   this->RecordDecision("run_ended", end.task, end.run, worker->listing.name,
                        ToString(end.kind));
-  if (task == nullptr) {
+  if (found == this->jobs.end() || !HasTask(found->second.job.spec, end.task)) {
     return;
   }
   JobState& job = found->second;
@@ -410,37 +408,48 @@
   if (run != nullptr && run->worker == worker->listing.name) {
     this->RemoveRun(end.task, end.run, PreviousRun::kEnded);
   }
+  job.has_started = true;
+  if (!IsFinal(job.status) && !job.finished.Contains(end.task.occurrence)) {
+    this->RecordTaskEnd(worker, &job, end, now);
+  }
+  // This includes ends of jobs that are already closed: until the final status
+  // is saved, a later scheduler would run their tasks again.
+  if (job.revision != job.saved_revision) {
+    worker->unsaved_ends.push_back(
+        UnsavedEnd{end.sequence, job.job.id, job.revision});
+  }
+}
+
+void PoolScheduler::RecordTaskEnd(WorkerState* worker,
+                                  JobState* job,
+                                  const RunEnd& end,
+                                  MonotonicTime now) {
+  TaskState* const task = this->OpenTask(end.task);
   this->CloseStart(end.task, task, end.run);
   task->last_run = std::max(task->last_run, end.run);
-  job.has_started = true;
   if (!end.checkpoint.empty()) {
     task->checkpoint = end.checkpoint;
   }
-  const bool is_open = !IsFinal(job.status) && !task->is_done;
-  if (is_open && end.kind == EndKind::kDone) {
+  if (task->is_done) {
+    return;
+  }
+  if (end.kind == EndKind::kDone) {
     this->RecordRunOutcome(worker, false, now);
-    this->MarkUnsaved(&job);
-    this->FinishTask(&job, end.task, now);
-  } else if (is_open && end.kind == EndKind::kFailed) {
+    this->MarkUnsaved(job);
+    this->FinishTask(job, end.task, now);
+  } else if (end.kind == EndKind::kFailed) {
     this->RecordRunOutcome(worker, true, now);
     task->failed_on = worker->listing.name;
-    this->FailTask(&job, end.task, end.run, now);
-  }
-  // This includes ends of jobs that are already closed: until the final status
-  // is saved, a later scheduler would run their tasks again.
-  if (job.revision != job.saved_revision) {
-    worker->unsaved_ends.push_back(
-        UnsavedEnd{end.sequence, job.job.id, job.revision});
+    this->FailTask(job, end.task, end.run, now);
   }
 }
 
 void PoolScheduler::HandleActiveRun(WorkerState* worker,
                                     const ActiveRun& active,
                                     MonotonicTime now) {
-  this->OpenReportedOccurrence(active.task);
   const std::unordered_map<JobId, JobState>::iterator found =
       this->jobs.find(active.task.job);
-  TaskState* const task = this->FindTask(active.task);
+  TaskState* const task = this->OpenTask(active.task);
   if (task == nullptr) {
     this->RecordDecision("run_stopped", active.task, active.run,
                          worker->listing.name, "unknown job or task");
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -92,6 +92,13 @@
   // scheduler's processor can send, later ones would time out and be repeated.
   int max_unanswered_starts = 256;
 
+  // An occurrence of a scheduled job is opened when it is due and fewer tasks
+  // than this wait in some first step of the open ones: enough for all starts
+  // of a pass.
+  int min_waiting_tasks = 256;
+  // Steps in the open occurrences of a job, if it has more than one open.
+  int max_open_steps = 10000;
+
   // A task under which this many workers have crashed runs on trial: on a
   // worker without other runs that may be the cause of a crash.
   int crashes_before_trial = 2;
--- a/Source/UnitTests/Jobs/scheduled_progress_test.cc
+++ b/Source/UnitTests/Jobs/scheduled_progress_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "Core/Common/json.h"
 #include "UnitTests/Jobs/job_builder.h"
 #include "UnitTests/Jobs/one_worker_pool.h"
 
@@ -73,7 +74,7 @@
   const std::vector<std::pair<JobId, JobProgress>> saved =
       pool.scheduler.TakeUnsaved(10, pool.Now());
   REQUIRE(saved.size() == 1);
-  CHECK(saved[0].second.done.contains(task));
+  CHECK(saved[0].second.IsDone(task));
 }
 
 // Guards against a second run of an occurrence that still runs when the new
@@ -117,5 +118,55 @@
   }
 }
 
+// Guards against a worker that gets more than it has room for while a run of a
+// finished occurrence is being stopped.
+TEST_CASE("A run of a finished occurrence keeps its room until it has ended") {
+  OneWorkerPool pool;
+  JobProgress progress;
+  progress.finished.Add(0, 0);
+  AcceptedJob job = ScheduledJob();
+  job.spec.steps[0].request = Resources{4000, 100, 0};
+  pool.scheduler.AddJob(job, progress, true, pool.Now());
+  RunReport report = EmptyReport();
+  const TaskRef finished{JobId("j"), 0, 0, 0};
+  ActiveRun active;
+  active.task = finished;
+  active.run = 7;
+  report.active = {active};
+  pool.scheduler.OnReport(pool.worker, report, pool.Now(), pool.Now());
+  pool.elapsed += Milliseconds(10);
+  int stops = 0;
+  for (const Order& order : pool.scheduler.TakeOrders(
+           pool.Now(), WallTime(std::chrono::hours(1000)))) {
+    CHECK_FALSE(std::holds_alternative<StartRun>(order));
+    stops += std::holds_alternative<StopRun>(order);
+  }
+  CHECK(stops == 1);
+  report.active.clear();
+  report.ended = {RunEnd{1, finished, 7, EndKind::kStopped, ""}};
+  pool.scheduler.OnReport(pool.worker, report, pool.Now(), pool.Now());
+  pool.elapsed += Milliseconds(10);
+  const std::vector<StartRun> starts = pool.TakeOrders<StartRun>();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.occurrence == 1);
+}
+
+// Guards against finished occurrences that run again after a takeover.
+TEST_CASE("Finished occurrences are stored and read as ranges") {
+  JobProgress progress;
+  progress.status = JobStatus::kRunning;
+  progress.finished.Add(0, 1'999'999'998);
+  const Result<JobProgress> read =
+      ParseJobProgress(JobId("j"), ToJson(progress));
+  REQUIRE(read.ok());
+  CHECK(read.value().finished == progress.finished);
+  for (const char* const bad : {"7", "[0]", "[0,1,2]", "[3,2]", "[-1,2]",
+                                "[0,2147483647]", "[0,9000000000]"}) {
+    Json::Value json = ToJson(progress);
+    json["finished"].append(ParseJson(bad).value());
+    CHECK_FALSE(ParseJobProgress(JobId("j"), json).ok());
+  }
+}
+
 }  // namespace
 }  // namespace daisyroad
