Jobs: tasks take memory when they start

Cause: a step kept a state of some 350 bytes for each of its tasks from the moment the job was read. Progress was stored as one row a task, so it also grew without bound, and passes looked at every task of a step. Tasks that request nothing could all run at once, as only the room of workers limits runs.

Change: TaskTable keeps a state for tasks that have run and are not done, and ranges of those that are done; passes, saves and stops walk those. Progress stores ranges; rows of one task are read as before. A job has at most 10,000 runs at a time; the rest of its tasks waits. Failed runs are stored for tasks that are not done only, as nothing reads the others.

An instance of an earlier version reads a range as its first task, so it must not follow this one as the scheduler of a pool: replace all instances at once, or finish the update before work is handed in that runs many tasks.

--- a/Source/Core/Jobs/job_codec.cc
+++ b/Source/Core/Jobs/job_codec.cc
@@ -53,6 +53,22 @@
   return true;
 }
 
+// Reads the index of the last task of a row of completed tasks. A row of one
+// task does not have it.
+bool ReadLast(const Json::Value& row, int first, int* last) {
+  *last = first;
+  if (row.size() == kTaskRefColumns) {
+    return true;
+  }
+  const Json::Value& json = row[kTaskRefColumns];
+  if (row.size() != kTaskRefColumns + 1 || !IsIndex(json) ||
+      json.asInt() < first) {
+    return false;
+  }
+  *last = json.asInt();
+  return true;
+}
+
 Error BadRecord(const JobId& job, const std::string& detail) {
   return Error{Errc::kProtocol, "jobs.parse", job.str(), detail};
 }
@@ -118,8 +134,16 @@
     row.append(range.second);
     json["finished"].append(row);
   }
-  for (const TaskRef& task : progress.done) {
-    json["done"].append(TaskToJson(task));
+  for (const std::pair<const DoneTasks::StepKey, IndexRanges>& step :
+       progress.done.steps()) {
+    for (const std::pair<const int, int>& range : step.second.ranges()) {
+      Json::Value row = TaskToJson(
+          TaskRef{JobId(), step.first.first, step.first.second, range.first});
+      if (range.second != range.first) {
+        row.append(range.second);
+      }
+      json["done"].append(row);
+    }
   }
   for (const std::pair<const TaskRef, std::set<std::int64_t>>& entry :
        progress.failures) {
@@ -182,10 +206,11 @@
   }
   for (const Json::Value& row : json["done"]) {
     TaskRef task;
-    if (!ReadTask(job, row, &task)) {
+    int last = 0;
+    if (!ReadTask(job, row, &task) || !ReadLast(row, task.index, &last)) {
       return BadRecord(job, "malformed entry in the list of completed tasks");
     }
-    progress.done.insert(task);
+    progress.done.Add(task.occurrence, task.step, task.index, last);
   }
   for (const Json::Value& row : json["failures"]) {
     TaskRef task;
--- a/Source/Core/Jobs/job_progress.h
+++ b/Source/Core/Jobs/job_progress.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "Core/Common/result.h"
+#include "Core/Jobs/done_tasks.h"
 #include "Core/Jobs/index_ranges.h"
 #include "Core/Jobs/job_spec.h"
 #include "Core/Jobs/open_start.h"
@@ -42,10 +43,10 @@
   JobStatus status = JobStatus::kQueued;
   // Occurrences whose tasks are all done; `done` has those of others.
   IndexRanges finished;
-  std::set<TaskRef> done;
-  // Numbers of the failed runs. A worker reports an end again to a scheduler
-  // that has not acknowledged it, and the number keeps it from being counted
-  // twice.
+  DoneTasks done;
+  // Numbers of the failed runs of tasks that are not done. A worker reports an
+  // end again to a scheduler that has not acknowledged it, and the number keeps
+  // it from being counted twice.
   std::map<TaskRef, std::set<std::int64_t>> failures;
   std::map<TaskRef, CrashRecord> crashes;
 
--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -39,7 +39,7 @@
     if (step.is_service) {
       continue;
     }
-    const double tasks = step.task_count - open.steps[i].done;
+    const double tasks = step.task_count - open.steps[i].tasks.done_count();
     work += tasks * static_cast<double>(step.request.cpu_millicores) *
             static_cast<double>(step.estimate.count()) / 1000.0;
   }
@@ -57,8 +57,7 @@
   }
   job->remaining_critical_path =
       CriticalPathLength(job->job.spec, [open](std::size_t step) {
-        return open->steps[step].done <
-               static_cast<int>(open->steps[step].tasks.size());
+        return !open->steps[step].tasks.IsFinished();
       });
   job->remaining_work = RemainingWork(job->job.spec, *open);
 }
@@ -114,8 +113,7 @@
 OccurrenceState NewOccurrence(const JobSpec& spec) {
   OccurrenceState occurrence;
   for (const StepSpec& step : spec.steps) {
-    occurrence.steps.emplace_back();
-    occurrence.steps.back().tasks.resize(step.task_count);
+    occurrence.steps.emplace_back(step.task_count);
   }
   return occurrence;
 }
@@ -132,18 +130,21 @@
       continue;
     }
     for (std::size_t s = 0; s < entry.second.steps.size(); ++s) {
-      const std::vector<TaskState>& tasks = entry.second.steps[s].tasks;
-      for (std::size_t i = 0; i < tasks.size(); ++i) {
-        const TaskRef ref{job.job.id, entry.first, static_cast<int>(s),
-                          static_cast<int>(i)};
-        if (tasks[i].is_done) {
-          progress.done.insert(ref);
+      const TaskTable& tasks = entry.second.steps[s].tasks;
+      const int step = static_cast<int>(s);
+      if (!tasks.done().empty()) {
+        progress.done.Add(entry.first, step, tasks.done());
+      }
+      for (const std::pair<const int, TaskState>& task : tasks.states()) {
+        const TaskRef ref{job.job.id, entry.first, step, task.first};
+        if (task.second.is_done) {
+          continue;
         }
-        if (!tasks[i].failed_runs.empty()) {
-          progress.failures[ref] = tasks[i].failed_runs;
+        if (!task.second.failed_runs.empty()) {
+          progress.failures[ref] = task.second.failed_runs;
         }
-        if (!tasks[i].is_done && !tasks[i].crashes.empty()) {
-          progress.crashes[ref] = tasks[i].crashes;
+        if (!task.second.crashes.empty()) {
+          progress.crashes[ref] = task.second.crashes;
         }
       }
     }
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -171,14 +171,17 @@
       this->suspects.insert(entry.first);
     }
   }
-  for (const TaskRef& task : progress.done) {
-    job->has_started = true;
-    if (!job->finished.Contains(task.occurrence) &&
-        this->OpenTask(task) != nullptr) {
-      this->FinishTask(job, task, now);
+  for (const std::pair<const DoneTasks::StepKey, IndexRanges>& step :
+       progress.done.steps()) {
+    const TaskRef first{job->job.id, step.first.first, step.first.second, 0};
+    if (job->finished.Contains(first.occurrence) ||
+        !HasTask(job->job.spec, first)) {
+      continue;
     }
+    this->OpenOccurrence(job, first.occurrence);
+    this->FinishTasks(job, first, step.second, now);
   }
-  job->has_started |= !job->finished.empty();
+  job->has_started |= progress.done.size() > 0 || !job->finished.empty();
   RefreshRemaining(job);
 }
 
@@ -352,27 +355,23 @@
   return found == this->policies.end() ? kDefaultPolicy : found->second;
 }
 
-TaskState* PoolScheduler::FindTask(const TaskRef& task) {
+StepState* PoolScheduler::FindStep(const TaskRef& task) {
   const std::unordered_map<JobId, JobState>::iterator job =
       this->jobs.find(task.job);
-  if (job == this->jobs.end()) {
+  if (job == this->jobs.end() || !HasTask(job->second.job.spec, task)) {
     return nullptr;
   }
   const std::map<int, OccurrenceState>::iterator occurrence =
       job->second.occurrences.find(task.occurrence);
-  if (occurrence == job->second.occurrences.end() || task.step < 0 ||
-      task.step >= static_cast<int>(occurrence->second.steps.size())) {
-    return nullptr;
-  }
-  StepState& step = occurrence->second.steps[task.step];
-  if (task.index < 0 || task.index >= static_cast<int>(step.tasks.size())) {
-    return nullptr;
-  }
-  return &step.tasks[task.index];
+  return occurrence == job->second.occurrences.end()
+             ? nullptr
+             : &occurrence->second.steps[task.step];
 }
 
 const TaskState* PoolScheduler::FindTask(const TaskRef& task) const {
-  return const_cast<PoolScheduler*>(this)->FindTask(task);
+  const StepState* const step =
+      const_cast<PoolScheduler*>(this)->FindStep(task);
+  return step == nullptr ? nullptr : &step->tasks.At(task.index);
 }
 
 const StepSpec& PoolScheduler::SpecOf(const JobState& job,
@@ -381,16 +380,8 @@
 }
 
 RunRecord* PoolScheduler::FindRun(const TaskRef& task, std::int64_t run) {
-  TaskState* const state = this->FindTask(task);
-  if (state == nullptr) {
-    return nullptr;
-  }
-  for (RunRecord& record : state->runs) {
-    if (record.number == run) {
-      return &record;
-    }
-  }
-  return nullptr;
+  StepState* const step = this->FindStep(task);
+  return step == nullptr ? nullptr : step->tasks.FindRun(task.index, run);
 }
 
 RunRecord* PoolScheduler::AddRun(JobState* job,
@@ -398,18 +389,14 @@
                                  std::int64_t number,
                                  const WorkerName& worker,
                                  MonotonicTime now) {
-  TaskState* const state = this->OpenTask(task);
-  OccurrenceState& occurrence = job->occurrences.at(task.occurrence);
-  ++occurrence.runs;
-  if (state->runs.empty() && !state->is_done) {
-    ++occurrence.steps[task.step].done_or_running;
-  }
+  OccurrenceState* const occurrence =
+      this->OpenOccurrence(job, task.occurrence);
+  ++occurrence->runs;
+  ++job->runs;
   RunRecord record;
   record.number = number;
   record.worker = worker;
   record.ordered_at = now;
-  state->runs.push_back(record);
-  state->last_run = std::max(state->last_run, number);
   const StepSpec& step = this->SpecOf(*job, task);
   WorkerState& host = this->workers.at(worker);
   host.runs.emplace(task, number);
@@ -424,22 +411,19 @@
   host.latency_target_runs += step.latency_target.count() > 0;
   this->used[job->job.team] += step.request;
   job->has_started = true;
-  return &state->runs.back();
+  return occurrence->steps[task.step].tasks.AddRun(task.index, record);
 }
 
 void PoolScheduler::RemoveRun(const TaskRef& task,
                               std::int64_t number,
                               PreviousRun how) {
-  TaskState* const state = this->FindTask(task);
-  const std::vector<RunRecord>::iterator found = std::find_if(
-      state->runs.begin(), state->runs.end(),
-      [number](const RunRecord& run) { return run.number == number; });
-  if (found == state->runs.end()) {
+  const RunRecord* const run = this->FindRun(task, number);
+  if (run == nullptr) {
     return;
   }
   JobState& job = this->jobs.at(task.job);
   const StepSpec& step = this->SpecOf(job, task);
-  WorkerState& host = this->workers.at(found->worker);
+  WorkerState& host = this->workers.at(run->worker);
   host.runs.erase({task, number});
   host.used -= ReservedBy(step);
   if (step.is_service) {
@@ -451,17 +435,14 @@
   host.idle_capacity_runs -= step.uses_idle_capacity;
   host.latency_target_runs -= step.latency_target.count() > 0;
   this->used[job.job.team] -= step.request;
-  state->runs.erase(found);
-  state->previous = how;
   // A worker that is cut off may have crashed; its next report tells.
   if (how != PreviousRun::kLeaseExpired) {
-    this->CloseStart(task, state, number);
+    this->CloseStart(task, number);
   }
   OccurrenceState& occurrence = job.occurrences.at(task.occurrence);
+  occurrence.steps[task.step].tasks.RemoveRun(task.index, number, how);
   --occurrence.runs;
-  if (state->runs.empty() && !state->is_done) {
-    --occurrence.steps[task.step].done_or_running;
-  }
+  --job.runs;
   CloseOccurrence(&job, task.occurrence);
 }
 
@@ -483,11 +464,11 @@
 void PoolScheduler::StopAllRuns(JobState* job, MonotonicTime now) {
   for (std::pair<const int, OccurrenceState>& entry : job->occurrences) {
     for (std::size_t s = 0; s < entry.second.steps.size(); ++s) {
-      std::vector<TaskState>& tasks = entry.second.steps[s].tasks;
-      for (std::size_t i = 0; i < tasks.size(); ++i) {
-        for (RunRecord& run : tasks[i].runs) {
+      for (std::pair<const int, TaskState>& task :
+           entry.second.steps[s].tasks.states()) {
+        for (RunRecord& run : task.second.runs) {
           this->StopRunOf(TaskRef{job->job.id, entry.first, static_cast<int>(s),
-                                  static_cast<int>(i)},
+                                  task.first},
                           &run, now);
         }
       }
@@ -545,7 +526,7 @@
     waiting.push_back(0);
     for (const std::pair<const int, OccurrenceState>& entry : job.occurrences) {
       waiting.back() +=
-          steps[i].task_count - entry.second.steps[i].done_or_running;
+          steps[i].task_count - entry.second.steps[i].tasks.done_or_running();
     }
   }
   return waiting;
@@ -562,11 +543,7 @@
           .first->second;
   if (job->finished.Contains(occurrence)) {
     for (StepState& step : state.steps) {
-      step.done = static_cast<int>(step.tasks.size());
-      step.done_or_running = step.done;
-      for (TaskState& task : step.tasks) {
-        task.is_done = true;
-      }
+      step.tasks.Finish(0, step.tasks.size() - 1);
     }
     state.steps_done = static_cast<int>(state.steps.size());
   } else {
@@ -582,9 +559,9 @@
   if (job == this->jobs.end() || !HasTask(job->second.job.spec, task)) {
     return nullptr;
   }
-  return &this->OpenOccurrence(&job->second, task.occurrence)
-              ->steps[task.step]
-              .tasks[task.index];
+  return this->OpenOccurrence(&job->second, task.occurrence)
+      ->steps[task.step]
+      .tasks.Open(task.index);
 }
 
 void PoolScheduler::FinishOccurrence(JobState* job,
@@ -610,34 +587,41 @@
 void PoolScheduler::FinishTask(JobState* job,
                                const TaskRef& task,
                                MonotonicTime now) {
-  TaskState* const state = this->FindTask(task);
-  if (state == nullptr || state->is_done) {
-    return;
-  }
-  OccurrenceState& occurrence = job->occurrences.at(task.occurrence);
-  StepState& step = occurrence.steps[task.step];
-  // When one member of a gang is done, all its members are.
+  StepState* const step = this->FindStep(task);
   const bool is_gang = this->SpecOf(*job, task).is_gang;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    if ((is_gang || static_cast<int>(i) == task.index) &&
-        !step.tasks[i].is_done) {
-      step.tasks[i].is_done = true;
-      ++step.done;
-      step.done_or_running += step.tasks[i].runs.empty() ? 1 : 0;
+  if (!is_gang) {
+    for (RunRecord& run : step->tasks.Open(task.index)->runs) {
+      this->StopRunOf(task, &run, now);
     }
   }
-  RefreshRemaining(job);
-  for (RunRecord& run : state->runs) {
-    if (!is_gang) {
-      this->StopRunOf(task, &run, now);
+  // When one member of a gang is done, all its members are.
+  IndexRanges indexes;
+  indexes.Add(is_gang ? 0 : task.index,
+              is_gang ? step->tasks.size() - 1 : task.index);
+  this->FinishTasks(job, task, indexes, now);
+}
+
+void PoolScheduler::FinishTasks(JobState* job,
+                                const TaskRef& first,
+                                const IndexRanges& indexes,
+                                MonotonicTime now) {
+  OccurrenceState& occurrence = job->occurrences.at(first.occurrence);
+  TaskTable& tasks = occurrence.steps[first.step].tasks;
+  if (tasks.IsFinished()) {
+    return;
+  }
+  for (const std::pair<const int, int>& range : indexes.ranges()) {
+    if (range.first < tasks.size()) {
+      tasks.Finish(range.first, std::min(range.second, tasks.size() - 1));
     }
   }
-  if (step.done < static_cast<int>(step.tasks.size())) {
+  RefreshRemaining(job);
+  if (!tasks.IsFinished()) {
     return;
   }
   ++occurrence.steps_done;
   if (occurrence.IsFinished()) {
-    this->FinishOccurrence(job, task.occurrence, now);
+    this->FinishOccurrence(job, first.occurrence, now);
   }
 }
 
@@ -645,7 +629,7 @@
                              const TaskRef& task,
                              std::int64_t run,
                              MonotonicTime now) {
-  TaskState* const state = this->FindTask(task);
+  TaskState* const state = this->OpenTask(task);
   const StepSpec& step = this->SpecOf(*job, task);
   if (step.is_service || !state->failed_runs.insert(run).second) {
     return;
@@ -653,9 +637,10 @@
   std::set<std::int64_t> failures = state->failed_runs;
   if (step.is_gang) {
     // Members of a gang share run numbers, so a failed attempt counts once.
-    for (const TaskState& member :
-         job->occurrences.at(task.occurrence).steps[task.step].tasks) {
-      failures.insert(member.failed_runs.begin(), member.failed_runs.end());
+    for (const std::pair<const int, TaskState>& member :
+         this->FindStep(task)->tasks.states()) {
+      failures.insert(member.second.failed_runs.begin(),
+                      member.second.failed_runs.end());
     }
   }
   this->MarkUnsaved(job);
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -218,8 +218,11 @@
 
   // pool_scheduler.cc
   const QueuePolicy& PolicyOf(const JobState& job) const;
-  TaskState* FindTask(const TaskRef& task);
+  // The step of the task; null if its occurrence is not open, or there is no
+  // such task.
+  StepState* FindStep(const TaskRef& task);
   const StepSpec& SpecOf(const JobState& job, const TaskRef& task) const;
+  // Null if there is no such task in an open occurrence.
   const TaskState* FindTask(const TaskRef& task) const;
   RunRecord* FindRun(const TaskRef& task, std::int64_t run);
   RunRecord* AddRun(JobState* job,
@@ -249,7 +252,13 @@
   void AdoptProgress(JobState* job,
                      const JobProgress& progress,
                      MonotonicTime now);
+  // Marks the task as done, and its gang if it has one.
   void FinishTask(JobState* job, const TaskRef& task, MonotonicTime now);
+  // Marks the tasks of the step of `first` that have these indexes as done.
+  void FinishTasks(JobState* job,
+                   const TaskRef& first,
+                   const IndexRanges& indexes,
+                   MonotonicTime now);
   void FailTask(JobState* job,
                 const TaskRef& task,
                 std::int64_t run,
@@ -318,6 +327,10 @@
   void CollectUsableWorkers(MonotonicTime now);
   // Number of tasks of the step that may be placed now.
   int CountPlaceableTasks(const Candidate& candidate) const;
+  // The same for the tasks from `from` on of a step that is no gang.
+  int CountPlaceableFrom(const StepSpec& spec,
+                         const StepState& state,
+                         int from) const;
   Placement PlaceStep(const Candidate& candidate, MonotonicTime now);
   bool IsStepReady(const JobState& job,
                    const OccurrenceState& state,
@@ -352,8 +365,12 @@
   // Requests tickets for the step from the advisor if none are valid.
   bool HasTickets(JobState* job, const TaskRef& task, MonotonicTime now);
   bool HasAllotment(const TeamName& team, const Resources& request) const;
-  // Records a task that only lacks the allotment of its team.
-  void AddDemand(const TeamName& team, const Resources& request);
+  // Records tasks that only lack the allotment of their team.
+  void AddDemand(const TeamName& team, const Resources& request, int tasks = 1);
+  // Whether the job may have that many more runs.
+  bool MayAddRuns(const JobState& job, int count) const {
+    return job.runs == 0 || job.runs + count <= this->settings.max_runs_per_job;
+  }
   // Whether more start orders may be sent before others are answered.
   bool MaySendStarts() const {
     return this->unanswered_starts < this->settings.max_unanswered_starts;
@@ -415,7 +432,7 @@
   void DisregardCrash(Crash* crash);
   void MarkCrashesUnsaved(const TaskRef& task, TaskState* state);
   // Notes that the end of the run is known.
-  void CloseStart(const TaskRef& task, TaskState* state, std::int64_t run);
+  void CloseStart(const TaskRef& task, std::int64_t run);
   // Settles the starts of which neither the run nor its end was found: they
   // count as crashes once the process of their worker has ended.
   void SettleOpenStarts(MonotonicTime now);
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -53,9 +53,7 @@
         (run != nullptr && run->ordered_at > *worker->planned_end_at)) {
       return false;
     }
-    if (TaskState* const state = this->FindTask(key.first)) {
-      this->CloseStart(key.first, state, key.second);
-    }
+    this->CloseStart(key.first, key.second);
     return true;
   });
   if (lost.empty()) {
@@ -99,10 +97,11 @@
                                Suspicion suspicion,
                                MonotonicTime now) {
   const TaskRef& task = key.first;
-  TaskState* const state = this->FindTask(task);
-  if (state == nullptr || state->is_done) {
+  const TaskState* const found = this->FindTask(task);
+  if (found == nullptr || found->is_done) {
     return false;
   }
+  TaskState* const state = this->OpenTask(task);
   JobState& job = this->jobs.at(task.job);
   const RunRecord* const run = this->FindRun(task, key.second);
   const bool has_lasted =
@@ -142,12 +141,13 @@
                                 const TaskRef& task) const {
   const StepState& step = job.occurrences.at(task.occurrence).steps[task.step];
   if (!this->SpecOf(job, task).is_gang) {
-    return static_cast<int>(step.tasks[task.index].crashes.runs.size());
+    return static_cast<int>(step.tasks.At(task.index).crashes.runs.size());
   }
   // Members of a gang share run numbers, so a run of the gang counts once.
   std::set<std::int64_t> runs;
-  for (const TaskState& member : step.tasks) {
-    runs.insert(member.crashes.runs.begin(), member.crashes.runs.end());
+  for (const std::pair<const int, TaskState>& member : step.tasks.states()) {
+    runs.insert(member.second.crashes.runs.begin(),
+                member.second.crashes.runs.end());
   }
   return static_cast<int>(runs.size());
 }
@@ -197,11 +197,12 @@
 
 void PoolScheduler::DisregardCrash(Crash* crash) {
   for (const RunKey& key : std::exchange(crash->counted, {})) {
-    TaskState* const state = this->FindTask(key.first);
-    if (state == nullptr || state->was_in_joint_loss ||
+    const TaskState* const found = this->FindTask(key.first);
+    if (found == nullptr || found->is_done || found->was_in_joint_loss ||
         IsFinal(this->jobs.at(key.first.job).status)) {
       continue;
     }
+    TaskState* const state = this->OpenTask(key.first);
     state->was_in_joint_loss = true;
     state->crashes.runs.erase(key.second);
     state->crashes.uncertain_runs.erase(key.second);
@@ -219,11 +220,14 @@
   this->has_unsaved_crash = true;
 }
 
-void PoolScheduler::CloseStart(const TaskRef& task,
-                               TaskState* state,
-                               std::int64_t run) {
-  if (state->crashes.open_starts.erase(run) != 0 &&
-      !IsFinal(this->jobs.at(task.job).status)) {
+void PoolScheduler::CloseStart(const TaskRef& task, std::int64_t run) {
+  const TaskState* const found = this->FindTask(task);
+  if (found == nullptr || !found->crashes.open_starts.contains(run)) {
+    return;
+  }
+  TaskState* const state = this->OpenTask(task);
+  state->crashes.open_starts.erase(run);
+  if (!IsFinal(this->jobs.at(task.job).status)) {
     this->MarkCrashesUnsaved(task, state);
   }
 }
@@ -257,7 +261,7 @@
   }
   if (start.incarnation == 0) {
     if (run.second >= this->first_run) {
-      this->CloseStart(run.first, this->FindTask(run.first), run.second);
+      this->CloseStart(run.first, run.second);
     } else if (!this->IsRecovering(now)) {
       this->CountCrash(run, Suspicion::kSuspected, now);
     }
@@ -276,7 +280,7 @@
   } else if (worker.has_reported && worker.missed_reports == 0) {
     this->RecordDecision("start_not_found", run.first, run.second, start.worker,
                          "its worker has not crashed");
-    this->CloseStart(run.first, this->FindTask(run.first), run.second);
+    this->CloseStart(run.first, run.second);
   }
 }
 
@@ -284,10 +288,10 @@
                                   const TaskRef& task,
                                   std::int64_t run,
                                   const OpenStart& start) {
-  TaskState* const state = this->FindTask(task);
-  if (state->crashes.runs.empty()) {
+  if (this->FindTask(task)->crashes.runs.empty()) {
     return true;
   }
+  TaskState* const state = this->OpenTask(task);
   const std::map<std::int64_t, OpenStart>::const_iterator found =
       state->crashes.open_starts.find(run);
   if (found == state->crashes.open_starts.end() || found->second != start) {
@@ -327,11 +331,12 @@
     entry.second.suspect_runs = 0;
   }
   std::erase_if(this->suspects, [this, now](const TaskRef& task) {
-    TaskState* const state = this->FindTask(task);
-    if (state == nullptr || state->is_done ||
+    const TaskState* const found = this->FindTask(task);
+    if (found == nullptr || found->is_done ||
         IsFinal(this->jobs.at(task.job).status)) {
       return true;
     }
+    TaskState* const state = this->OpenTask(task);
     const bool is_cleared = std::any_of(
         state->runs.begin(), state->runs.end(),
         [this, now](const RunRecord& run) {
--- a/Source/Core/Jobs/pool_scheduler_overload.cc
+++ b/Source/Core/Jobs/pool_scheduler_overload.cc
@@ -70,10 +70,10 @@
       const double work = ShareOf(ReservedBy(step), capacity) *
                           static_cast<double>(step.estimate.count());
       // Running tasks are on average half done.
-      waiting->running_work += work * (state.done_or_running - state.done) / 2;
+      const int started = state.tasks.done_or_running();
+      waiting->running_work += work * (started - state.tasks.done_count()) / 2;
       if (has_allotment) {
-        waiting->waiting_work +=
-            work * (step.task_count - state.done_or_running);
+        waiting->waiting_work += work * (step.task_count - started);
       }
     }
   }
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -123,8 +123,7 @@
                                 const OccurrenceState& state,
                                 int step) const {
   for (const int before : job.job.spec.steps[step].after) {
-    if (state.steps[before].done <
-        static_cast<int>(state.steps[before].tasks.size())) {
+    if (!state.steps[before].tasks.IsFinished()) {
       return false;
     }
   }
@@ -149,19 +148,25 @@
   const StepState& state =
       candidate.job->occurrences.at(candidate.occurrence).steps[candidate.step];
   if (spec.is_gang) {
-    const bool is_free =
-        state.done == 0 &&
-        std::all_of(state.tasks.begin(), state.tasks.end(),
-                    [](const TaskState& task) { return task.runs.empty(); });
-    return is_free ? spec.task_count : 0;
+    return state.tasks.done_or_running() == 0 ? spec.task_count : 0;
   }
-  if (!spec.allows_copies) {
-    return spec.task_count - state.done_or_running;
-  }
-  return static_cast<int>(std::count_if(state.tasks.begin(), state.tasks.end(),
-                                        [this, &spec](const TaskState& task) {
-                                          return this->IsPlaceable(task, spec);
-                                        }));
+  return this->CountPlaceableFrom(spec, state, 0);
+}
+
+int PoolScheduler::CountPlaceableFrom(const StepSpec& spec,
+                                      const StepState& state,
+                                      int from) const {
+  int placeable = state.tasks.CountIdle(from);
+  if (spec.allows_copies) {
+    const std::map<int, TaskState>& states = state.tasks.states();
+    placeable += static_cast<int>(std::count_if(
+        states.lower_bound(from), states.end(),
+        [this, &spec](const std::pair<const int, TaskState>& task) {
+          return !task.second.runs.empty() &&
+                 this->IsPlaceable(task.second, spec);
+        }));
+  }
+  return placeable;
 }
 
 PoolScheduler::Placement PoolScheduler::PlaceStep(const Candidate& candidate,
@@ -184,10 +189,11 @@
         job->occurrences.at(candidate.occurrence).steps[candidate.step];
     // The tasks of a step are identical: if one cannot be placed, none can,
     // unless it waits because of its crashes.
-    for (; task.index < step.task_count && (placement == Placement::kPlaced ||
-                                            placement == Placement::kWaiting);
-         ++task.index) {
-      if (this->IsPlaceable(state.tasks[task.index], step)) {
+    for (task.index = state.tasks.NextNotDone(0);
+         task.index < step.task_count &&
+         (placement == Placement::kPlaced || placement == Placement::kWaiting);
+         task.index = state.tasks.NextNotDone(task.index + 1)) {
+      if (this->IsPlaceable(state.tasks.At(task.index), step)) {
         placement = this->PlaceTask(job, task, now);
       }
     }
@@ -243,7 +249,7 @@
   return PlacedTask{task,
                     step,
                     state,
-                    state.tasks[task.index],
+                    state.tasks.At(task.index),
                     ReservedBy(step),
                     this->PolicyOf(job).advice.has_value()};
 }
@@ -463,17 +469,22 @@
   return use;
 }
 
-void PoolScheduler::AddDemand(const TeamName& team, const Resources& request) {
+void PoolScheduler::AddDemand(const TeamName& team,
+                              const Resources& request,
+                              int tasks) {
   TeamDemand& demand = this->unmet[team];
   demand.requests.Add(request);
-  demand.total += request;
+  demand.total +=
+      Resources{request.cpu_millicores * tasks, request.memory_mb * tasks,
+                request.accelerators * tasks};
 }
 
 PoolScheduler::Placement PoolScheduler::PlaceTask(JobState* job,
                                                   const TaskRef& task,
                                                   MonotonicTime now) {
   const StepSpec& step = this->SpecOf(*job, task);
-  if (!this->MaySendStarts() || !this->HasTickets(job, task, now)) {
+  if (!this->MaySendStarts() || !this->MayAddRuns(*job, 1) ||
+      !this->HasTickets(job, task, now)) {
     return Placement::kBlocked;
   }
   if (this->NeedsTrial(task)) {
@@ -487,11 +498,8 @@
     // The remaining tasks of the step wait for the allotment as well.
     const StepState& state =
         job->occurrences.at(task.occurrence).steps[task.step];
-    for (int i = task.index; i < step.task_count; ++i) {
-      if (this->IsPlaceable(state.tasks[i], step)) {
-        this->AddDemand(job->job.team, step.request);
-      }
-    }
+    this->AddDemand(job->job.team, step.request,
+                    this->CountPlaceableFrom(step, state, task.index));
     return Placement::kBlocked;
   }
   const std::int64_t number =
@@ -515,10 +523,11 @@
   std::int64_t number = this->first_run;
   const StepState& state =
       job->occurrences.at(task.occurrence).steps[task.step];
-  for (const TaskState& member : state.tasks) {
-    number = std::max(number, member.last_run + 1);
+  for (const std::pair<const int, TaskState>& member : state.tasks.states()) {
+    number = std::max(number, member.second.last_run + 1);
   }
-  if (!this->MaySendStarts() || !this->HasTickets(job, task, now)) {
+  if (!this->MaySendStarts() || !this->MayAddRuns(*job, step.task_count) ||
+      !this->HasTickets(job, task, now)) {
     return Placement::kBlocked;
   }
   if (!this->HasRoomForGang(step)) {
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -424,15 +424,16 @@
                                   JobState* job,
                                   const RunEnd& end,
                                   MonotonicTime now) {
+  this->OpenOccurrence(job, end.task.occurrence);
+  if (this->FindTask(end.task)->is_done) {
+    return;
+  }
+  this->CloseStart(end.task, end.run);
   TaskState* const task = this->OpenTask(end.task);
-  this->CloseStart(end.task, task, end.run);
   task->last_run = std::max(task->last_run, end.run);
   if (!end.checkpoint.empty()) {
     task->checkpoint = end.checkpoint;
   }
-  if (task->is_done) {
-    return;
-  }
   if (end.kind == EndKind::kDone) {
     this->RecordRunOutcome(worker, false, now);
     this->MarkUnsaved(job);
--- a/Source/Core/Jobs/pool_scheduler_services.cc
+++ b/Source/Core/Jobs/pool_scheduler_services.cc
@@ -90,9 +90,9 @@
 int PoolScheduler::CountUnavailableTasks(const StepState& step,
                                          int except,
                                          MonotonicTime now) const {
-  int unavailable = 0;
-  for (int i = 0; i < static_cast<int>(step.tasks.size()); ++i) {
-    const std::vector<RunRecord>& runs = step.tasks[i].runs;
+  int unavailable = step.tasks.size() - 1;
+  for (const std::pair<const int, TaskState>& task : step.tasks.states()) {
+    const std::vector<RunRecord>& runs = task.second.runs;
     const bool is_ready = std::any_of(
         runs.begin(), runs.end(), [this, now](const RunRecord& run) {
           return run.state == RunState::kActive && run.percent == 100 &&
@@ -102,7 +102,7 @@
                   *run.adoption_uncertain_until <= now) &&
                  this->workers.at(run.worker).missed_reports == 0;
         });
-    unavailable += i != except && !is_ready;
+    unavailable -= task.first != except && is_ready;
   }
   return unavailable;
 }
@@ -173,7 +173,7 @@
         continue;
       }
       has_stalled = true;
-      this->FindTask(key.first)->failed_on = entry.first;
+      this->OpenTask(key.first)->failed_on = entry.first;
       this->RecordDecision("run_stalled", key.first, key.second, entry.first,
                            "no CPU time used");
       this->StopRunOf(key.first, run, now);
--- a/Source/Core/Jobs/scheduler_settings.h
+++ b/Source/Core/Jobs/scheduler_settings.h
@@ -98,6 +98,9 @@
   int min_waiting_tasks = 256;
   // Steps in the open occurrences of a job, if it has more than one open.
   int max_open_steps = 10000;
+  // Runs of one job at a time. Exceeds the number of tasks that any supported
+  // fleet runs at once.
+  int max_runs_per_job = 10000;
 
   // A task under which this many workers have crashed runs on trial: on a
   // worker without other runs that may be the cause of a crash.
