Jobs: numbers and times that a job names are checked for range

Callers saw a job due at the end of the year 9999 start at once (ORDER), a job with "Repeats": run once, and one with "Count": accepted as one task.

Cause: numbers were cut to 32 bits where they are read. Due times and objectives were kept in nanoseconds, which end in the year 2262, and products of what a job names, such as tasks, occurrences and millicores, could exceed 64 bits.

Change: what is beyond the limits of job_limits.h is refused with 400 and the reason; declared durations and counts that only set an upper bound are lowered to the limit. Due times are in milliseconds. The number of due occurrences is a quotient, so no product overflows. Jobs that an earlier version stored beyond a limit are brought within it.

--- a/Source/Core/Common/time.h
+++ b/Source/Core/Common/time.h
@@ -11,6 +11,9 @@
 using Milliseconds = std::chrono::milliseconds;
 // Wall-clock time for display only; no decision depends on it.
 using WallTime = std::chrono::system_clock::time_point;
+// Wall-clock time that a caller names. WallTime ends in the year 2262.
+using WallMilliseconds =
+    std::chrono::time_point<std::chrono::system_clock, Milliseconds>;
 
 }  // namespace daisyroad
 
--- a/Source/Core/Jobs/job_codec.cc
+++ b/Source/Core/Jobs/job_codec.cc
@@ -1,8 +1,10 @@
 // JSON encoding of the job records in the store.
 
+#include <algorithm>
 #include <chrono>
 
 #include "Core/Common/json.h"
+#include "Core/Jobs/job_limits.h"
 #include "Core/Jobs/job_progress.h"
 
 namespace daisyroad {
@@ -98,13 +100,23 @@
   return json;
 }
 
+// Earlier versions stored what the caller had sent, so each value is brought
+// within its limits.
+std::int64_t ReadRequest(const Json::Value& json) {
+  return std::clamp<std::int64_t>(json.asInt64(), 0, kMaxTaskRequest);
+}
+
+Milliseconds ReadDuration(const Json::Value& json, Milliseconds longest) {
+  return std::clamp(Milliseconds(json.asInt64()), Milliseconds(0), longest);
+}
+
 StepSpec StepFromJson(const Json::Value& json) {
   StepSpec step;
   step.task_count = json["tasks"].asInt();
-  step.request.cpu_millicores = json["cpu"].asInt64();
-  step.request.memory_mb = json["memory"].asInt64();
-  step.request.accelerators = json["accelerators"].asInt64();
-  step.estimate = Milliseconds(json["estimate"].asInt64());
+  step.request.cpu_millicores = ReadRequest(json["cpu"]);
+  step.request.memory_mb = ReadRequest(json["memory"]);
+  step.request.accelerators = ReadRequest(json["accelerators"]);
+  step.estimate = ReadDuration(json["estimate"], kLongestEstimate);
   for (const Json::Value& before : json["after"]) {
     step.after.push_back(before.asInt());
   }
@@ -118,7 +130,7 @@
   step.data_rack = json["data_rack"].asString();
   step.image = json["image"].asString();
   step.max_per_worker = json["max_per_worker"].asInt();
-  step.latency_target = Milliseconds(json["latency_target"].asInt64());
+  step.latency_target = ReadDuration(json["latency_target"], kLongestEstimate);
   step.disruption_budget = json["budget"].asInt();
   return step;
 }
@@ -282,7 +294,8 @@
     json["steps"].append(StepToJson(step));
   }
   json["occurrences"] = job.spec.occurrences;
-  json["first_due"] = Json::Int64(UnixMilliseconds(job.spec.first_due));
+  json["first_due"] =
+      Json::Int64(job.spec.first_due.time_since_epoch().count());
   json["interval"] = Json::Int64(job.spec.interval.count());
   return json;
 }
@@ -300,13 +313,16 @@
       job.spec.steps.push_back(StepFromJson(step));
     }
     job.spec.occurrences = json["occurrences"].asInt();
-    job.spec.first_due = FromUnixMilliseconds(json["first_due"].asInt64());
-    job.spec.interval = Milliseconds(json["interval"].asInt64());
+    job.spec.first_due =
+        std::clamp(WallMilliseconds(Milliseconds(json["first_due"].asInt64())),
+                   WallMilliseconds(), kLatestDue);
+    job.spec.interval = ReadDuration(json["interval"], kLongestInterval);
   } catch (const Json::Exception& exception) {
     return BadRecord(job.id, exception.what());
   }
   std::string reason;
-  if (job.id.empty() || !IsRunnable(job.spec, &reason)) {
+  if (job.id.empty() || job.spec.occurrences < 0 ||
+      !IsRunnable(job.spec, &reason)) {
     return BadRecord(job.id, "invalid job: " + reason);
   }
   return job;
--- a/Source/Core/Jobs/job_spec.cc
+++ b/Source/Core/Jobs/job_spec.cc
@@ -1,12 +1,10 @@
 #include "Core/Jobs/job_spec.h"
 
-namespace daisyroad {
-namespace {
+#include <algorithm>
 
-// Exceeds the number of tasks that any supported fleet runs at once.
-constexpr int kMaxTasksPerStep = 10000;
+#include "Core/Jobs/job_limits.h"
 
-}  // namespace
+namespace daisyroad {
 
 bool IsRunnable(const JobSpec& spec, std::string* reason) {
   if (spec.steps.empty()) {
@@ -31,4 +29,26 @@
   return true;
 }
 
+bool IsWithinLimits(const JobSpec& spec, std::string* reason) {
+  if (spec.steps.size() > kMaxSteps) {
+    *reason = "the job has " + std::to_string(spec.steps.size()) +
+              " steps, at most " + std::to_string(kMaxSteps) + " are allowed";
+    return false;
+  }
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const Resources& request = spec.steps[i].request;
+    if (std::max({request.cpu_millicores, request.memory_mb,
+                  request.accelerators}) > kMaxTaskRequest) {
+      *reason = "a task of step " + std::to_string(i) +
+                " requests more than any worker has";
+      return false;
+    }
+  }
+  if (spec.first_due > kLatestDue || spec.interval > kLongestInterval) {
+    *reason = "the schedule goes beyond the year 9999";
+    return false;
+  }
+  return true;
+}
+
 }  // namespace daisyroad
--- a/Source/Core/Jobs/job_spec.h
+++ b/Source/Core/Jobs/job_spec.h
@@ -20,7 +20,7 @@
   // Number of occurrences of a scheduled job; 0 for a job that runs once,
   // immediately.
   int occurrences = 0;
-  WallTime first_due;
+  WallMilliseconds first_due;
   Milliseconds interval{0};
 };
 
@@ -39,6 +39,10 @@
 // or on one that does not exist.
 bool IsRunnable(const JobSpec& spec, std::string* reason);
 
+// Returns false and sets `reason` if the job exceeds a limit of job_limits.h.
+// Jobs that an earlier version has accepted may exceed them.
+bool IsWithinLimits(const JobSpec& spec, std::string* reason);
+
 }  // namespace daisyroad
 
 #endif  // SOURCE_CORE_JOBS_JOB_SPEC_H_
--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -52,7 +52,7 @@
   int runs = 0;  // of all its tasks
   bool has_started = false;
   // Target completion time, derived from the policy of the queue.
-  WallTime objective;
+  WallMilliseconds objective;
   // Remaining length of the critical path and remaining work
   // (millicore-seconds), from declared durations; see RefreshRemaining().
   Milliseconds remaining_critical_path{0};
--- a/Source/Core/Jobs/objective.cc
+++ b/Source/Core/Jobs/objective.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Core/Jobs/job_limits.h"
+
 namespace daisyroad {
 namespace {
 
@@ -66,14 +68,18 @@
   return RemainingWork(spec, NewOccurrence(spec));
 }
 
-WallTime ObjectiveOf(const AcceptedJob& job, const QueuePolicy& policy) {
+WallMilliseconds ObjectiveOf(const AcceptedJob& job,
+                             const QueuePolicy& policy) {
   const Milliseconds chain =
       CriticalPathLength(job.spec, [](std::size_t) { return true; });
-  const WallTime begin =
-      job.spec.occurrences > 0 ? job.spec.first_due : job.accepted_at;
-  return begin + policy.slack +
-         Milliseconds(static_cast<std::int64_t>(
-             policy.stretch * static_cast<double>(chain.count())));
+  const WallMilliseconds begin =
+      job.spec.occurrences > 0
+          ? job.spec.first_due
+          : std::chrono::floor<Milliseconds>(job.accepted_at);
+  const double length =
+      std::min(policy.stretch * static_cast<double>(chain.count()),
+               static_cast<double>(kLongestInterval.count()));
+  return begin + policy.slack + Milliseconds(static_cast<std::int64_t>(length));
 }
 
 Resources ReservedBy(const StepSpec& step) {
@@ -92,18 +98,25 @@
   if (spec.occurrences == 0) {
     return 1;
   }
-  if (wall < spec.first_due) {
+  const WallMilliseconds now = std::chrono::floor<Milliseconds>(wall);
+  if (now < spec.first_due) {
     return 0;
   }
   if (spec.interval <= Milliseconds(0)) {
     return spec.occurrences;
   }
   return static_cast<int>(
-      std::min<std::int64_t>((wall - spec.first_due) / spec.interval,
+      std::min<std::int64_t>((now - spec.first_due) / spec.interval,
                              spec.occurrences - 1) +
       1);
 }
 
+Milliseconds DueOffset(const JobSpec& spec, int occurrence) {
+  const bool is_beyond_limit =
+      occurrence > 0 && spec.interval > kLongestInterval / occurrence;
+  return is_beyond_limit ? kLongestInterval : occurrence * spec.interval;
+}
+
 bool HasTask(const JobSpec& spec, const TaskRef& task) {
   return task.occurrence >= 0 && task.occurrence < CountOccurrences(spec) &&
          task.step >= 0 && task.step < static_cast<int>(spec.steps.size()) &&
--- a/Source/Core/Jobs/objective.h
+++ b/Source/Core/Jobs/objective.h
@@ -19,7 +19,7 @@
 double WholeWork(const JobSpec& spec);
 // Returns the target completion time of the job, or that of the first
 // occurrence of a scheduled job.
-WallTime ObjectiveOf(const AcceptedJob& job, const QueuePolicy& policy);
+WallMilliseconds ObjectiveOf(const AcceptedJob& job, const QueuePolicy& policy);
 
 // Resources that a run of the step reserves on its worker.
 Resources ReservedBy(const StepSpec& step);
@@ -30,6 +30,8 @@
 // Number of occurrences that may start; the only one of an unscheduled job
 // always may.
 int CountDueOccurrences(const JobSpec& spec, WallTime wall);
+// Time from the first occurrence until the given one is due.
+Milliseconds DueOffset(const JobSpec& spec, int occurrence);
 // Whether the job has such a task.
 bool HasTask(const JobSpec& spec, const TaskRef& task);
 // Returns the part of the job's state that must be saved.
--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -13,20 +13,27 @@
 // Stands for the use of a step whose tasks may run any number of times.
 constexpr std::int64_t kUnbounded = std::int64_t{1} << 40;
 
+// The product, at most kUnbounded.
+std::int64_t Multiply(std::int64_t amount, std::int64_t count) {
+  return amount > 0 && count > kUnbounded / amount ? kUnbounded
+                                                   : amount * count;
+}
+
 // The most that runs of the job use at a time, if an earlier scheduler started
-// them.
+// them; at most kUnbounded.
 Resources MaxUse(const JobSpec& spec) {
+  const Resources unbounded{kUnbounded, kUnbounded, kUnbounded};
   Resources use;
   for (const StepSpec& step : spec.steps) {
     if (step.allows_copies) {
-      use += Resources{kUnbounded, kUnbounded, kUnbounded};
-      continue;
+      return unbounded;
     }
     const std::int64_t tasks =
         std::int64_t{step.task_count} * CountOccurrences(spec);
-    use += Resources{tasks * step.request.cpu_millicores,
-                     tasks * step.request.memory_mb,
-                     tasks * step.request.accelerators};
+    use += Resources{Multiply(step.request.cpu_millicores, tasks),
+                     Multiply(step.request.memory_mb, tasks),
+                     Multiply(step.request.accelerators, tasks)};
+    use = Lesser(use, unbounded);
   }
   return use;
 }
--- a/Source/Core/Jobs/pool_scheduler_load.cc
+++ b/Source/Core/Jobs/pool_scheduler_load.cc
@@ -66,9 +66,9 @@
   double needed = 0.0;
   for (const std::pair<const JobId, JobState*>& entry : this->open_jobs) {
     const JobState& job = *entry.second;
-    const Milliseconds left = std::max(
-        kMinTimeToObjective,
-        std::chrono::duration_cast<Milliseconds>(job.objective - wall));
+    const Milliseconds left =
+        std::max(kMinTimeToObjective,
+                 job.objective - std::chrono::floor<Milliseconds>(wall));
     needed += job.remaining_work / static_cast<double>(left.count());
   }
   // The open jobs show the demand of a burst only once it has filled the pool,
--- a/Source/Core/Jobs/pool_scheduler_order.cc
+++ b/Source/Core/Jobs/pool_scheduler_order.cc
@@ -29,6 +29,9 @@
   }
 };
 
+// Exceeds the millicores of any fleet.
+constexpr std::int64_t kMostWaiting = std::int64_t{1} << 50;
+
 std::int64_t ToPermille(double share) {
   return std::llround(share * 1000.0);
 }
@@ -122,7 +125,9 @@
   const int placeable = has_orders || !this->suspects.empty()
                             ? this->CountPlaceableTasks(candidate)
                             : candidate.placeable;
-  this->waiting_millicores += step.request.cpu_millicores * placeable;
+  this->waiting_millicores = std::min(
+      this->waiting_millicores + step.request.cpu_millicores * placeable,
+      kMostWaiting);
   if (placement == Placement::kNoRoom && !step.is_service &&
       !this->shares.IsWaiting(candidate.share_account) &&
       this->HasAllotment(job.job.team, LeastRequest(step)) &&
--- a/Source/Core/Jobs/pool_scheduler_overload.cc
+++ b/Source/Core/Jobs/pool_scheduler_overload.cc
@@ -43,14 +43,15 @@
                                        WallTime wall) const {
   const JobSpec& spec = job.job.spec;
   WaitingJob waiting;
-  const WallTime begin =
-      spec.occurrences > 0 ? spec.first_due : job.job.accepted_at;
+  const WallMilliseconds begin =
+      spec.occurrences > 0
+          ? spec.first_due
+          : std::chrono::floor<Milliseconds>(job.job.accepted_at);
   const int occurrence =
       std::min(job.finished.FirstMissing(0), CountOccurrences(spec) - 1);
-  waiting.time_left = std::chrono::duration_cast<Milliseconds>(
-      job.objective + occurrence * spec.interval - wall);
-  waiting.objective_length =
-      std::chrono::duration_cast<Milliseconds>(job.objective - begin);
+  waiting.time_left = job.objective + DueOffset(spec, occurrence) -
+                      std::chrono::floor<Milliseconds>(wall);
+  waiting.objective_length = job.objective - begin;
   waiting.critical_path = job.remaining_critical_path;
   return waiting;
 }
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -110,7 +110,9 @@
 
 Standing PoolScheduler::StandingOf(const JobState& job, WallTime wall) const {
   if (!this->settings.overload.delay) {
-    return wall + job.remaining_critical_path <= job.objective
+    return std::chrono::floor<Milliseconds>(wall) +
+                       job.remaining_critical_path <=
+                   job.objective
                ? Standing::kInTime
                : Standing::kDelayed;
   }
--- a/Source/Core/Site/job_service.cc
+++ b/Source/Core/Site/job_service.cc
@@ -204,7 +204,7 @@
     callback(*admission.refusal);
     return;
   }
-  if (!IsRunnable(spec, &reason)) {
+  if (!IsRunnable(spec, &reason) || !IsWithinLimits(spec, &reason)) {
     LogRequest("submit", request, version, reason);
     callback(RequestInvalid{reason});
     return;
--- a/Source/UnitTests/Izarra/codec_test.cc
+++ b/Source/UnitTests/Izarra/codec_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "UnitTests/Jobs/one_worker_pool.h"
 #include "platform/ingress.h"
 #include "platform/job_codec.h"
 #include "platform/store_codec.h"
@@ -70,6 +71,40 @@
   }
 }
 
+// Guards against numbers beyond the range of an int that are read as small
+// ones.
+TEST_CASE("Large numbers of a job submission are not truncated") {
+  const std::string steps = R"("Steps":[{"Count":1}])";
+  CHECK_FALSE(ReadJobSpec(R"({"Repeats":4294967297,)" + steps + "}").ok());
+  CHECK_FALSE(ReadJobSpec(R"({"Repeats":2147483648,)" + steps + "}").ok());
+  CHECK(ReadJobSpec(R"({"Repeats":2147483647,)" + steps + "}").ok());
+  const Result<JobSpec> spec = ReadJobSpec(
+      R"({"Steps":[{"Count":4294967297,"MaxPerServer":4294967297,)"
+      R"("MayMiss":4294967297,"EstimateMs":9223372036854775807}]})");
+  REQUIRE(spec.ok());
+  std::string reason;
+  CHECK_FALSE(IsRunnable(spec.value(), &reason));
+  CHECK(spec.value().steps[0].max_per_worker > 10000);
+  CHECK(spec.value().steps[0].disruption_budget > 10000);
+}
+
+// Guards against a job whose time overflows and is taken for the past.
+TEST_CASE("A job submitted for the year 9999 does not start") {
+  const Result<JobSpec> spec =
+      ReadJobSpec(R"({"Steps":[{"Count":1,"Cpu":1000}],"Repeats":1,)"
+                  R"("IntervalMs":60000,"FirstRunMs":253402300799999})");
+  REQUIRE(spec.ok());
+  AcceptedJob job;
+  job.id = JobId("5c0e7a21d94b36f8");
+  job.queue = QueueName("queue");
+  job.pool = PoolName("pool");
+  job.team = TeamName("team");
+  job.spec = spec.value();
+  OneWorkerPool pool;
+  pool.AddJob(job);
+  CHECK(pool.TakeOrders<StartRun>().empty());
+}
+
 // Guards against runs that are attributed to another task.
 TEST_CASE("Task names are parsed back to the same task") {
   const TaskRef task{JobId("5c0e7a21d94b36f8"), 0, 1, 17};
--- a/Source/UnitTests/Jobs/job_builder.h
+++ b/Source/UnitTests/Jobs/job_builder.h
@@ -40,7 +40,7 @@
   }
   JobBuilder& Schedule(int occurrences, WallTime first, Milliseconds interval) {
     this->job.spec.occurrences = occurrences;
-    this->job.spec.first_due = first;
+    this->job.spec.first_due = std::chrono::floor<Milliseconds>(first);
     this->job.spec.interval = interval;
     return *this;
   }
--- a/Source/UnitTests/Jobs/one_worker_pool.h
+++ b/Source/UnitTests/Jobs/one_worker_pool.h
@@ -11,9 +11,9 @@
 // A scheduler with one worker, which has reported once.
 class OneWorkerPool {
  public:
-  OneWorkerPool()
-      : worker("w1"),
-        scheduler(PoolName("pool"), SchedulerSettings(), 1, this->Now()) {
+  explicit OneWorkerPool(
+      const SchedulerSettings& settings = SchedulerSettings())
+      : worker("w1"), scheduler(PoolName("pool"), settings, 1, this->Now()) {
     WorkerListing listing;
     listing.name = this->worker;
     listing.pool = PoolName("pool");
