Ingress: a request is held for a minute at most

Cause: the value of X-Request-Deadline was added to the present without a check. Found by reading; no caller was seen to send such a value.

Change: longer times than a minute, also those beyond 64 bits, count as a minute. The sites' callers name 3 s.

--- a/Source/UnitTests/Izarra/codec_test.cc
+++ b/Source/UnitTests/Izarra/codec_test.cc
@@ -4,6 +4,7 @@
 #include "UnitTests/Jobs/one_worker_pool.h"
 #include "platform/ingress.h"
 #include "platform/job_codec.h"
+#include "platform/request_deadline.h"
 #include "platform/store_codec.h"
 #include "platform/task_name.h"
 
@@ -105,6 +106,21 @@
   CHECK(pool.TakeOrders<StartRun>().empty());
 }
 
+// Guards against a request that is held for as long as its caller names, and
+// against a time that overflows and is over at once.
+TEST_CASE("Callers are answered within a minute whatever time they name") {
+  CHECK(ReadRequestDeadline("1") == Milliseconds(1));
+  CHECK(ReadRequestDeadline("59000") == Milliseconds(59000));
+  for (const char* const late :
+       {"60001", "9223372036854775807", "99999999999999999999"}) {
+    CHECK(ReadRequestDeadline(late) == Milliseconds(60000));
+  }
+  for (const char* const bad :
+       {"", "soon", "0", "-1", "-99999999999999999999"}) {
+    CHECK(ReadRequestDeadline(bad) == Milliseconds(3000));
+  }
+}
+
 // Guards against runs that are attributed to another task.
 TEST_CASE("Task names are parsed back to the same task") {
   const TaskRef task{JobId("5c0e7a21d94b36f8"), 0, 1, 17};
