Site: a job that the store cannot hold is refused at once

A caller whose job makes a record above the largest value of the store (1 MiB) would get no answer until its deadline, then 504: the write was refused and sent again each 60 ms. Nothing would say that the job is too large.

Cause: the size was not compared, and each step was written with all its fields, some 300 bytes for one of 12 in the request. Found by reading.

Change: the record is measured before it is written; 400 gives both sizes.

Result: the new case of answer_deadline fails without the comparison (a trial on a scratch copy: no answer at once) and passes. The new case of job_limits holds the record of 1,000 steps under 5/4 of the request.

--- a/Source/Core/Jobs/job_codec.cc
+++ b/Source/Core/Jobs/job_codec.cc
@@ -75,28 +75,50 @@
   return Error{Errc::kProtocol, "jobs.parse", job.str(), detail};
 }
 
+void SetUnlessZero(const char* name, std::int64_t value, Json::Value* json) {
+  if (value != 0) {
+    (*json)[name] = Json::Int64(value);
+  }
+}
+
+void SetUnlessFalse(const char* name, bool value, Json::Value* json) {
+  if (value) {
+    (*json)[name] = true;
+  }
+}
+
+void SetUnlessEmpty(const char* name,
+                    const std::string& value,
+                    Json::Value* json) {
+  if (!value.empty()) {
+    (*json)[name] = value;
+  }
+}
+
+// Fields with the value that a missing one has are left out, so that the record
+// is not much larger than the request.
 Json::Value StepToJson(const StepSpec& step) {
   Json::Value json(Json::objectValue);
   json["tasks"] = step.task_count;
-  json["cpu"] = Json::Int64(step.request.cpu_millicores);
-  json["memory"] = Json::Int64(step.request.memory_mb);
-  json["accelerators"] = Json::Int64(step.request.accelerators);
-  json["estimate"] = Json::Int64(step.estimate.count());
+  SetUnlessZero("cpu", step.request.cpu_millicores, &json);
+  SetUnlessZero("memory", step.request.memory_mb, &json);
+  SetUnlessZero("accelerators", step.request.accelerators, &json);
+  SetUnlessZero("estimate", step.estimate.count(), &json);
   for (const int before : step.after) {
     json["after"].append(before);
   }
-  json["checkpoints"] = step.saves_checkpoints;
-  json["gang"] = step.is_gang;
-  json["same_rack"] = step.same_rack;
-  json["copies"] = step.allows_copies;
-  json["service"] = step.is_service;
-  json["idle_capacity"] = step.uses_idle_capacity;
-  json["label"] = step.required_label;
-  json["data_rack"] = step.data_rack;
-  json["image"] = step.image;
-  json["max_per_worker"] = step.max_per_worker;
-  json["latency_target"] = Json::Int64(step.latency_target.count());
-  json["budget"] = step.disruption_budget;
+  SetUnlessFalse("checkpoints", step.saves_checkpoints, &json);
+  SetUnlessFalse("gang", step.is_gang, &json);
+  SetUnlessFalse("same_rack", step.same_rack, &json);
+  SetUnlessFalse("copies", step.allows_copies, &json);
+  SetUnlessFalse("service", step.is_service, &json);
+  SetUnlessFalse("idle_capacity", step.uses_idle_capacity, &json);
+  SetUnlessEmpty("label", step.required_label, &json);
+  SetUnlessEmpty("data_rack", step.data_rack, &json);
+  SetUnlessEmpty("image", step.image, &json);
+  SetUnlessZero("max_per_worker", step.max_per_worker, &json);
+  SetUnlessZero("latency_target", step.latency_target.count(), &json);
+  SetUnlessZero("budget", step.disruption_budget, &json);
   return json;
 }
 
--- a/Source/Core/Site/job_service.cc
+++ b/Source/Core/Site/job_service.cc
@@ -120,13 +120,15 @@
                        RpcClient* peers,
                        const Leadership* leadership,
                        LeaderLookup find_leader,
-                       Milliseconds key_withdrawal)
+                       Milliseconds key_withdrawal,
+                       std::size_t max_record_bytes)
     : store(store),
       loop(loop),
       peers(peers),
       leadership(leadership),
       find_leader(std::move(find_leader)),
-      key_withdrawal(key_withdrawal) {}
+      key_withdrawal(key_withdrawal),
+      max_record_bytes(max_record_bytes) {}
 
 void JobService::SetOperatorState(const OperatorState& state,
                                   BootClock::time_point confirmed_at) {
@@ -209,7 +211,6 @@
     callback(RequestInvalid{reason});
     return;
   }
-  LogRequest("submit", request, version, "storing");
   AcceptedJob job;
   job.id = request.job;
   job.queue = request.queue;
@@ -217,6 +218,16 @@
   job.team = admission.team;
   job.accepted_at = std::chrono::system_clock::now();
   job.spec = std::move(spec);
+  const std::size_t bytes = WriteJson(ToJson(job)).size();
+  if (bytes > this->max_record_bytes) {
+    reason = "the record of the job has " + std::to_string(bytes) +
+             " bytes, the store takes " +
+             std::to_string(this->max_record_bytes);
+    LogRequest("submit", request, version, reason);
+    callback(RequestInvalid{reason});
+    return;
+  }
+  LogRequest("submit", request, version, "storing");
   this->CommitJob(job, request.deadline - kAnswerReserve, true, callback);
 }
 
--- a/Source/Core/Site/job_service.h
+++ b/Source/Core/Site/job_service.h
@@ -39,13 +39,15 @@
   using LeaderLookup = std::function<PoolLeader*(const PoolName&)>;
 
   // All pointers must outlive this object. `find_leader` returns the scheduler
-  // of a pool, or null if another process runs it.
+  // of a pool, or null if another process runs it. `max_record_bytes` is the
+  // largest value that the store takes.
   JobService(RevisionStore* store,
              EventLoop* loop,
              RpcClient* peers,
              const Leadership* leadership,
              LeaderLookup find_leader,
-             Milliseconds key_withdrawal);
+             Milliseconds key_withdrawal,
+             std::size_t max_record_bytes);
 
   // `confirmed_at` is the time at which the read that returned the state was
   // requested.
@@ -111,6 +113,7 @@
   const Leadership* leadership;
   LeaderLookup find_leader;
   Milliseconds key_withdrawal;
+  std::size_t max_record_bytes;
   OperatorState operators;
   BootClock::time_point confirmed_at;
 };
--- a/Source/Core/Site/site_settings.cc
+++ b/Source/Core/Site/site_settings.cc
@@ -25,6 +25,8 @@
 // Entries of the store must be current again within two seconds of its return.
 constexpr Milliseconds kMaxStoreDelay{1000};
 constexpr double kMaxRetryShare = 10.0;
+constexpr std::int64_t kMinValueBytes = 10'000;
+constexpr std::int64_t kMaxValueBytes = 1'000'000'000;
 constexpr double kMaxUsefulFor = 1000.0;
 
 void ReadListen(TableReader* root, SiteSettings* settings) {
@@ -120,6 +122,10 @@
   store->ReadDuration("longest_delay", kMinStoreDelay, kMaxStoreDelay,
                       calls->longest_delay);
   store->ReadReal("retry_share", 0.0, kMaxRetryShare, calls->retry_share);
+  std::int64_t bytes = static_cast<std::int64_t>(settings->store_value_bytes);
+  store->ReadInt("value_bytes", Presence::kOptional, kMinValueBytes,
+                 kMaxValueBytes, bytes);
+  settings->store_value_bytes = static_cast<std::size_t>(bytes);
   store->ReportUnknown();
   if (calls->longest_delay < calls->first_delay) {
     faults->Add("store.longest_delay", "must not be below store.first_delay");
--- a/Source/Core/Site/site_settings.h
+++ b/Source/Core/Site/site_settings.h
@@ -30,6 +30,7 @@
   CallerLimits callers;
   SchedulerSettings scheduler;
   StoreCallSettings store_calls;
+  std::size_t store_value_bytes = 1 << 20;  // the largest value it takes
   MachinePlannerSettings planner;
   // Maximum time until a withdrawn key is refused, even by an instance that
   // cannot reach the store.
--- a/Source/UnitTests/Jobs/job_limits_test.cc
+++ b/Source/UnitTests/Jobs/job_limits_test.cc
@@ -90,6 +90,19 @@
   CHECK(pool.scheduler.Load(pool.Now(), wall).waiting > 0);
 }
 
+// Guards against a record that outgrows what the store takes although the
+// request does not.
+TEST_CASE("The record of a job is not much larger than its request") {
+  JobBuilder job("j");
+  for (int i = 0; i < kMaxSteps; ++i) {
+    job.Step(1);
+  }
+  const std::string request = R"({"Count":1,"Cpu":1000,"MemMb":100,)"
+                              R"("EstimateMs":500},)";
+  CHECK(WriteJson(ToJson(job.Build())).size() <
+        kMaxSteps * request.size() * 5 / 4);
+}
+
 // Guards against jobs that are accepted beyond the limits.
 TEST_CASE("Jobs beyond a limit are refused with the reason") {
   std::string reason;
--- a/Source/UnitTests/Site/answer_deadline_test.cc
+++ b/Source/UnitTests/Site/answer_deadline_test.cc
@@ -18,6 +18,8 @@
 namespace daisyroad {
 namespace {
 
+constexpr std::size_t kMostRecordBytes = 10000;
+
 const QueueName kQueue("queue");
 const JobId kJob("job");
 
@@ -49,7 +51,8 @@
             &rpc,
             &leadership,
             [](const PoolName&) { return nullptr; },
-            Milliseconds(5000)) {
+            Milliseconds(5000),
+            kMostRecordBytes) {
     SiteConfig config;
     config.queues[kQueue].name = kQueue;
     config.queues[kQueue].pool = PoolName("pool");
@@ -111,5 +114,27 @@
   CHECK(std::holds_alternative<OutcomeUnknown>(*losing.answer));
 }
 
+// Guards against a job that is sent to the store again and again, which refuses
+// its record each time, until the caller gives up.
+TEST_CASE("A job that the store cannot hold is refused at once") {
+  Fixture fixture;
+  JobSpec spec;
+  spec.steps.resize(1);
+  spec.steps[0].task_count = 1;
+  spec.payload.assign(kMostRecordBytes, 'x');
+  fixture.jobs.Submit(fixture.Request(Milliseconds(60000)), spec,
+                      fixture.Record());
+  REQUIRE(fixture.answer.has_value());
+  CHECK(std::holds_alternative<RequestInvalid>(*fixture.answer));
+  CHECK(fixture.store.items.empty());
+
+  Fixture other;
+  spec.payload.resize(kMostRecordBytes - 1000);
+  other.jobs.Submit(other.Request(Milliseconds(1000)), spec, other.Record());
+  other.loop.RunFor(Milliseconds(500));
+  REQUIRE(other.answer.has_value());
+  CHECK(std::holds_alternative<JobAccepted>(*other.answer));
+}
+
 }  // namespace
 }  // namespace daisyroad
--- a/Source/UnitTests/Site/moved_queue_test.cc
+++ b/Source/UnitTests/Site/moved_queue_test.cc
@@ -19,6 +19,8 @@
 namespace daisyroad {
 namespace {
 
+constexpr std::size_t kMostRecordBytes = 10000;
+
 const QueueName kQueue("queue");
 const JobId kJob("j");
 const PoolName kBefore("pool");
@@ -55,7 +57,8 @@
             [this](const PoolName& asked) {
               return asked == kBefore ? this->leader : this->leader_after;
             },
-            Milliseconds(5000)) {
+            Milliseconds(5000),
+            kMostRecordBytes) {
     this->MoveQueue(pool);
   }
 
