Jobs: the members of a step that fit on a worker are computed

A pass counted one by one how many tasks of a step a worker could hold, up to 10,000 for each step that waits and each worker, so that one job with many tasks of small requests made passes long for all jobs of the pool.

Cause: MembersOn subtracted the request until the room was used up.

Change: the number is the least quotient of room and request.

Result: jobs, team_shares and passed_over, which place gangs and wide steps, pass as before. The time of a pass was not measured.

--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -354,7 +354,7 @@
   // restrictions.
   bool HasRoomForGang(const StepSpec& step) const;
   // Number of tasks of the step that fit in the room of one worker.
-  static int MembersOn(const StepSpec& step, Resources room);
+  static int MembersOn(const StepSpec& step, const Resources& room);
   // Whether shares are on and no worker alone can hold the gang. A worker kept
   // free for it would stay idle.
   bool IsWideGang(const StepSpec& step) const;
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -365,16 +365,23 @@
          placed.step.max_per_worker > 0 || !placed.state.crashes.runs.empty();
 }
 
-int PoolScheduler::MembersOn(const StepSpec& step, Resources room) {
+int PoolScheduler::MembersOn(const StepSpec& step, const Resources& room) {
   const Resources reserved = ReservedBy(step);
   const int most = step.max_per_worker == 0
                        ? step.task_count
                        : std::min(step.max_per_worker, step.task_count);
-  int members = 0;
-  for (; reserved.FitsIn(room) && members < most; ++members) {
-    room -= reserved;
+  if (!reserved.FitsIn(room)) {
+    return 0;
+  }
+  std::int64_t members = most;
+  for (const std::int64_t Resources::*const resource :
+       {&Resources::cpu_millicores, &Resources::memory_mb,
+        &Resources::accelerators}) {
+    if (reserved.*resource > 0) {
+      members = std::min(members, room.*resource / (reserved.*resource));
+    }
   }
-  return members;
+  return static_cast<int>(members);
 }
 
 bool PoolScheduler::HasRoomForGang(const StepSpec& step) const {
