--- a/Source/UnitTests/Jobs/allocation_limit.cc
+++ b/Source/UnitTests/Jobs/allocation_limit.cc
@@ -33,18 +33,25 @@
 
 }  // namespace daisyroad
 
-void* operator new(std::size_t size) {
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
   void* const memory =
       daisyroad::held.load() + static_cast<std::ptrdiff_t>(size) <=
               daisyroad::most_held.load()
           ? std::malloc(size)
           : nullptr;
+  if (memory != nullptr) {
+    daisyroad::held += static_cast<std::ptrdiff_t>(malloc_usable_size(memory));
+  }
+  return memory;
+}
+
+void* operator new(std::size_t size) {
+  void* const memory = operator new(size, std::nothrow);
   if (memory == nullptr) {
     // The test still reports the failure.
     daisyroad::most_held = daisyroad::kNoLimit;
     throw std::bad_alloc();
   }
-  daisyroad::held += static_cast<std::ptrdiff_t>(malloc_usable_size(memory));
   return memory;
 }
 
