--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -194,6 +194,11 @@
   int upkeep_ms = 2000;
   int heartbeat_ms = 1500;
 
+  // The policy of the queues; no time to decide: they have no Advice.
+  int decide_ms = 0;
+  int each_ms = 0;
+  int valid_ms = 10000;
+
  private:
   struct Item {
     std::string value;
@@ -219,6 +224,7 @@
   std::optional<Response> HandleWorker(const std::string& name,
                                        std::int64_t born,
                                        const Request& request);
+  std::optional<Response> HandleAdvice(const Request& request);
   Response Start(Worker* worker, const Json::Value& body);
   Response Stop(Worker* worker, const Json::Value& body);
 
@@ -251,6 +257,13 @@
   Server store;
   Server cloud;
   Server advice;
+  std::mutex advice_mutex;
+  std::condition_variable advice_changed;
+  std::int64_t advice_calls = 0;    // taken in so far
+  std::int64_t advice_answers = 0;  // of them, answered
+  bool is_advice_stopping = false;
+  // Until when the ticket of a step and a boot of a worker holds.
+  std::map<std::string, Clock::time_point> tickets;
   std::vector<std::string> front_list;
   std::vector<std::string> ready_list;
   std::vector<pid_t> entries;
