--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -23,7 +23,6 @@
 constexpr int kCouldNotRun = 2;
 // Bounds of the site file of the case claims.
 constexpr int kConfigApplyMs = 2000;
-constexpr int kVisibleMs = 3000;
 constexpr int kFinishS = 14;
 constexpr char kKey[] = "key-of-tenant-a";
 
@@ -45,11 +44,12 @@
   std::string service;
 };
 
-// A config with all tenants, none of which has a limit. The queues have the
-// policy `advice` unless it is null.
+// A config with all tenants. `max_cpu` 0: they have no limit. The queues have
+// the policy `advice` unless it is null.
 std::string Config(int version,
                    const std::vector<Route>& routes,
                    const std::vector<std::string>& services,
+                   int max_cpu = 0,
                    const Json::Value& advice = Json::Value()) {
   Json::Value config;
   config["Version"] = version;
@@ -84,7 +84,7 @@
     tenant["ApiKeys"].append("key-of-" + name);
     tenant["Priority"] = 1;
     tenant["Weight"] = 10;
-    tenant["MaxCount"]["Cpu"] = 0;
+    tenant["MaxCount"]["Cpu"] = max_cpu;
     tenant["MaxCount"]["MemMb"] = 0;
     tenant["MaxCount"]["Gpu"] = 0;
     config["Tenants"].append(tenant);
@@ -123,120 +123,157 @@
   return platform->is_broken ? kBroken : kHeld;
 }
 
-// GANG: a member of a gang fails once; the next run carries checkpoints.
-int PlayGang(Platform* platform, bool has_trouble) {
-  for (int i = 0; i < 4; ++i) {
-    platform->AddWorker("m-" + std::to_string(i), "svc-a", "zone-a", "a",
-                        "r1-" + std::to_string(i), 16000, 32768);
+// QUOTA: tenants that had no limit get one, while each has a job that lasts in
+// one pool and short jobs in another.
+int PlayQuota(Platform* platform, bool has_trouble) {
+  constexpr int kLimit = 32000;
+  constexpr double kOverage = 0.1;
+  const std::size_t tenants = kTenants.size();
+  std::vector<std::string> services;
+  std::vector<Route> routes;
+  // A pool for each tenant's job that lasts, and the last one for short jobs.
+  for (std::size_t s = 0; s <= tenants; ++s) {
+    services.push_back("svc-" + std::to_string(s));
+    routes.push_back({"q" + std::to_string(s), services[s]});
+    for (int i = 0; i < (s < tenants ? 2 : 12); ++i) {
+      platform->AddWorker("m-" + std::to_string(s) + "-" + std::to_string(i),
+                          services[s], "zone-a", "a", "r1-" + std::to_string(s),
+                          16000, 32768);
+    }
   }
-  platform->Put("op/config", Config(3, {{"qa", "svc-a"}}, {"svc-a"}));
+  platform->Put("op/config", Config(3, routes, services));
   if (!StartEntries(platform)) {
     return kCouldNotRun;
   }
-  platform->on_end = [platform](const Worker&, const End& end) {
-    if (end.how == "alone") {
-      platform->Break("run " + std::to_string(end.run) + " of " + end.task +
-                      " ended alone");
+  std::optional<Clock::time_point> judged_from;
+  platform->on_start = [platform, &judged_from](
+                           const Worker&, const std::string& task, const Run&) {
+    const Job& started = platform->jobs.at(task.substr(0, task.find('.')));
+    int running = 0;
+    for (const std::pair<const std::string, Worker>& worker :
+         platform->workers) {
+      for (const std::pair<const std::string, Run>& run :
+           worker.second.running) {
+        const Job& job =
+            platform->jobs.at(run.first.substr(0, run.first.find('.')));
+        running += job.tenant == started.tenant ? job.steps[0].cpu : 0;
+      }
+    }
+    platform->Record(started.tenant + " has " + std::to_string(running) +
+                     " running");
+    if (judged_from && Clock::now() > *judged_from &&
+        running > kLimit * (1.0 + kOverage) + started.steps[0].cpu) {
+      platform->Break("the start of " + task + " brings " + started.tenant +
+                      " to " + std::to_string(running) + " of " +
+                      std::to_string(kLimit));
     }
   };
-  Job job;
-  job.id = JobId(1);
-  Step step;
-  step.count = 3;
-  step.cpu = 9000;  // one a worker
-  step.duration_ms = 6000;
-  step.gang = true;
-  step.checkpoints = true;
-  step.failures = has_trouble ? 1 : 0;
-  step.fails_after_ms = 3500;
-  job.steps.push_back(step);
-  if (!platform->Submit(0, "/qa/", kKey, job)) {
-    return kCouldNotRun;
+  for (std::size_t t = 0; t < tenants; ++t) {
+    Job job;
+    job.id = JobId(static_cast<unsigned>(t + 1));
+    job.tenant = kTenants[t];
+    Step step;
+    step.count = 10;
+    step.cpu = 2000;
+    step.long_running = true;
+    job.steps.push_back(step);
+    if (!platform->Submit(t, "/" + routes[t].name + "/", "key-of-" + job.tenant,
+                          job)) {
+      return kCouldNotRun;
+    }
   }
-  std::string state;
-  for (int second = 0; second < 40 && state != "completed"; ++second) {
-    Wait(1000);
-    state = platform->StateOf(static_cast<std::size_t>(second), "/qa/", kKey,
-                              job.id);
+  Wait(2000);
+  std::vector<std::thread> clients;
+  const Clock::time_point until = Clock::now() + Ms(25000);
+  for (std::size_t t = 0; t < tenants; ++t) {
+    clients.emplace_back([platform, t, tenants, &routes, until]() {
+      for (unsigned i = 0; Clock::now() < until; ++i) {
+        Job job;
+        job.id = JobId(static_cast<unsigned>(1000 * (t + 1)) + i);
+        job.tenant = kTenants[t];
+        Step step;
+        step.count = 8;
+        step.cpu = 2000;
+        step.duration_ms = 1000;
+        job.steps.push_back(step);
+        platform->Submit(t, "/" + routes[tenants].name + "/",
+                         "key-of-" + job.tenant, job);
+        Wait(400);
+      }
+    });
+  }
+  Wait(5000);
+  if (has_trouble) {
+    platform->Put("op/config", Config(8, routes, services, kLimit));
+    // The old config may be in force until ConfigApplyMs after the ack.
+    const std::lock_guard<std::mutex> lock(platform->mutex);
+    judged_from = Clock::now() + Ms(kConfigApplyMs + 2000);
+  }
+  for (std::thread& client : clients) {
+    client.join();
   }
-  platform->Record("state in the end: " + state);
   return Verdict(platform);
 }
 
-// MIXED: a route moves to another service while jobs wait for the first one.
-int PlayPending(Platform* platform, bool has_trouble) {
-  const std::vector<std::string> services = {"svc-a", "svc-b"};
-  for (std::size_t s = 0; s < services.size(); ++s) {
-    for (int i = 0; i < 3; ++i) {
-      platform->AddWorker("m-" + std::to_string(s) + "-" + std::to_string(i),
-                          services[s], "zone-a", "a", "r1-" + std::to_string(s),
-                          16000, 32768);
+// ROUTE: the workers of a rack crash and start again as another kind.
+int PlayLabel(Platform* platform, bool has_trouble) {
+  constexpr int kRacks = 2;
+  constexpr int kWorkersPerRack = 4;
+  const auto name_of = [](int rack, int worker) {
+    return "m-" + std::to_string(rack) + "-" + std::to_string(worker);
+  };
+  for (int rack = 0; rack < kRacks; ++rack) {
+    for (int i = 0; i < kWorkersPerRack; ++i) {
+      platform->AddWorker(name_of(rack, i), "svc-a", "zone-a", "a",
+                          "r1-" + std::to_string(rack), 16000, 32768);
     }
   }
-  platform->Put("op/config", Config(3, {{"qa", "svc-a"}, {"qb", "svc-b"}},
-                                    services));
+  platform->Put("op/config", Config(3, {{"qa", "svc-a"}}, {"svc-a"}));
   if (!StartEntries(platform)) {
     return kCouldNotRun;
   }
-  std::set<std::string> begun;
-  platform->on_start = [&begun](const Worker&, const std::string& task,
-                                const Run&) {
-    begun.insert(task.substr(0, task.find('.')));
+  platform->on_start = [platform](const Worker& worker, const std::string& task,
+                                  const Run& run) {
+    const Job& job = platform->jobs.at(task.substr(0, task.find('.')));
+    if (!job.steps[0].label.empty() && job.steps[0].label != worker.kind) {
+      platform->Break("run " + std::to_string(run.number) + " of " + task +
+                      ", which requires the label " + job.steps[0].label +
+                      ", starts at " + worker.id + " of kind " + worker.kind);
+    }
   };
-  // Fills the first service for the time of the case.
-  Job filler;
-  filler.id = JobId(1);
-  Step long_step;
-  long_step.count = 3;
-  long_step.cpu = 15000;
-  long_step.long_running = true;
-  filler.steps.push_back(long_step);
-  if (!platform->Submit(0, "/qa/", kKey, filler)) {
-    return kCouldNotRun;
+  const Clock::time_point until = Clock::now() + Ms(50000);
+  // Jobs that require kind a or b, about what eight workers of kind a can do
+  // and more than four.
+  std::vector<std::thread> clients;
+  for (unsigned kind = 0; kind < 2; ++kind) {
+    clients.emplace_back([platform, kind, until]() {
+      for (unsigned i = 0; Clock::now() < until; ++i) {
+        Job job;
+        job.id = JobId(10000 * (kind + 1) + i);
+        Step step;
+        step.count = kind == 0 ? 18 : 3;
+        step.cpu = 4000;
+        step.duration_ms = 1000;
+        step.label = kind == 0 ? "a" : "b";
+        job.steps.push_back(step);
+        platform->Submit(i, "/qa/", kKey, job);
+        Wait(700);
+      }
+    });
   }
-  Wait(2000);
-  constexpr unsigned kWaiting = 20;
-  for (unsigned i = 0; i < kWaiting; ++i) {
-    Job job;
-    job.id = JobId(100 + i);
-    Step step;
-    step.cpu = 4000;
-    step.duration_ms = 1000;
-    job.steps.push_back(step);
-    if (!platform->Submit(i, "/qa/", kKey, job)) {
-      return kCouldNotRun;
+  Wait(3000);
+  for (int round = 0; has_trouble && round < 4; ++round) {
+    for (int i = 0; i < kWorkersPerRack; ++i) {
+      platform->CrashWorker(name_of(0, i));
     }
-  }
-  Wait(1000);
-  if (has_trouble) {
-    platform->Put("op/config", Config(8, {{"qa", "svc-b"}, {"qb", "svc-b"}},
-                                      services));
-  }
-  // Longer than ConfigApplyMs, and than visible_ms + 2 s after the last job.
-  Wait(kVisibleMs + 2000 + kConfigApplyMs + 1000);
-  for (int round = 0; round < 5; ++round) {
-    for (std::size_t entry = 0; entry < 3; ++entry) {
-      unsigned waiting = 0;
-      {
-        const std::lock_guard<std::mutex> lock(platform->mutex);
-        for (unsigned i = 0; i < kWaiting; ++i) {
-          waiting += begun.count(JobId(100 + i)) == 0 ? 1 : 0;
-        }
-      }
-      const Response response =
-          platform->Send(entry, "GET", "/qa/", kKey, "");
-      if (response.status != 200) {
-        continue;
-      }
-      const int pending = ReadJson(response.body)["Pending"].asInt();
-      const std::lock_guard<std::mutex> lock(platform->mutex);
-      if (2 * pending < static_cast<int>(waiting)) {
-        platform->Break("Pending is " + std::to_string(pending) + " while " +
-                        std::to_string(waiting) +
-                        " accepted jobs of the queue have not begun");
-      }
+    Wait(4500);
+    for (int i = 0; i < kWorkersPerRack; ++i) {
+      platform->BootWorker(name_of(0, i), round % 2 == 0 ? "b" : "a");
     }
-    Wait(1000);
+    Wait(6000);
+  }
+  for (std::thread& client : clients) {
+    client.join();
   }
   return Verdict(platform);
 }
@@ -348,7 +385,7 @@
                         "r1-" + std::to_string(i / 4), 1000 * kCores, 32768);
   }
   platform->Put("op/config",
-                Config(3, {{"qa", "svc-a"}}, {"svc-a"}, advice));
+                Config(3, {{"qa", "svc-a"}}, {"svc-a"}, 0, advice));
   if (!StartEntries(platform)) {
     return kCouldNotRun;
   }
@@ -398,10 +435,52 @@
   return Verdict(platform);
 }
 
+// LIMIT: answers of the machines' interface are lost for half a second.
+int PlayWave(Platform* platform, bool has_trouble) {
+  constexpr int kMachines = 9;
+  Json::Value wave;
+  wave["Wave"] = 1;
+  wave["DeadlineS"] = 60;
+  wave["MaxCount"] = 1;
+  for (int i = 0; i < kMachines; ++i) {
+    const std::string name = "m-" + std::to_string(i);
+    platform->AddWorker(name, "svc-a", "zone-a", "a", "r1-" + std::to_string(i),
+                        16000, 32768);
+    if (i < 6) {
+      wave["Machines"].append(name);
+    }
+  }
+  platform->Put("op/config", Config(3, {{"qa", "svc-a"}}, {"svc-a"}));
+  if (!StartEntries(platform)) {
+    return kCouldNotRun;
+  }
+  int begun = 0;
+  platform->on_upkeep = [platform, &begun, has_trouble](const Machine& machine) {
+    int down = 0;
+    for (const std::pair<const std::string, Machine>& other :
+         platform->machines) {
+      down += other.second.state == "upkeep" ? 1 : 0;
+    }
+    if (down > 1) {
+      platform->Break("the upkeep of " + machine.name + " begins while " +
+                      std::to_string(down - 1) +
+                      " machine of the wave is down for its own");
+    }
+    if (++begun == 2 && has_trouble) {
+      platform->cloud_silent_until = Clock::now() + Ms(600);
+      platform->Record("answers of the machines' interface are lost for 0.6 s");
+    }
+  };
+  platform->Put("op/wave/1", WriteJson(wave));
+  Wait(40000);
+  return Verdict(platform);
+}
+
 int Play(int argc, char** argv) {
   const std::map<std::string, std::function<int(Platform*, bool)>> cases = {
       {"given-up", PlayGivenUp}, {"advice", PlayAdvice},
-      {"gang", PlayGang},        {"pending", PlayPending},
+      {"label", PlayLabel},      {"quota", PlayQuota},
+      {"wave", PlayWave},
   };
   if (argc != 5 || cases.count(argv[1]) == 0) {
     std::cerr << "usage: standin-3 CASE RECORD ROOT TROUBLE\n";
