--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -124,18 +124,15 @@
 }
 
 // QUOTA: tenants that had no limit get one, while each has a job that lasts in
-// one pool and short jobs in another.
+// one pool and short jobs in the other; two of them the other way round.
 int PlayQuota(Platform* platform, bool has_trouble) {
   constexpr int kLimit = 32000;
   constexpr double kOverage = 0.1;
   const std::size_t tenants = kTenants.size();
-  std::vector<std::string> services;
-  std::vector<Route> routes;
-  // A pool for each tenant's job that lasts, and the last one for short jobs.
-  for (std::size_t s = 0; s <= tenants; ++s) {
-    services.push_back("svc-" + std::to_string(s));
-    routes.push_back({"q" + std::to_string(s), services[s]});
-    for (int i = 0; i < (s < tenants ? 2 : 12); ++i) {
+  const std::vector<std::string> services = {"svc-0", "svc-1"};
+  const std::vector<Route> routes = {{"q0", services[0]}, {"q1", services[1]}};
+  for (std::size_t s = 0; s < services.size(); ++s) {
+    for (int i = 0; i < 10; ++i) {
       platform->AddWorker("m-" + std::to_string(s) + "-" + std::to_string(i),
                           services[s], "zone-a", "a", "r1-" + std::to_string(s),
                           16000, 32768);
@@ -177,8 +174,8 @@
     step.cpu = 2000;
     step.long_running = true;
     job.steps.push_back(step);
-    if (!platform->Submit(t, "/" + routes[t].name + "/", "key-of-" + job.tenant,
-                          job)) {
+    if (!platform->Submit(t, "/" + routes[t % 2].name + "/",
+                          "key-of-" + job.tenant, job)) {
       return kCouldNotRun;
     }
   }
@@ -186,7 +183,7 @@
   std::vector<std::thread> clients;
   const Clock::time_point until = Clock::now() + Ms(25000);
   for (std::size_t t = 0; t < tenants; ++t) {
-    clients.emplace_back([platform, t, tenants, &routes, until]() {
+    clients.emplace_back([platform, t, &routes, until]() {
       for (unsigned i = 0; Clock::now() < until; ++i) {
         Job job;
         job.id = JobId(static_cast<unsigned>(1000 * (t + 1)) + i);
@@ -196,7 +193,7 @@
         step.cpu = 2000;
         step.duration_ms = 1000;
         job.steps.push_back(step);
-        platform->Submit(t, "/" + routes[tenants].name + "/",
+        platform->Submit(t, "/" + routes[(t + 1) % 2].name + "/",
                          "key-of-" + job.tenant, job);
         Wait(400);
       }
--- a/review/standin-3/platform.cc
+++ b/review/standin-3/platform.cc
@@ -116,6 +116,18 @@
                                            16));
 }
 
+// The entry instances, for the handler of signals: they end with this process.
+constexpr int kMostEntries = 8;
+volatile pid_t g_entries[kMostEntries];
+volatile std::sig_atomic_t g_entry_count = 0;
+
+void EndWithEntries(int) {
+  for (int i = 0; i < g_entry_count; ++i) {
+    ::kill(g_entries[i], SIGKILL);
+  }
+  ::_exit(2);
+}
+
 }  // namespace
 
 std::string WriteJson(const Json::Value& value) {
@@ -139,6 +151,9 @@
 
 Platform::Platform(const std::string& record, const std::string& root)
     : root(root), record(record, std::ios::trunc), origin(Clock::now()) {
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    std::signal(number, EndWithEntries);
+  }
   std::string name =
       (std::filesystem::temp_directory_path() / "review-3-XXXXXX").string();
   if (::mkdtemp(name.data()) == nullptr) {
@@ -1110,6 +1125,10 @@
     return false;
   }
   this->entries.push_back(child);
+  if (g_entry_count < kMostEntries) {
+    g_entries[g_entry_count] = child;
+    g_entry_count = g_entry_count + 1;
+  }
   this->logs.push_back(log);
   this->front_list.push_back(front);
   this->ready_list.push_back(ready);
@@ -1146,6 +1165,7 @@
     ::kill(child, SIGKILL);
     ::waitpid(child, nullptr, 0);
   }
+  g_entry_count = 0;
   // Kept for the reader if asked for.
   const char* const keep = std::getenv("KEEP_LOGS");
   if (keep != nullptr) {
