--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -117,6 +117,7 @@
   platform->on_start = nullptr;
   platform->on_end = nullptr;
   platform->on_upkeep = nullptr;
+  platform->on_tail = nullptr;
   platform->Record(platform->is_broken ? "the rule was broken: " +
                                              platform->verdict
                                        : "the rule held");
@@ -473,11 +474,85 @@
   return Verdict(platform);
 }
 
+// HARM: jobs that fill come one after the other, beside tasks that serve.
+int PlayHarm(Platform* platform, bool has_trouble) {
+  constexpr int kWorkers = 4;
+  constexpr int kTargetMs = 100;
+  constexpr int kHarmMs = 4000;
+  for (int i = 0; i < kWorkers; ++i) {
+    platform->AddWorker("m-" + std::to_string(i), "svc-a", "zone-a", "a",
+                        "r1-" + std::to_string(i), 16000, 32768);
+  }
+  platform->Put("op/config", Config(3, {{"qa", "svc-a"}}, {"svc-a"}));
+  if (!StartEntries(platform)) {
+    return kCouldNotRun;
+  }
+  Job serving;
+  serving.id = JobId(1);
+  Step lasting;
+  lasting.count = kWorkers;
+  lasting.cpu = 8000;
+  lasting.long_running = true;
+  lasting.max_per_server = 1;
+  lasting.image = "serving";
+  lasting.target_ms = kTargetMs;
+  serving.steps.push_back(lasting);
+  if (!platform->Submit(0, "/qa/", kKey, serving)) {
+    return kCouldNotRun;
+  }
+  Wait(3000);
+  std::map<std::string, Clock::time_point> over_since;
+  std::map<std::string, int> seconds;
+  platform->on_tail = [&](const Worker& worker, double tail, int filling) {
+    const Clock::time_point now = Clock::now();
+    // Over the target without a pause, and only because of tasks that fill.
+    if (tail <= kTargetMs) {
+      over_since.erase(worker.id);
+      seconds.erase(worker.id);
+      return;
+    }
+    const Clock::time_point since =
+        over_since.emplace(worker.id, now).first->second;
+    const int over_s = static_cast<int>(
+        std::chrono::duration_cast<std::chrono::seconds>(now - since).count());
+    if (over_s > seconds[worker.id]) {
+      seconds[worker.id] = over_s;
+      platform->Record("tail at " + worker.id + " is " +
+                       std::to_string(static_cast<int>(tail)) + " ms, over " +
+                       std::to_string(kTargetMs) + " for " +
+                       std::to_string(over_s) + " s, " +
+                       std::to_string(filling) + " tasks fill at work");
+    }
+    if (now - since >= Ms(kHarmMs) && filling > 0 && !platform->is_broken) {
+      platform->Break("the task that serves at " + worker.id +
+                      " is over its target for " + std::to_string(kHarmMs) +
+                      " ms while tasks that fill work beside it");
+    }
+  };
+  const Clock::time_point until = Clock::now() + Ms(25000);
+  for (unsigned i = 0; Clock::now() < until; ++i) {
+    Job job;
+    job.id = JobId(100 + i);
+    Step step;
+    step.cpu = 2000;
+    step.mem_mb = 64;
+    step.duration_ms = 800;
+    step.image = "filling";
+    step.fills = true;
+    job.steps.push_back(step);
+    if (!platform->Submit(i, "/qa/", kKey, job)) {
+      return kCouldNotRun;
+    }
+    Wait(has_trouble ? 120 : 5000);
+  }
+  return Verdict(platform);
+}
+
 int Play(int argc, char** argv) {
   const std::map<std::string, std::function<int(Platform*, bool)>> cases = {
       {"given-up", PlayGivenUp}, {"advice", PlayAdvice},
       {"label", PlayLabel},      {"quota", PlayQuota},
-      {"wave", PlayWave},
+      {"wave", PlayWave},         {"harm", PlayHarm},
   };
   if (argc != 5 || cases.count(argv[1]) == 0) {
     std::cerr << "usage: standin-3 CASE RECORD ROOT TROUBLE\n";
--- a/review/standin-3/platform.cc
+++ b/review/standin-3/platform.cc
@@ -101,6 +101,14 @@
   return step + "-" + worker + "-" + std::to_string(born);
 }
 
+double MeanOf(const std::deque<std::pair<Clock::time_point, double>>& tails) {
+  double sum = 0.0;
+  for (const std::pair<Clock::time_point, double>& tail : tails) {
+    sum += tail.second;
+  }
+  return tails.empty() ? 0.0 : sum / static_cast<double>(tails.size());
+}
+
 std::string CheckpointOf(const std::string& task, int progress_ms) {
   char text[32];
   std::snprintf(text, sizeof(text), "%08x%08x",
@@ -722,6 +730,7 @@
     return this->Stop(&worker, body);
   }
   if (request.path == "/v1/pace") {
+    this->Pace(&worker, body);
     return finish(200, Json::Value(Json::objectValue));
   }
   if (request.path != "/v1/hold") {
@@ -763,8 +772,16 @@
                                      std::max(1, step->duration_ms),
                                  0, 99);
     }
+    int load = run.begun && step != nullptr ? step->cpu : 0;
+    if (step != nullptr && step->fills) {
+      percent = run.percent;
+      load = step->cpu * run.percent / 100;
+    }
+    if (step != nullptr && step->target_ms > 0) {
+      load = static_cast<int>(MeanOf(worker.tails));
+    }
     row.append(percent);
-    row.append(run.begun && step != nullptr ? step->cpu : 0);
+    row.append(load);
     reply["Running"].append(row);
   }
   for (const End& end : worker.ended) {
@@ -826,11 +843,11 @@
     }
   }
   const Step* const step = this->StepOf(task);
-  int cpu = step == nullptr ? 0 : step->cpu;
+  int cpu = step == nullptr || step->fills ? 0 : step->cpu;
   int mem_mb = step == nullptr ? 0 : step->mem_mb;
   for (const std::pair<const std::string, Run>& entry : worker->running) {
     const Step* const other = this->StepOf(entry.first);
-    cpu += other == nullptr ? 0 : other->cpu;
+    cpu += other == nullptr || other->fills ? 0 : other->cpu;
     mem_mb += other == nullptr ? 0 : other->mem_mb;
   }
   if (cpu > worker->cpu || mem_mb > worker->mem_mb) {
@@ -855,6 +872,62 @@
   return Reply(200, reply);
 }
 
+void Platform::Pace(Worker* worker, const Json::Value& body) {
+  const std::string task = body["Task"].asString();
+  const std::map<std::string, Run>::iterator found =
+      worker->running.find(task);
+  if (found == worker->running.end() ||
+      found->second.number != body["Run"].asInt64()) {
+    return;
+  }
+  found->second.next_percent = body["Percent"].asInt();
+  found->second.next_percent_at = Clock::now() + Ms(this->pace_ms);
+  this->Record("pace " + task + " at " + worker->id + ": " +
+               std::to_string(found->second.next_percent));
+}
+
+// Work of the tasks that fill, and what it does to those that serve.
+void Platform::AdvanceFilling(Worker* worker) {
+  const Clock::time_point now = Clock::now();
+  const double passed =
+      worker->advanced_at == Clock::time_point()
+          ? 0.0
+          : std::chrono::duration<double, std::milli>(now - worker->advanced_at)
+                .count();
+  worker->advanced_at = now;
+  bool serves = false;
+  int filling = 0;
+  double share = 0.0;
+  for (std::pair<const std::string, Run>& entry : worker->running) {
+    Run& run = entry.second;
+    const Step* const step = this->StepOf(entry.first);
+    if (step == nullptr) {
+      continue;
+    }
+    serves = serves || step->target_ms > 0;
+    if (!step->fills) {
+      continue;
+    }
+    if (run.next_percent != run.percent && now >= run.next_percent_at) {
+      run.percent = run.next_percent;
+    }
+    run.worked_ms += passed * run.percent / 100.0;
+    share += run.percent / 100.0;
+    filling += run.percent > 0 ? 1 : 0;
+  }
+  if (!serves) {
+    return;
+  }
+  const double tail = this->calm_tail_ms + this->harm_ms * share;
+  worker->tails.emplace_back(now, tail);
+  while (now - worker->tails.front().first > Ms(500)) {
+    worker->tails.pop_front();
+  }
+  if (this->on_tail) {
+    this->on_tail(*worker, MeanOf(worker->tails), filling);
+  }
+}
+
 Response Platform::Stop(Worker* worker, const Json::Value& body) {
   Json::Value reply;
   reply["ClockMs"] = Json::Int64(worker->ClockMs());
@@ -960,6 +1033,7 @@
 
 void Platform::Advance(Worker* worker) {
   const Clock::time_point now = Clock::now();
+  this->AdvanceFilling(worker);
   if (worker->lease_until > 0 && worker->ClockMs() > worker->lease_until) {
     while (!worker->running.empty()) {
       this->EndRun(worker, worker->running.begin()->first, "lapsed");
@@ -983,9 +1057,11 @@
       continue;
     }
     const int progress =
-        run.begun_progress_ms +
-        static_cast<int>(
-            std::chrono::duration_cast<Ms>(now - *run.begun).count());
+        step->fills
+            ? static_cast<int>(run.worked_ms)
+            : run.begun_progress_ms +
+                  static_cast<int>(
+                      std::chrono::duration_cast<Ms>(now - *run.begun).count());
     if (step->checkpoints &&
         progress >= run.saved_progress_ms + 1000 * this->checkpoint_s) {
       run.saved_progress_ms = progress;
@@ -1228,6 +1304,18 @@
     if (step.may_miss > 0) {
       row["MayMiss"] = step.may_miss;
     }
+    if (step.max_per_server > 0) {
+      row["MaxPerServer"] = step.max_per_server;
+    }
+    if (!step.image.empty()) {
+      row["Image"] = step.image;
+    }
+    if (step.target_ms > 0) {
+      row["TargetMs"] = step.target_ms;
+    }
+    if (step.fills) {
+      row["Fills"] = true;
+    }
     for (const int before : step.after) {
       row["After"].append(before);
     }
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -45,6 +45,10 @@
   bool checkpoints = false;
   std::string label;
   int may_miss = 0;
+  int max_per_server = 0;
+  std::string image;
+  int target_ms = 0;
+  bool fills = false;
   std::vector<int> after;
   // The first `failures` runs of task 0 fail by their own fault after this much
   // work.
@@ -67,6 +71,11 @@
   std::optional<Clock::time_point> stop_at;
   int begun_progress_ms = 0;
   int saved_progress_ms = 0;
+  // A task that fills: what it may do, and what it has done.
+  int percent = 100;
+  int next_percent = 100;
+  Clock::time_point next_percent_at;
+  double worked_ms = 0.0;
 };
 
 struct End {
@@ -99,6 +108,9 @@
   std::map<std::string, std::int64_t> last_run;  // highest stopped or ended
   std::int64_t seq = 0;
   Clock::time_point next_check_in;
+  // Tails of the tasks that serve here, within the last half second.
+  std::deque<std::pair<Clock::time_point, double>> tails;
+  Clock::time_point advanced_at;
 
   std::int64_t ClockMs() const {
     return std::chrono::duration_cast<Ms>(Clock::now() - this->begun).count() +
@@ -171,6 +183,8 @@
       on_start;
   // The same when a run has ended.
   std::function<void(const Worker&, const End&)> on_end;
+  // The same each 10 ms, with the tail of the tasks that serve there.
+  std::function<void(const Worker&, double tail_ms, int filling)> on_tail;
   // Called under the lock when the upkeep of a machine begins.
   std::function<void(const Machine&)> on_upkeep;
   // While now is before this time, answers of the machines' interface are lost.
@@ -194,6 +208,12 @@
   int upkeep_ms = 2000;
   int heartbeat_ms = 1500;
 
+  // The tail of a task that serves: alone, and what each task that fills beside
+  // it adds at full speed.
+  double calm_tail_ms = 40.0;
+  double harm_ms = 70.0;
+  int pace_ms = 100;
+
   // The policy of the queues; no time to decide: they have no Advice.
   int decide_ms = 0;
   int each_ms = 0;
@@ -227,6 +247,8 @@
   std::optional<Response> HandleAdvice(const Request& request);
   Response Start(Worker* worker, const Json::Value& body);
   Response Stop(Worker* worker, const Json::Value& body);
+  void Pace(Worker* worker, const Json::Value& body);
+  void AdvanceFilling(Worker* worker);
 
   void Write(const std::string& key,
              const std::string& value,
