--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -548,11 +548,83 @@
   return Verdict(platform);
 }
 
+// No rule: a task that fills is paced to 0 when all entry instances are killed
+// and started again. Nobody paces it up, so that its job is never done.
+int PlayPaced(Platform* platform, bool has_trouble) {
+  platform->harm_ms = 200.0;
+  platform->AddWorker("m-0", "svc-a", "zone-a", "a", "r1-0", 16000, 32768);
+  platform->Put("op/config", Config(3, {{"qa", "svc-a"}}, {"svc-a"}));
+  if (!StartEntries(platform)) {
+    return kCouldNotRun;
+  }
+  Job serving;
+  serving.id = JobId(1);
+  Step lasting;
+  lasting.cpu = 8000;
+  lasting.long_running = true;
+  lasting.image = "serving";
+  lasting.target_ms = 100;
+  serving.steps.push_back(lasting);
+  Job filling;
+  filling.id = JobId(2);
+  Step step;
+  step.cpu = 2000;
+  step.duration_ms = 2000;
+  step.image = "filling";
+  step.fills = true;
+  filling.steps.push_back(step);
+  if (!platform->Submit(0, "/qa/", kKey, serving)) {
+    return kCouldNotRun;
+  }
+  Wait(2000);
+  if (!platform->Submit(0, "/qa/", kKey, filling)) {
+    return kCouldNotRun;
+  }
+  const auto run_of = [platform, &filling]() {
+    const std::lock_guard<std::mutex> lock(platform->mutex);
+    const std::map<std::string, Run>& running =
+        platform->workers.at("m-0").running;
+    const std::map<std::string, Run>::const_iterator run =
+        running.find(filling.id + ".0.0.0");
+    return run == running.end() ? std::optional<Run>()
+                                : std::make_optional(run->second);
+  };
+  for (int i = 0; has_trouble && i < 2000; ++i) {
+    const std::optional<Run> run = run_of();
+    if (run && run->percent == 0 && run->next_percent == 0) {
+      platform->Record("all entry instances are killed and started again");
+      platform->StopEntries();
+      if (!StartEntries(platform)) {
+        return kCouldNotRun;
+      }
+      break;
+    }
+    Wait(5);
+  }
+  std::string state;
+  for (int second = 0; second < 60 && state != "completed"; ++second) {
+    Wait(1000);
+    state = platform->StateOf(0, "/qa/", kKey, filling.id);
+    const std::optional<Run> run = run_of();
+    if (run) {
+      platform->Record("run " + std::to_string(run->number) + " has worked " +
+                       std::to_string(static_cast<int>(run->worked_ms)) +
+                       " ms of " + std::to_string(step.duration_ms) +
+                       ", its percent is " + std::to_string(run->percent));
+    }
+  }
+  if (state != "completed") {
+    platform->Break("the job that fills is " + state + " after 60 s");
+  }
+  return Verdict(platform);
+}
+
 int Play(int argc, char** argv) {
   const std::map<std::string, std::function<int(Platform*, bool)>> cases = {
       {"given-up", PlayGivenUp}, {"advice", PlayAdvice},
       {"label", PlayLabel},      {"quota", PlayQuota},
       {"wave", PlayWave},         {"harm", PlayHarm},
+      {"paced", PlayPaced},
   };
   if (argc != 5 || cases.count(argv[1]) == 0) {
     std::cerr << "usage: standin-3 CASE RECORD ROOT TROUBLE\n";
--- a/review/standin-3/platform.cc
+++ b/review/standin-3/platform.cc
@@ -1256,6 +1256,8 @@
   }
   this->entries.clear();
   this->logs.clear();
+  this->front_list.clear();
+  this->ready_list.clear();
 }
 
 Response Platform::Send(std::size_t entry,
