--- a/review/standin-3/http.cc
+++ b/review/standin-3/http.cc
@@ -102,8 +102,8 @@
 bool SendAll(int socket, const std::string& text) {
   std::size_t sent = 0;
   while (sent < text.size()) {
-    const ssize_t n = ::send(socket, text.data() + sent, text.size() - sent,
-                             MSG_NOSIGNAL);
+    const ssize_t n =
+        ::send(socket, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
     if (n <= 0) {
       return false;
     }
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -118,9 +118,9 @@
   platform->on_end = nullptr;
   platform->on_upkeep = nullptr;
   platform->on_tail = nullptr;
-  platform->Record(platform->is_broken ? "the rule was broken: " +
-                                             platform->verdict
-                                       : "the rule held");
+  platform->Record(platform->is_broken
+                       ? "the rule was broken: " + platform->verdict
+                       : "the rule held");
   return platform->is_broken ? kBroken : kHeld;
 }
 
@@ -453,7 +453,8 @@
     return kCouldNotRun;
   }
   int begun = 0;
-  platform->on_upkeep = [platform, &begun, has_trouble](const Machine& machine) {
+  platform->on_upkeep = [platform, &begun,
+                         has_trouble](const Machine& machine) {
     int down = 0;
     for (const std::pair<const std::string, Machine>& other :
          platform->machines) {
@@ -619,20 +620,65 @@
   return Verdict(platform);
 }
 
+// AVAIL: two workers begin a task that lasts, and their answers are lost.
+int PlayLostStarts(Platform* platform, bool has_trouble) {
+  constexpr int kWorkers = 10;
+  constexpr int kMayMiss = 1;
+  for (int i = 0; i < kWorkers; ++i) {
+    platform->AddWorker("m-" + std::to_string(i), "svc-a", "zone-a", "a",
+                        "r1-" + std::to_string(i / 4), 16000, 32768);
+  }
+  platform->Put("op/config", Config(3, {{"qa", "svc-a"}}, {"svc-a"}));
+  if (!StartEntries(platform)) {
+    return kCouldNotRun;
+  }
+  std::set<std::string> ended_by_order;
+  platform->on_start = [&](const Worker&, const std::string& task, const Run&) {
+    ended_by_order.erase(task);
+  };
+  platform->on_end = [&](const Worker& worker, const End& end) {
+    if (end.how != "stopped") {
+      return;
+    }
+    if (static_cast<int>(ended_by_order.size()) >= kMayMiss) {
+      platform->Break("a stop ends " + end.task + " at " + worker.id +
+                      " while others of its step are ended by a stop");
+    }
+    ended_by_order.insert(end.task);
+  };
+  if (has_trouble) {
+    const std::lock_guard<std::mutex> lock(platform->mutex);
+    platform->lost_starts = {"m-2", "m-5"};
+  }
+  Job job;
+  job.id = JobId(1);
+  Step step;
+  step.count = kWorkers;
+  step.cpu = 9000;
+  step.long_running = true;
+  step.may_miss = kMayMiss;
+  step.max_per_server = 1;
+  job.steps.push_back(step);
+  if (!platform->Submit(0, "/qa/", kKey, job)) {
+    return kCouldNotRun;
+  }
+  Wait(12000);
+  return Verdict(platform);
+}
+
 int Play(int argc, char** argv) {
   const std::map<std::string, std::function<int(Platform*, bool)>> cases = {
       {"given-up", PlayGivenUp}, {"advice", PlayAdvice},
       {"label", PlayLabel},      {"quota", PlayQuota},
-      {"wave", PlayWave},         {"harm", PlayHarm},
-      {"paced", PlayPaced},
+      {"wave", PlayWave},        {"harm", PlayHarm},
+      {"paced", PlayPaced},      {"lost-starts", PlayLostStarts},
   };
   if (argc != 5 || cases.count(argv[1]) == 0) {
     std::cerr << "usage: standin-3 CASE RECORD ROOT TROUBLE\n";
     return kCouldNotRun;
   }
   Platform platform(argv[2], argv[3]);
-  const int outcome =
-      cases.at(argv[1])(&platform, std::string(argv[4]) != "0");
+  const int outcome = cases.at(argv[1])(&platform, std::string(argv[4]) != "0");
   platform.StopEntries();
   return outcome;
 }
--- a/review/standin-3/platform.cc
+++ b/review/standin-3/platform.cc
@@ -31,8 +31,8 @@
     std::uint32_t block = 0;
     const std::size_t n = std::min<std::size_t>(3, text.size() - i);
     for (std::size_t k = 0; k < 3; ++k) {
-      block = (block << 8) |
-              (k < n ? static_cast<unsigned char>(text[i + k]) : 0U);
+      block =
+          (block << 8) | (k < n ? static_cast<unsigned char>(text[i + k]) : 0U);
     }
     for (std::size_t k = 0; k < 4; ++k) {
       out.push_back(k <= n ? kAlphabet[(block >> (18 - 6 * k)) & 63] : '=');
@@ -118,10 +118,9 @@
 }
 
 int ProgressOf(const std::string& checkpoint) {
-  return checkpoint.size() < 8
-             ? 0
-             : static_cast<int>(std::stoul(checkpoint.substr(0, 8), nullptr,
-                                           16));
+  return checkpoint.size() < 8 ? 0
+                               : static_cast<int>(std::stoul(
+                                     checkpoint.substr(0, 8), nullptr, 16));
 }
 
 // The entry instances, for the handler of signals: they end with this process.
@@ -168,18 +167,13 @@
     throw std::runtime_error("cannot create a temporary folder");
   }
   this->folder = name;
-  const bool is_up =
-      this->store.Start(0,
-                        [this](const Request& request) {
-                          return this->HandleStore(request);
-                        }) &&
-      this->cloud.Start(0,
-                        [this](const Request& request) {
-                          return this->HandleCloud(request);
-                        }) &&
-      this->advice.Start(0, [this](const Request& request) {
-        return this->HandleAdvice(request);
-      });
+  const bool is_up = this->store.Start(0, [this](const Request& request) {
+    return this->HandleStore(request);
+  }) && this->cloud.Start(0, [this](const Request& request) {
+    return this->HandleCloud(request);
+  }) && this->advice.Start(0, [this](const Request& request) {
+    return this->HandleAdvice(request);
+  });
   if (!is_up) {
     throw std::runtime_error("cannot listen");
   }
@@ -686,10 +680,9 @@
 
 void Platform::Extend(Worker* worker, const Json::Value& body) {
   if (body["UntilMs"].isInt64()) {
-    worker->lease_until =
-        std::max(worker->lease_until,
-                 std::min(body["UntilMs"].asInt64(),
-                          worker->ClockMs() + this->hold_max_ms));
+    worker->lease_until = std::max(
+        worker->lease_until, std::min(body["UntilMs"].asInt64(),
+                                      worker->ClockMs() + this->hold_max_ms));
   }
 }
 
@@ -722,9 +715,13 @@
   worker.fence = fence;
   if (request.path == "/v1/run-start") {
     const Response response = this->Start(&worker, body);
+    const bool is_lost = this->lost_starts.erase(worker.machine) > 0;
+    if (is_lost) {
+      this->Record("the answer to that start is lost");
+    }
     lock.unlock();
     this->changed.notify_all();
-    return response;
+    return is_lost ? std::nullopt : std::make_optional(response);
   }
   if (request.path == "/v1/run-stop") {
     return this->Stop(&worker, body);
@@ -815,8 +812,7 @@
     this->Record(what + ": 409 " + reason);
     return Reply(409, reply);
   };
-  const std::map<std::string, Run>::iterator found =
-      worker->running.find(task);
+  const std::map<std::string, Run>::iterator found = worker->running.find(task);
   if (found != worker->running.end() && found->second.number == number) {
     this->Extend(worker, body);
     return Reply(200, reply);
@@ -833,8 +829,7 @@
   }
   this->Extend(worker, body);
   if (this->decide_ms > 0) {
-    const std::string ticket =
-        TicketOf(GangOf(task), worker->id, worker->born);
+    const std::string ticket = TicketOf(GangOf(task), worker->id, worker->born);
     const std::map<std::string, Clock::time_point>::const_iterator valid =
         this->tickets.find(ticket);
     if (body["Ticket"].asString() != ticket || valid == this->tickets.end() ||
@@ -874,8 +869,7 @@
 
 void Platform::Pace(Worker* worker, const Json::Value& body) {
   const std::string task = body["Task"].asString();
-  const std::map<std::string, Run>::iterator found =
-      worker->running.find(task);
+  const std::map<std::string, Run>::iterator found = worker->running.find(task);
   if (found == worker->running.end() ||
       found->second.number != body["Run"].asInt64()) {
     return;
@@ -936,8 +930,7 @@
   const std::int64_t number = body["Run"].asInt64();
   this->Record("stop " + task + " run " + std::to_string(number) + " at " +
                worker->id);
-  const std::map<std::string, Run>::iterator found =
-      worker->running.find(task);
+  const std::map<std::string, Run>::iterator found = worker->running.find(task);
   if (found != worker->running.end() && found->second.number == number) {
     if (!found->second.stop_at) {
       found->second.stop_at = Clock::now() + Ms(this->stop_ms / 3);
@@ -1011,10 +1004,9 @@
     for (std::pair<const std::string, Run>& entry : worker.second.running) {
       const Step* const step = this->StepOf(entry.first);
       if (step != nullptr && step->gang && !entry.second.begun) {
-        Members& members =
-            gangs[GangOf(entry.first) + "/" +
-                  std::to_string(entry.second.number) + "/" +
-                  entry.second.checkpoint];
+        Members& members = gangs[GangOf(entry.first) + "/" +
+                                 std::to_string(entry.second.number) + "/" +
+                                 entry.second.checkpoint];
         members.runs.push_back(&entry.second);
         members.count = step->count;
       }
@@ -1024,8 +1016,8 @@
     if (static_cast<int>(gang.second.runs.size()) == gang.second.count) {
       this->Record("gang " + gang.first + " is complete and works");
       for (Run* const run : gang.second.runs) {
-        run->begun = Clock::now() +
-                     Ms(run->checkpoint.empty() ? 0 : this->restore_ms);
+        run->begun =
+            Clock::now() + Ms(run->checkpoint.empty() ? 0 : this->restore_ms);
       }
     }
   }
@@ -1230,10 +1222,9 @@
 }
 
 bool Platform::AreEntriesAlive() {
-  return std::all_of(this->entries.begin(), this->entries.end(),
-                     [](pid_t child) {
-                       return ::waitpid(child, nullptr, WNOHANG) == 0;
-                     });
+  return std::all_of(
+      this->entries.begin(), this->entries.end(),
+      [](pid_t child) { return ::waitpid(child, nullptr, WNOHANG) == 0; });
 }
 
 void Platform::StopEntries() {
@@ -1265,8 +1256,8 @@
                         const std::string& path,
                         const std::string& key,
                         const std::string& body) {
-  std::map<std::string, std::string> headers = {
-      {"Host", "host.example"}, {"X-Request-Deadline", "3000"}};
+  std::map<std::string, std::string> headers = {{"Host", "host.example"},
+                                                {"X-Request-Deadline", "3000"}};
   if (!key.empty()) {
     headers["Authorization"] = "Bearer " + key;
   }
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -64,7 +64,7 @@
 
 struct Run {
   std::int64_t number = 0;
-  std::string checkpoint;      // as the start carried it
+  std::string checkpoint;  // as the start carried it
   std::string saved;
   Clock::time_point arrived;
   std::optional<Clock::time_point> begun;  // work, after the gang is complete
@@ -187,6 +187,8 @@
   std::function<void(const Worker&, double tail_ms, int filling)> on_tail;
   // Called under the lock when the upkeep of a machine begins.
   std::function<void(const Machine&)> on_upkeep;
+  // Machines whose worker carries out its next start without an answer.
+  std::set<std::string> lost_starts;
   // While now is before this time, answers of the machines' interface are lost.
   Clock::time_point cloud_silent_until;
 
