--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,4 +5,4 @@
 root=$(cd "$folder/../.." && pwd)
 program="$root/target/review-3/standin-3"
 [ -x "$program" ] || exit 2
-exec "$program" harm "$folder/record.txt" "$root" "${TROUBLE:-1}"
+exec "$program" wave "$folder/record.txt" "$root" "${TROUBLE:-1}"
