--- a/Source/Core/Jobs/job_state.h
+++ b/Source/Core/Jobs/job_state.h
@@ -12,6 +12,7 @@
 #include "Core/Jobs/index_ranges.h"
 #include "Core/Jobs/job_progress.h"
 #include "Core/Jobs/job_spec.h"
+#include "Core/Jobs/step_advice.h"
 #include "Core/Jobs/task_table.h"
 
 namespace daisyroad {
@@ -20,11 +21,7 @@
   explicit StepState(int task_count) : tasks(task_count) {}
 
   TaskTable tasks;
-  // Tickets by worker, for queues with a placement advisor.
-  std::map<WorkerName, std::string> tickets;
-  MonotonicTime tickets_valid_until;
-  bool is_advice_pending = false;
-  MonotonicTime next_advice;
+  StepAdvice advice;  // for queues with a placement advisor
 };
 
 // Progress of one execution of all steps of a job.
--- a/Source/Core/Jobs/order.h
+++ b/Source/Core/Jobs/order.h
@@ -51,6 +51,7 @@
 struct AskAdvice {
   TaskRef step;  // the first task of the step
   std::vector<WorkerName> workers;
+  Milliseconds duration{0};  // that the advisor takes, once it begins
 };
 
 using Order = std::variant<StartRun, StopRun, PaceRun, AskReport, AskAdvice>;
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -15,6 +15,7 @@
 
 #include "Core/Common/identifiers.h"
 #include "Core/Common/time.h"
+#include "Core/Jobs/advice_window.h"
 #include "Core/Jobs/job_progress.h"
 #include "Core/Jobs/job_state.h"
 #include "Core/Jobs/minimal_requests.h"
@@ -128,10 +129,12 @@
               MonotonicTime asked_at,
               MonotonicTime now);
 
-  // `tickets` is empty if the advisor did not answer.
-  void OnAdvice(const TaskRef& step,
+  // The advisor has answered: the step may run on the workers with tickets.
+  void OnAdvice(const AskAdvice& ask,
                 const std::vector<PlacementTicket>& tickets,
                 MonotonicTime now);
+  // The request got no answer.
+  void OnNoAdvice(const AskAdvice& ask, MonotonicTime now);
 
   // Returns the orders that follow from all events so far.
   std::vector<Order> TakeOrders(MonotonicTime now, WallTime wall);
@@ -197,6 +200,13 @@
     bool needs_ticket = false;
   };
 
+  // A step that waits for its request to the placement advisor.
+  struct AdviceWish {
+    JobState* job = nullptr;
+    TaskRef step;
+    MonotonicTime since;
+  };
+
   // Mean work of the latest jobs of a queue, in millicore-seconds.
   struct MeanWork {
     double value = 0.0;
@@ -339,6 +349,7 @@
   bool IsUsable(const WorkerState& worker, MonotonicTime now) const;
   PlacedTask DescribeTask(const JobState& job, const TaskRef& task) const;
   bool FitsOn(const WorkerState& worker, const PlacedTask& placed) const;
+  static bool HasLabel(const WorkerListing& worker, const StepSpec& step);
   // Whether the worker may run the task, apart from free capacity.
   static bool IsAllowedOn(const WorkerState& worker, const PlacedTask& placed);
   static double CostOn(const WorkerState& worker, const PlacedTask& placed);
@@ -362,8 +373,6 @@
   static Resources LeastRequest(const StepSpec& step);
   // What the runs of the team use, including those that are not known.
   Resources UseOf(const TeamName& team) const;
-  // Requests tickets for the step from the advisor if none are valid.
-  bool HasTickets(JobState* job, const TaskRef& task, MonotonicTime now);
   bool HasAllotment(const TeamName& team, const Resources& request) const;
   // Records tasks that only lack the allotment of their team.
   void AddDemand(const TeamName& team, const Resources& request, int tasks = 1);
@@ -384,6 +393,17 @@
              MonotonicTime now);
   void ReserveWorker(const JobState& job, const TaskRef& task);
 
+  // pool_scheduler_advice.cc
+  // Whether the step may run on some worker. If that is not known, it gets its
+  // turn at the placement advisor.
+  bool HasTickets(JobState* job, const TaskRef& task, MonotonicTime now);
+  // Asks for a turn to request tickets for further workers.
+  void WantAdvice(JobState* job, const TaskRef& task, MonotonicTime now);
+  // Sends the requests of this pass that have their turn.
+  void RequestAdvice(MonotonicTime now);
+  // `ahead` counts the requests for steps without room.
+  void RequestAdviceFor(const AdviceWish& wish, MonotonicTime now, int* ahead);
+
   // pool_scheduler_order.cc
   // Sorts collected candidates by tier, priority and work left.
   static void OrderCandidates(std::vector<Candidate>* candidates);
@@ -537,8 +557,11 @@
   WorkerName reserved_worker;
   // Requests for which no worker has room in this pass.
   MinimalRequests unplaceable;
-  // Steps without room for which this pass has requested tickets.
-  int advised_ahead = 0;
+  // Steps that wait for a request to the advisor in this pass, in the order of
+  // placement.
+  std::vector<AdviceWish> advice_wishes;
+  AdviceWindow advice_window;
+  std::int64_t advice_requests = 0;  // so far
   // Tasks of open jobs with crashes.
   std::set<TaskRef> suspects;
   std::deque<Crash> crashes;
--- a/Source/Core/Jobs/pool_scheduler_order.cc
+++ b/Source/Core/Jobs/pool_scheduler_order.cc
@@ -184,10 +184,7 @@
   const std::int64_t wanted = step.is_gang ? step.task_count : 1;
   std::int64_t members = 0;
   for (const WorkerState* const worker : this->usable_workers) {
-    const std::vector<std::string>& labels = worker->listing.labels;
-    if (step.required_label.empty() ||
-        std::find(labels.begin(), labels.end(), step.required_label) !=
-            labels.end()) {
+    if (HasLabel(worker->listing, step)) {
       members += MembersOn(step, worker->listing.capacity);
     }
     if (members >= wanted) {
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -21,16 +21,6 @@
 constexpr double kSuspectNeighborCost = 8.0;
 constexpr double kCrashLossCost = 2.0;
 
-// Steps without room for which a pass requests tickets, so that they have some
-// when there is room.
-constexpr int kMaxAdvisedAhead = 24;
-// The advisor accepts at most this many workers in one request.
-constexpr std::size_t kMaxWorkersPerAdvice = 100;
-// Delay before the advisor is asked again for the same step.
-constexpr Milliseconds kAdviceRetryDelay{300};
-// Tickets are not used within this time of their expiry.
-constexpr Milliseconds kTicketExpiryMargin{200};
-
 double FreeFraction(std::int64_t capacity, std::int64_t used) {
   return capacity <= 0 ? 0.0
                        : static_cast<double>(capacity - used) /
@@ -43,7 +33,6 @@
   this->ReviewDelays(now, wall);
   this->unmet.clear();
   this->unplaceable.Clear();
-  this->advised_ahead = 0;
   this->reserved_worker = WorkerName();
   this->waiting_millicores = 0;
   this->shares.BeginPass(this->RoomOfJobs(), now);
@@ -55,6 +44,7 @@
     this->PlaceTrials(candidates, now);
   }
   this->PlaceInOrder(candidates, may_start, now);
+  this->RequestAdvice(now);
 }
 
 void PoolScheduler::CollectUsableWorkers(MonotonicTime now) {
@@ -177,10 +167,7 @@
   const StepSpec& step = job->job.spec.steps[candidate.step];
   TaskRef task{job->job.id, candidate.occurrence, candidate.step, 0};
   if (this->unplaceable.AnyWithin(ReservedBy(step))) {
-    if (this->PolicyOf(*job).advice &&
-        this->advised_ahead++ < kMaxAdvisedAhead) {
-      this->HasTickets(job, task, now);
-    }
+    this->HasTickets(job, task, now);
     return Placement::kNoRoom;
   }
   Placement placement = Placement::kPlaced;
@@ -263,6 +250,13 @@
          IsAllowedOn(worker, placed);
 }
 
+bool PoolScheduler::HasLabel(const WorkerListing& worker,
+                             const StepSpec& step) {
+  return step.required_label.empty() ||
+         std::find(worker.labels.begin(), worker.labels.end(),
+                   step.required_label) != worker.labels.end();
+}
+
 bool PoolScheduler::IsAllowedOn(const WorkerState& worker,
                                 const PlacedTask& placed) {
   const StepSpec& step = placed.step;
@@ -270,13 +264,10 @@
     return false;
   }
   if (placed.needs_ticket &&
-      !placed.step_state.tickets.contains(worker.listing.name)) {
+      placed.step_state.advice.FindTicket(worker.listing.name) == nullptr) {
     return false;
   }
-  const std::vector<std::string>& labels = worker.listing.labels;
-  if (!step.required_label.empty() &&
-      std::find(labels.begin(), labels.end(), step.required_label) ==
-          labels.end()) {
+  if (!HasLabel(worker.listing, step)) {
     return false;
   }
   if (step.max_per_worker == 0) {
@@ -408,55 +399,6 @@
                    step.request.accelerators * tasks};
 }
 
-bool PoolScheduler::HasTickets(JobState* job,
-                               const TaskRef& task,
-                               MonotonicTime now) {
-  StepState& step = job->occurrences.at(task.occurrence).steps[task.step];
-  if (!this->PolicyOf(*job).advice || now < step.tickets_valid_until) {
-    return true;
-  }
-  if (step.is_advice_pending || now < step.next_advice) {
-    return false;
-  }
-  AskAdvice ask;
-  ask.step = TaskRef{task.job, task.occurrence, task.step, 0};
-  for (const std::pair<const WorkerName, WorkerState>& entry : this->workers) {
-    if (this->IsUsable(entry.second, now) &&
-        ask.workers.size() < kMaxWorkersPerAdvice) {
-      ask.workers.push_back(entry.first);
-    }
-  }
-  if (!ask.workers.empty()) {
-    step.is_advice_pending = true;
-    this->orders.emplace_back(std::move(ask));
-  }
-  return false;
-}
-
-void PoolScheduler::OnAdvice(const TaskRef& ref,
-                             const std::vector<PlacementTicket>& tickets,
-                             MonotonicTime now) {
-  if (this->FindTask(ref) == nullptr) {
-    return;
-  }
-  JobState& job = this->jobs.at(ref.job);
-  StepState& step = job.occurrences.at(ref.occurrence).steps[ref.step];
-  step.is_advice_pending = false;
-  step.next_advice = now + kAdviceRetryDelay;
-  const QueuePolicy& policy = this->PolicyOf(job);
-  if (tickets.empty() || !policy.advice) {
-    return;
-  }
-  step.tickets.clear();
-  for (const PlacementTicket& ticket : tickets) {
-    step.tickets[ticket.worker] = ticket.ticket;
-  }
-  step.tickets_valid_until =
-      now + policy.advice->valid_for - kTicketExpiryMargin;
-  this->RecordDecision("advice", ref, 0, WorkerName(),
-                       std::to_string(tickets.size()) + " workers");
-}
-
 bool PoolScheduler::HasAllotment(const TeamName& team,
                                  const Resources& request) const {
   const std::map<TeamName, Resources>::const_iterator allotment =
@@ -515,6 +457,7 @@
       std::max(this->FindTask(task)->last_run + 1, this->first_run);
   WorkerState* const worker = this->FindWorker(*job, task);
   if (worker == nullptr) {
+    this->WantAdvice(job, task, now);
     return Placement::kNoRoom;
   }
   const OpenStart start{worker->listing.name, worker->listing.incarnation};
@@ -591,6 +534,7 @@
     }
     return Placement::kPlaced;
   }
+  this->WantAdvice(job, task, now);
   return Placement::kNoRoom;
 }
 
@@ -608,10 +552,8 @@
   order.checkpoint = this->FindTask(task)->checkpoint;
   order.lease_until = this->ExtendLease(worker, now);
   const StepState& step = job->occurrences.at(task.occurrence).steps[task.step];
-  const std::map<WorkerName, std::string>::const_iterator ticket =
-      step.tickets.find(order.worker);
-  if (ticket != step.tickets.end()) {
-    order.ticket = ticket->second;
+  if (const std::string* const ticket = step.advice.FindTicket(order.worker)) {
+    order.ticket = *ticket;
   }
   this->orders.emplace_back(std::move(order));
   ++this->unanswered_starts;
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -323,10 +323,7 @@
       worker.next_report = now;
       break;
     case StartOutcome::kNoTicket:
-      this->jobs.at(order.task.job)
-          .occurrences.at(order.task.occurrence)
-          .steps[order.task.step]
-          .tickets_valid_until = now;
+      this->FindStep(order.task)->advice.Withdraw(order.worker, now);
       break;
     case StartOutcome::kStaleRun:
       // A run that has ended is refused like one that was stopped before it
--- a/Source/Core/Platform/advice_client.h
+++ b/Source/Core/Platform/advice_client.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "Core/Common/result.h"
+#include "Core/Common/time.h"
 #include "Core/Jobs/order.h"
 #include "Core/Jobs/placement_ticket.h"
 
@@ -16,8 +17,10 @@
  public:
   virtual ~AdviceClient() = default;
 
+  // `timeout` must cover the requests that the advisor answers first.
   virtual void Ask(
       const AskAdvice& question,
+      Milliseconds timeout,
       std::function<void(Result<std::vector<PlacementTicket>>)> callback) = 0;
 };
 
--- a/Source/Core/Site/pool_leader.h
+++ b/Source/Core/Site/pool_leader.h
@@ -20,7 +20,7 @@
 
 namespace daisyroad {
 
-class AdviceClient;
+class AdviceDispatcher;
 class EventLoop;
 class AllotmentManager;
 class MachineClient;
@@ -32,7 +32,7 @@
   RevisionStore* store = nullptr;
   RunClient* workers = nullptr;
   MachineClient* machines = nullptr;
-  AdviceClient* advisor = nullptr;
+  AdviceDispatcher* advisor = nullptr;
   EventLoop* loop = nullptr;
   AllotmentManager* allotments = nullptr;
   MetricsRegistry* metrics = nullptr;
--- a/Source/Core/Site/pool_leader_orders.cc
+++ b/Source/Core/Site/pool_leader_orders.cc
@@ -5,8 +5,8 @@
 #include "Core/Common/logging.h"
 #include "Core/Common/metrics_registry.h"
 #include "Core/Common/overloaded.h"
-#include "Core/Platform/advice_client.h"
 #include "Core/Platform/run_client.h"
+#include "Core/Site/advice_dispatcher.h"
 
 namespace daisyroad {
 namespace {
@@ -89,20 +89,16 @@
 void PoolLeader::State::RequestAdvice(const AskAdvice& question) {
   const std::shared_ptr<State> self = this->shared_from_this();
   this->context.advisor->Ask(
-      question, [self, step = question.step](
-                    const Result<std::vector<PlacementTicket>>& tickets) {
+      question,
+      [self, question](const Result<std::vector<PlacementTicket>>& tickets) {
         if (self->is_stopped) {
           return;
         }
-        if (!tickets.ok()) {
-          CLOG(WARNING, kTasksLog)
-              << "event=no_advice step=" << step.ToString() << " error=\""
-              << tickets.error().ToString() << "\"";
+        if (tickets.ok()) {
+          self->scheduler.OnAdvice(question, tickets.value(), Now());
+        } else {
+          self->scheduler.OnNoAdvice(question, Now());
         }
-        self->scheduler.OnAdvice(
-            step,
-            tickets.ok() ? tickets.value() : std::vector<PlacementTicket>(),
-            Now());
         self->SchedulePass();
       });
 }
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -10,6 +10,7 @@
 #include "Core/Common/logging.h"
 #include "Core/Common/metrics_registry.h"
 #include "Core/Platform/paced_store.h"
+#include "Core/Site/advice_dispatcher.h"
 #include "Core/Site/allotment_manager.h"
 #include "Core/Site/fleet_leader.h"
 #include "Core/Site/job_service.h"
@@ -106,6 +107,7 @@
             kSiteWatchWait,
             [this](const std::vector<StoreChange>&) { this->OnSiteChange(); }),
         allotments(&this->store),
+        advice(platform.advisor, platform.loop, platform.metrics),
         workers(&this->store,
                 platform.loop,
                 platform.codec,
@@ -217,6 +219,7 @@
   RpcServer rpc_server;
   PrefixMirror site_mirror;
   AllotmentManager allotments;
+  AdviceDispatcher advice;
   WorkerDirectory workers;
   Leadership leadership;
   JobService jobs;
@@ -398,7 +401,7 @@
     context.store = &this->store;
     context.workers = this->platform.workers;
     context.machines = this->platform.machines;
-    context.advisor = this->platform.advisor;
+    context.advisor = &this->advice;
     context.loop = this->platform.loop;
     context.allotments = &this->allotments;
     context.metrics = this->platform.metrics;
--- a/Source/UnitTests/Jobs/pool_scheduler_test.cc
+++ b/Source/UnitTests/Jobs/pool_scheduler_test.cc
@@ -935,9 +935,8 @@
   const std::vector<AskAdvice> asks = OrdersOfType<AskAdvice>(orders);
   REQUIRE(asks.size() == 1);
   CHECK(asks[0].workers.size() == 2);
-  fixture.scheduler.OnAdvice(asks[0].step,
-                             {PlacementTicket{WorkerName("w2"), "ticket"}},
-                             fixture.Now());
+  fixture.scheduler.OnAdvice(
+      asks[0], {PlacementTicket{WorkerName("w2"), "ticket"}}, fixture.Now());
   const std::vector<StartRun> starts = fixture.TakeStarts();
   REQUIRE(starts.size() == 2);
   for (const StartRun& start : starts) {
