--- a/Source/Core/Site/allotment_manager.cc
+++ b/Source/Core/Site/allotment_manager.cc
@@ -15,6 +15,9 @@
 // pool waits for what they release.
 constexpr Milliseconds kReadInterval{1000};
 constexpr Milliseconds kWaitingReadInterval{300};
+// The same without any limit, and until it was read once.
+constexpr Milliseconds kIdleReadInterval{60000};
+constexpr Milliseconds kFirstReadInterval{100};
 // Minimum time between two writes of an instance to the record.
 constexpr Milliseconds kWritePause{40};
 // How often the allotments of a pool are compared with its usage.
@@ -36,9 +39,13 @@
 
 AllotmentManager::AllotmentManager(RevisionStore* store) : store(store) {}
 
-void AllotmentManager::SetTeams(const std::map<TeamName, TeamConfig>& teams) {
+void AllotmentManager::SetTeams(const std::map<TeamName, TeamConfig>& teams,
+                                const std::set<PoolName>& pools) {
+  this->teams.clear();
   this->limits.clear();
+  this->pools = pools;
   for (const std::pair<const TeamName, TeamConfig>& team : teams) {
+    this->teams.insert(team.first);
     if (HasLimit(team.second.limit)) {
       this->limits[team.first] = team.second.limit;
     }
@@ -46,18 +53,27 @@
 }
 
 void AllotmentManager::Read(MonotonicTime now) {
+  if (this->is_reading) {
+    return;
+  }
+  this->is_reading = true;
   this->last_read = now;
   const std::weak_ptr<bool> alive = this->is_alive;
-  this->store->Get(kLimitsKey, kCommitTimeout,
-                   [this, alive](const Result<std::optional<StoreItem>>& item) {
-                     if (alive.expired() || !item.ok()) {
-                       return;
-                     }
-                     this->is_loaded = true;
-                     if (item.value()) {
-                       this->Adopt(item.value()->value, item.value()->revision);
-                     }
-                   });
+  this->store->Get(
+      kLimitsKey, kCommitTimeout,
+      [this, alive, now](const Result<std::optional<StoreItem>>& item) {
+        if (alive.expired()) {
+          return;
+        }
+        this->is_reading = false;
+        if (!item.ok()) {
+          return;
+        }
+        this->known_at = now;
+        if (item.value()) {
+          this->Adopt(item.value()->value, item.value()->revision);
+        }
+      });
 }
 
 void AllotmentManager::Adopt(const std::string& value, std::int64_t revision) {
@@ -74,17 +90,39 @@
   this->revision = revision;
 }
 
+bool AllotmentManager::IsRecordKnown(const PoolName& pool) const {
+  const std::map<PoolName, MonotonicTime>::const_iterator begun =
+      this->terms_begun_at.find(pool);
+  return this->known_at && (begun == this->terms_begun_at.end() ||
+                            *this->known_at >= begun->second);
+}
+
 std::map<TeamName, Resources> AllotmentManager::AllotmentsOf(
     const PoolName& pool) const {
   std::map<TeamName, Resources> allotments;
+  if (!this->IsRecordKnown(pool)) {
+    for (const TeamName& team : this->teams) {
+      allotments[team] = Resources();
+    }
+    return allotments;
+  }
+  for (const TeamName& team : this->table.TeamsOf(pool)) {
+    allotments[team] = this->table.Allotted(team, pool);
+  }
   for (const std::pair<const TeamName, Resources>& team : this->limits) {
-    allotments[team.first] = this->table.Usable(team.first, pool, team.second);
+    allotments[team.first] =
+        this->table.AreCounted(team.first, this->pools)
+            ? this->table.Usable(team.first, pool, team.second)
+            : Resources();
   }
   return allotments;
 }
 
 void AllotmentManager::BeginTerm(const PoolName& pool) {
+  const MonotonicTime now = std::chrono::steady_clock::now();
   this->acquired[pool] = std::make_shared<Acquired>();
+  this->terms_begun_at[pool] = now;
+  this->Read(now);
 }
 
 std::map<TeamName, Resources> AllotmentManager::InheritedOf(
@@ -92,12 +130,11 @@
   const std::map<PoolName, std::shared_ptr<Acquired>>::const_iterator found =
       this->acquired.find(pool);
   std::map<TeamName, Resources> inherited;
-  for (const std::pair<const TeamName, Resources>& team : this->limits) {
+  for (const TeamName& team : this->table.TeamsOf(pool)) {
     const Resources acquired = found == this->acquired.end()
                                    ? Resources()
-                                   : FindOrDefault(*found->second, team.first);
-    inherited[team.first] =
-        Remainder(this->table.Allotted(team.first, pool), acquired);
+                                   : FindOrDefault(*found->second, team);
+    inherited[team] = Remainder(this->table.Allotted(team, pool), acquired);
   }
   return inherited;
 }
@@ -106,23 +143,57 @@
   return std::any_of(
       this->limits.begin(), this->limits.end(),
       [this, &pool](const std::pair<const TeamName, Resources>& team) {
-        return this->table.IsWaiting(team.first, pool);
+        return this->table.IsWaiting(team.first, pool) ||
+               !this->table.AreCounted(team.first, this->pools);
       });
 }
 
+Milliseconds AllotmentManager::ReadInterval(const PoolName& pool) const {
+  if (!this->IsRecordKnown(pool)) {
+    return kFirstReadInterval;
+  }
+  if (this->limits.empty()) {
+    return kIdleReadInterval;
+  }
+  return this->IsWaiting(pool) ? kWaitingReadInterval : kReadInterval;
+}
+
+bool AllotmentManager::Adjust(const PoolName& pool,
+                              const std::map<TeamName, Resources>& used,
+                              const std::map<TeamName, TeamDemand>& demands,
+                              bool are_runs_known,
+                              bool may_release,
+                              AllotmentTable* changed) const {
+  bool is_changed = false;
+  for (const TeamName& team : this->table.TeamsOf(pool)) {
+    // Without a limit the pool may use any amount once it is not counted.
+    is_changed |= !this->limits.contains(team) && changed->Withdraw(team, pool);
+  }
+  for (const std::pair<const TeamName, Resources>& team : this->limits) {
+    // Runs that are not known yet would be left out.
+    if (!are_runs_known && !this->table.IsCounted(team.first, pool)) {
+      continue;
+    }
+    const bool are_counted = this->table.AreCounted(team.first, this->pools);
+    is_changed |= changed->Adjust(
+        team.first, pool, team.second, FindOrDefault(used, team.first),
+        are_counted ? FindOrDefault(demands, team.first) : TeamDemand(),
+        may_release);
+  }
+  return is_changed;
+}
+
 void AllotmentManager::Report(const PoolName& pool,
                               const std::map<TeamName, Resources>& used,
                               const std::map<TeamName, TeamDemand>& demands,
                               bool are_runs_known,
                               MonotonicTime now) {
-  const Milliseconds read_interval =
-      this->IsWaiting(pool) ? kWaitingReadInterval : kReadInterval;
-  if (now >= this->last_read + read_interval && !this->limits.empty()) {
+  if (now - this->last_read >= this->ReadInterval(pool)) {
     this->Read(now);
   }
   MonotonicTime& next_compare = this->next_compare[pool];
   if (this->is_writing || now < this->next_write || now < next_compare ||
-      !this->is_loaded) {
+      !this->IsRecordKnown(pool)) {
     return;
   }
   next_compare = now + kCompareInterval;
@@ -132,18 +203,15 @@
     next_release = now + kReleaseInterval;
   }
   AllotmentTable changed = this->table;
-  bool is_changed = false;
+  if (!this->Adjust(pool, used, demands, are_runs_known, may_release,
+                    &changed)) {
+    return;
+  }
   Acquired acquired;
   for (const std::pair<const TeamName, Resources>& team : this->limits) {
-    is_changed |= changed.Adjust(
-        team.first, pool, team.second, FindOrDefault(used, team.first),
-        FindOrDefault(demands, team.first), may_release);
     acquired[team.first] = Remainder(changed.Allotted(team.first, pool),
                                      this->table.Allotted(team.first, pool));
   }
-  if (!is_changed) {
-    return;
-  }
   StoreTransaction transaction;
   transaction.expected.push_back({kLimitsKey, this->revision});
   transaction.writes.push_back({kLimitsKey, changed.Serialize(), 0});
--- a/Source/Core/Site/allotment_manager.h
+++ b/Source/Core/Site/allotment_manager.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "Core/Common/identifiers.h"
@@ -24,11 +26,15 @@
   // `store` must outlive this object.
   explicit AllotmentManager(RevisionStore* store);
 
-  void SetTeams(const std::map<TeamName, TeamConfig>& teams);
+  // `pools` are all pools that have schedulers, here or in other instances.
+  void SetTeams(const std::map<TeamName, TeamConfig>& teams,
+                const std::set<PoolName>& pools);
 
   // To be called when this instance begins to schedule the pool.
   void BeginTerm(const PoolName& pool);
-  // Returns the pool's allotment for each team that has an upper limit.
+  // Returns the pool's allotment for each team whose use is limited: by an
+  // upper limit, which lets nothing start before all pools are counted, or by
+  // the allotment of an earlier limit until that is withdrawn.
   std::map<TeamName, Resources> AllotmentsOf(const PoolName& pool) const;
   // Returns the part of them that this instance has not acquired in this term.
   // Earlier schedulers of the pool may use as much.
@@ -48,16 +54,33 @@
 
   void Read(MonotonicTime now);
   void Adopt(const std::string& value, std::int64_t revision);
-  // Whether the pool waits for a part of the limit of any team.
+  // Whether the pool waits for a part of the limit of any team, or for another
+  // pool to be counted.
   bool IsWaiting(const PoolName& pool) const;
+  // Whether the record was read since this instance schedules the pool. Before,
+  // it is not known for which teams the pool is counted.
+  bool IsRecordKnown(const PoolName& pool) const;
+  Milliseconds ReadInterval(const PoolName& pool) const;
+  // Makes the changes to the table that follow from the use of the pool.
+  bool Adjust(const PoolName& pool,
+              const std::map<TeamName, Resources>& used,
+              const std::map<TeamName, TeamDemand>& demands,
+              bool are_runs_known,
+              bool may_release,
+              AllotmentTable* changed) const;
 
   RevisionStore* store;
+  std::set<TeamName> teams;
   std::map<TeamName, Resources> limits;
+  std::set<PoolName> pools;
   AllotmentTable table;
   std::int64_t revision = 0;
-  bool is_loaded = false;
+  bool is_reading = false;
   bool is_writing = false;
   MonotonicTime last_read;
+  // When the last read that succeeded was requested.
+  std::optional<MonotonicTime> known_at;
+  std::map<PoolName, MonotonicTime> terms_begun_at;
   std::map<PoolName, std::shared_ptr<Acquired>> acquired;
   // When unused allotments of a pool may next be released.
   std::map<PoolName, MonotonicTime> next_release;
--- a/Source/Core/Site/site_config.h
+++ b/Source/Core/Site/site_config.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "Core/Common/identifiers.h"
 #include "Core/Common/time.h"
@@ -45,6 +47,21 @@
   std::map<std::string, TeamName> keys;
 };
 
+// The pools that have schedulers. Queues may have moved away from a pool that
+// still has open jobs.
+inline std::set<PoolName> ScheduledPools(const SiteConfig& config) {
+  std::set<PoolName> pools;
+  for (const std::pair<const QueueName, QueueConfig>& queue : config.queues) {
+    pools.insert(queue.second.pool);
+  }
+  for (const std::pair<const PoolName, PoolConfig>& pool : config.pools) {
+    if (!pool.second.is_spare) {
+      pools.insert(pool.first);
+    }
+  }
+  return pools;
+}
+
 }  // namespace daisyroad
 
 #endif  // SOURCE_CORE_SITE_SITE_CONFIG_H_
--- a/Source/Core/Site/site_instance.cc
+++ b/Source/Core/Site/site_instance.cc
@@ -347,7 +347,7 @@
                               << " queues=" << config.queues.size()
                               << " teams=" << config.teams.size();
       this->config_listener(config);
-      this->allotments.SetTeams(config.teams);
+      this->allotments.SetTeams(config.teams, ScheduledPools(config));
       this->leadership.SetDuties(DutiesOf(config));
     }
     for (const std::pair<const std::string, std::unique_ptr<PoolLeader>>&
@@ -361,14 +361,8 @@
 
   static std::set<std::string> DutiesOf(const SiteConfig& config) {
     std::set<std::string> duties{kFleetDuty};
-    for (const std::pair<const QueueName, QueueConfig>& queue : config.queues) {
-      duties.insert(PoolDuty(queue.second.pool));
-    }
-    // Queues may have moved away from a pool that still has open jobs.
-    for (const std::pair<const PoolName, PoolConfig>& pool : config.pools) {
-      if (!pool.second.is_spare) {
-        duties.insert(PoolDuty(pool.first));
-      }
+    for (const PoolName& pool : ScheduledPools(config)) {
+      duties.insert(PoolDuty(pool));
     }
     return duties;
   }
--- a/Source/Core/Site/team_allotments.cc
+++ b/Source/Core/Site/team_allotments.cc
@@ -185,6 +185,36 @@
   return sum;
 }
 
+bool AllotmentTable::IsCounted(const TeamName& team,
+                               const PoolName& pool) const {
+  const std::map<TeamName, Row>::const_iterator row = this->rows.find(team);
+  return row != this->rows.end() && row->second.contains(pool);
+}
+
+bool AllotmentTable::AreCounted(const TeamName& team,
+                                const std::set<PoolName>& pools) const {
+  return std::all_of(pools.begin(), pools.end(),
+                     [this, &team](const PoolName& pool) {
+                       return this->IsCounted(team, pool);
+                     });
+}
+
+std::vector<TeamName> AllotmentTable::TeamsOf(const PoolName& pool) const {
+  std::vector<TeamName> teams;
+  for (const std::pair<const TeamName, Row>& row : this->rows) {
+    if (row.second.contains(pool)) {
+      teams.push_back(row.first);
+    }
+  }
+  return teams;
+}
+
+bool AllotmentTable::Withdraw(const TeamName& team, const PoolName& pool) {
+  this->SetWaiting(team, pool, false);
+  const std::map<TeamName, Row>::iterator row = this->rows.find(team);
+  return row != this->rows.end() && row->second.erase(pool) > 0;
+}
+
 Resources AllotmentTable::Allotted(const TeamName& team,
                                    const PoolName& pool) const {
   const std::map<TeamName, Row>::const_iterator row = this->rows.find(team);
@@ -228,10 +258,14 @@
                             const Resources& used,
                             const TeamDemand& demand,
                             bool may_release) {
-  const Resources sum = this->Sum(team);
-  const Resources free = Max(limit - sum, Resources());
+  const bool is_new = !this->IsCounted(team, pool);
   Resources& held = this->rows[team][pool];
   const Resources before = held;
+  // What runs counts even where the limit has no room for it, so that others
+  // start nothing beside it.
+  held = Max(held, used);
+  const Resources sum = this->Sum(team);
+  const Resources free = Max(limit - sum, Resources());
   if (may_release) {
     held = Resources{WithoutExcess(held.cpu_millicores, sum.cpu_millicores,
                                    limit.cpu_millicores, used.cpu_millicores),
@@ -255,7 +289,8 @@
   }
   const bool is_waiting = demand.requests.AnyWithin(limit) &&
                           !demand.requests.AnyWithin(held - used);
-  return this->SetWaiting(team, pool, is_waiting) || held != before;
+  const bool is_changed = is_new || held != before;
+  return this->SetWaiting(team, pool, is_waiting) || is_changed;
 }
 
 bool AllotmentTable::SetWaiting(const TeamName& team,
--- a/Source/Core/Site/team_allotments.h
+++ b/Source/Core/Site/team_allotments.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Core/Common/identifiers.h"
 #include "Core/Common/result.h"
@@ -21,6 +22,10 @@
 //
 // A pool that lacks the allotment for each of its tasks is recorded as waiting;
 // the other pools then keep no more than they need.
+//
+// A pool that has no allotment on record, not even an empty one, is not
+// counted: its runs of the team are not limited. While there is a limit, tasks
+// start only once all pools are counted.
 class AllotmentTable {
  public:
   using Row = std::map<PoolName, Resources>;
@@ -28,6 +33,14 @@
   static Result<AllotmentTable> Parse(const std::string& text);
   std::string Serialize() const;
 
+  // Whether the pool uses no more than it holds.
+  bool IsCounted(const TeamName& team, const PoolName& pool) const;
+  bool AreCounted(const TeamName& team, const std::set<PoolName>& pools) const;
+  // The teams for which the pool is counted.
+  std::vector<TeamName> TeamsOf(const PoolName& pool) const;
+  // From now on the pool is not counted. Returns whether the table changed.
+  bool Withdraw(const TeamName& team, const PoolName& pool);
+
   // What the pool holds.
   Resources Allotted(const TeamName& team, const PoolName& pool) const;
   // What the pool may use for new runs: its allotment, or nothing of a resource
@@ -36,11 +49,11 @@
                    const PoolName& pool,
                    const Resources& limit) const;
 
-  // Adjusts the allotment of the pool so that it covers `used` and, as far as
-  // the limit allows, `demand` in addition. An allotment that lets the pool
-  // start none of its tasks is not kept, since other pools may be able to use
-  // it. Unused allotments are released only if `may_release` is set. Returns
-  // whether the table changed.
+  // Counts the pool, and adjusts its allotment so that it covers `used`, also
+  // beyond the limit, and as far as the limit allows `demand` in addition. An
+  // allotment that lets the pool start none of its tasks is not kept, since
+  // other pools may be able to use it. Unused allotments are released only if
+  // `may_release` is set. Returns whether the table changed.
   bool Adjust(const TeamName& team,
               const PoolName& pool,
               const Resources& limit,
--- a/Source/UnitTests/Site/takeover_limit_test.cc
+++ b/Source/UnitTests/Site/takeover_limit_test.cc
@@ -26,7 +26,7 @@
     TeamConfig team;
     team.limit.cpu_millicores = limit;
     this->teams[this->first.team] = team;
-    this->fixture.allotments.SetTeams(this->teams);
+    this->fixture.allotments.SetTeams(this->teams, {this->fixture.pool});
     const std::map<WorkerName, WorkerListing> all = this->fixture.listing;
     std::erase_if(this->fixture.listing,
                   [](const std::pair<const WorkerName, WorkerListing>& entry) {
@@ -47,7 +47,7 @@
     if (is_elsewhere) {
       this->elsewhere =
           std::make_unique<AllotmentManager>(&this->fixture.store);
-      this->elsewhere->SetTeams(this->teams);
+      this->elsewhere->SetTeams(this->teams, {this->fixture.pool});
       context.allotments = this->elsewhere.get();
     }
     Term term = this->fixture.FirstTerm();
