Jobs: a worker is remembered until its ends are saved

Cause: while the store was away a worker's entry ran out, and the scheduler dropped the idle worker, though its ends were not saved. The record of workers for the next scheduler was written without it. When the scheduler was killed, its successor did not ask that worker, and the end was in neither place.

Change: a worker that is no longer listed is kept until each of its ends is saved or its job is gone. Then a successor finds each end in the store or at a worker that it asks.

--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -322,6 +322,8 @@
   bool AwaitsStopConfirmation(const WorkerState& worker);
   void RepeatStops(MonotonicTime now);
   void RemoveUnlistedWorkers(MonotonicTime now);
+  // Whether the next scheduler would learn of some end from the worker only.
+  bool HasUnsavedEnds(const WorkerState& worker) const;
   void RecordRunOutcome(WorkerState* worker,
                         bool is_failure,
                         MonotonicTime now);
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -114,12 +114,24 @@
 
 void PoolScheduler::RemoveUnlistedWorkers(MonotonicTime now) {
   const bool may_run_unknown = now < this->unknown_runs_over_at;
-  std::erase_if(
-      this->workers,
-      [may_run_unknown](const std::pair<const WorkerName, WorkerState>& entry) {
-        const WorkerState& worker = entry.second;
-        return !worker.is_listed && worker.runs.empty() &&
-               !(worker.AreRunsUnknown() && may_run_unknown);
+  std::erase_if(this->workers,
+                [this, may_run_unknown](
+                    const std::pair<const WorkerName, WorkerState>& entry) {
+                  const WorkerState& worker = entry.second;
+                  return !worker.is_listed && worker.runs.empty() &&
+                         !this->HasUnsavedEnds(worker) &&
+                         !(worker.AreRunsUnknown() && may_run_unknown);
+                });
+}
+
+bool PoolScheduler::HasUnsavedEnds(const WorkerState& worker) const {
+  return std::any_of(
+      worker.unsaved_ends.begin(), worker.unsaved_ends.end(),
+      [this](const UnsavedEnd& end) {
+        const std::unordered_map<JobId, JobState>::const_iterator job =
+            this->jobs.find(end.job);
+        return job != this->jobs.end() &&
+               job->second.saved_revision < end.job_revision;
       });
 }
 
--- a/Source/UnitTests/Jobs/ended_worker_test.cc
+++ b/Source/UnitTests/Jobs/ended_worker_test.cc
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
 
 #include "Core/Jobs/scheduler_settings.h"
+#include "UnitTests/Jobs/ending_worker.h"
 #include "UnitTests/Jobs/job_builder.h"
 #include "UnitTests/Jobs/one_worker_pool.h"
 
@@ -44,5 +47,28 @@
   CHECK(requests <= 5 + kDuration / SchedulerSettings().max_retry_delay);
 }
 
+// Guards against TWICE: a worker that was no longer listed was forgotten with
+// ends that were not saved, so the next scheduler started its tasks again.
+TEST_CASE("A worker is remembered until its ends are saved") {
+  OneWorkerPool pool;
+  EndingWorker worker(&pool);
+  pool.AddJob(JobBuilder("j").Step(2).Build());
+  worker.EndAll(pool.TakeOrders<StartRun>());
+  const std::vector<std::pair<JobId, JobProgress>> unsaved =
+      pool.scheduler.TakeUnsaved(10, pool.Now());
+  REQUIRE(unsaved.size() == 1);
+  pool.scheduler.SetListing({}, pool.Now());
+  pool.TakeOrders<AskReport>();
+  CHECK(pool.scheduler.WorkersToRemember().size() == 1);
+  pool.scheduler.OnSaveFailed({unsaved[0].first});
+  pool.TakeOrders<AskReport>();
+  CHECK(pool.scheduler.WorkersToRemember().size() == 1);
+  pool.elapsed += Milliseconds(20);
+  pool.scheduler.TakeUnsaved(10, pool.Now());
+  pool.scheduler.OnSaved({unsaved[0].first});
+  pool.TakeOrders<AskReport>();
+  CHECK(pool.scheduler.WorkersToRemember().empty());
+}
+
 }  // namespace
 }  // namespace daisyroad
