--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -317,6 +317,8 @@
   // pool_scheduler_workers.cc
   void ExpireLeases(MonotonicTime now);
   void AskReports(MonotonicTime now);
+  // Whether a task waits for a worker with one of these labels.
+  bool HasWantedLabel(const WorkerListing& worker) const;
   // Whether a run with an unanswered start order has an answered stop order, so
   // that the next report settles whether the run exists.
   bool AwaitsStopConfirmation(const WorkerState& worker);
@@ -557,6 +559,8 @@
   std::vector<WorkerState*> usable_workers;
   // Worker kept free in this pass for a task that fits on no worker yet.
   WorkerName reserved_worker;
+  // Labels that steps with tasks to place require.
+  std::set<std::string> wanted_labels;
   // Requests for which no worker has room in this pass.
   MinimalRequests unplaceable;
   // Steps that wait for a request to the advisor in this pass, in the order of
--- a/Source/Core/Jobs/pool_scheduler_advice.cc
+++ b/Source/Core/Jobs/pool_scheduler_advice.cc
@@ -95,14 +95,15 @@
   const Resources reserved = ReservedBy(spec);
   // More tickets for full workers are of no use.
   const bool may_ask_ahead = !advice.HasTicket() && *ahead < kMaxAdvisedAhead;
-  std::vector<WorkerName> workers;
-  std::vector<WorkerName> full_workers;
+  std::vector<const WorkerState*> workers;
+  std::vector<const WorkerState*> full_workers;
   for (const WorkerState* const worker : this->usable_workers) {
     const WorkerListing& listing = worker->listing;
     const bool has_room = reserved.FitsIn(listing.capacity - worker->used);
     if ((has_room || may_ask_ahead) && reserved.FitsIn(listing.capacity) &&
-        HasLabel(listing, spec) && !advice.IsKnown(listing.name)) {
-      (has_room ? workers : full_workers).push_back(listing.name);
+        HasLabel(listing, spec) &&
+        !advice.IsKnown(listing.name, worker->incarnation)) {
+      (has_room ? workers : full_workers).push_back(worker);
     }
   }
   *ahead += workers.empty() && !full_workers.empty() ? 1 : 0;
@@ -114,10 +115,14 @@
   const AdvicePolicy& policy = *this->PolicyOf(*wish.job).advice;
   AskAdvice ask;
   ask.step = wish.step;
-  ask.workers = workers;
+  std::map<WorkerName, std::int64_t> incarnations;
+  for (const WorkerState* const worker : workers) {
+    ask.workers.push_back(worker->listing.name);
+    incarnations[worker->listing.name] = worker->incarnation;
+  }
   ask.duration =
       policy.decide + policy.per_worker * static_cast<int>(ask.workers.size());
-  advice.OnAsked(std::move(workers));
+  advice.OnAsked(std::move(incarnations));
   this->advice_window.Add(ask.duration);
   ++this->advice_requests;
   this->orders.emplace_back(std::move(ask));
--- a/Source/Core/Jobs/pool_scheduler_crashes.cc
+++ b/Source/Core/Jobs/pool_scheduler_crashes.cc
@@ -273,8 +273,8 @@
     return;
   }
   const WorkerState& worker = found->second;
-  const bool is_later_process = worker.listing.incarnation != 0 &&
-                                worker.listing.incarnation != start.incarnation;
+  const bool is_later_process =
+      worker.incarnation != 0 && worker.incarnation != start.incarnation;
   if (worker.is_gone || is_later_process) {
     this->CountCrash(run, Suspicion::kSuspected, now);
   } else if (worker.has_reported && worker.missed_reports == 0) {
@@ -428,7 +428,7 @@
   }
   best->trial = task;
   ++this->trials;
-  const OpenStart start{best->listing.name, best->listing.incarnation};
+  const OpenStart start{best->listing.name, best->incarnation};
   // The start is not stored while the trial waits: a later scheduler would take
   // it for one that crashed its worker.
   if (std::get<Milliseconds>(best_cost).count() == 0 &&
--- a/Source/Core/Jobs/pool_scheduler_placement.cc
+++ b/Source/Core/Jobs/pool_scheduler_placement.cc
@@ -33,6 +33,7 @@
   this->ReviewDelays(now, wall);
   this->unmet.clear();
   this->unplaceable.Clear();
+  this->wanted_labels.clear();
   this->reserved_worker = WorkerName();
   this->waiting_millicores = 0;
   this->shares.BeginPass(this->RoomOfJobs(), now);
@@ -130,7 +131,11 @@
   }
   candidates->push_back(candidate);
   candidates->back().placeable = placeable;
-  if (candidate.job->job.spec.steps[candidate.step].is_service) {
+  const StepSpec& step = candidate.job->job.spec.steps[candidate.step];
+  if (!step.required_label.empty()) {
+    this->wanted_labels.insert(step.required_label);
+  }
+  if (step.is_service) {
     candidates->back().tier = kServiceTier;
   }
 }
@@ -224,7 +229,8 @@
       (!worker.has_restarted_unled &&
        now - worker.last_report_asked_at <= this->settings.unled_report_window);
   return worker.has_reported && worker.is_listed && worker.is_remembered &&
-         is_fence_known && worker.missed_reports == 0 && !worker.needs_report &&
+         worker.IsListingCurrent() && is_fence_known &&
+         worker.missed_reports == 0 && !worker.needs_report &&
          !worker.listing.is_draining && !worker.is_vacating &&
          worker.no_starts_before <= now &&
          !this->zones_out.contains(worker.listing.zone);
@@ -260,11 +266,14 @@
 bool PoolScheduler::IsAllowedOn(const WorkerState& worker,
                                 const PlacedTask& placed) {
   const StepSpec& step = placed.step;
-  if (!worker.is_report_fresh && !placed.state.crashes.runs.empty()) {
+  // An idle worker may have started again as another kind.
+  if (!worker.is_report_fresh &&
+      (!placed.state.crashes.runs.empty() || !step.required_label.empty())) {
     return false;
   }
   if (placed.needs_ticket &&
-      placed.step_state.advice.FindTicket(worker.listing.name) == nullptr) {
+      placed.step_state.advice.FindTicket(worker.listing.name,
+                                          worker.incarnation) == nullptr) {
     return false;
   }
   if (!HasLabel(worker.listing, step)) {
@@ -460,7 +469,7 @@
     this->WantAdvice(job, task, now);
     return Placement::kNoRoom;
   }
-  const OpenStart start{worker->listing.name, worker->listing.incarnation};
+  const OpenStart start{worker->listing.name, worker->incarnation};
   if (!this->IsStartStored(job, task, number, start)) {
     return Placement::kWaiting;
   }
@@ -552,7 +561,8 @@
   order.checkpoint = this->FindTask(task)->checkpoint;
   order.lease_until = this->ExtendLease(worker, now);
   const StepState& step = job->occurrences.at(task.occurrence).steps[task.step];
-  if (const std::string* const ticket = step.advice.FindTicket(order.worker)) {
+  if (const std::string* const ticket =
+          step.advice.FindTicket(order.worker, worker->incarnation)) {
     order.ticket = *ticket;
   }
   this->orders.emplace_back(std::move(order));
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -27,16 +27,14 @@
   for (const std::pair<const WorkerName, WorkerListing>& entry : listing) {
     const bool is_new = !this->workers.contains(entry.first);
     WorkerState& worker = this->workers[entry.first];
-    if (!is_new && entry.second.incarnation > worker.listing.incarnation &&
-        worker.listing.incarnation != 0) {
+    if (!is_new && entry.second.incarnation > worker.incarnation &&
+        worker.incarnation != 0) {
       this->HandleWorkerRestart(&worker, now);
     }
-    const std::int64_t incarnation =
-        std::max(worker.listing.incarnation, entry.second.incarnation);
+    worker.incarnation = std::max(worker.incarnation, entry.second.incarnation);
     // The next scheduler would ask at the address that is stored.
     worker.is_remembered &= worker.listing.address == entry.second.address;
     worker.listing = entry.second;
-    worker.listing.incarnation = incarnation;
     worker.is_listed = true;
     if (is_new) {
       worker.next_report = now;
@@ -100,12 +98,15 @@
   worker.last_report_at = now;
   worker.last_report_asked_at = asked_at;
   worker.missed_reports = 0;
-  if (report.incarnation != worker.listing.incarnation &&
-      report.incarnation != 0) {
-    if (worker.listing.incarnation != 0) {
+  if (report.incarnation != worker.incarnation && report.incarnation != 0) {
+    if (worker.incarnation != 0) {
       this->HandleWorkerRestart(&worker, now);
     }
-    worker.listing.incarnation = report.incarnation;
+    worker.incarnation = report.incarnation;
+    if (!worker.IsListingCurrent()) {
+      this->RecordDecision("worker_listing_outdated", TaskRef(), 0, name,
+                           "it describes an earlier process");
+    }
   }
   worker.expired_runs.clear();
   if (worker.planned_end_at && *worker.planned_end_at <= asked_at &&
@@ -234,6 +235,8 @@
   worker->has_reported = false;
   worker->has_restarted_unled |= !this->is_sole_leader;
   worker->missed_reports = 0;
+  worker->consecutive_failures = 0;
+  worker->no_starts_before = MonotonicTime();
   worker->next_report = now;
   for (const std::pair<TaskRef, std::int64_t>& key : worker->runs) {
     RunRecord* const run = this->FindRun(key.first, key.second);
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -35,7 +35,8 @@
         worker.delivered_acknowledgement < worker.acknowledged_end &&
         now >= worker.last_end_at + this->settings.acknowledge_delay;
     const bool must_be_fresh =
-        (!this->suspects.empty() && !worker.is_report_fresh) ||
+        (!worker.is_report_fresh &&
+         (!this->suspects.empty() || this->HasWantedLabel(worker.listing))) ||
         !this->is_sole_leader ||
         (worker.trial &&
          now >= worker.last_report_at + this->settings.trial_report_wait);
@@ -82,6 +83,13 @@
   }
 }
 
+bool PoolScheduler::HasWantedLabel(const WorkerListing& worker) const {
+  return std::any_of(worker.labels.begin(), worker.labels.end(),
+                     [this](const std::string& label) {
+                       return this->wanted_labels.contains(label);
+                     });
+}
+
 bool PoolScheduler::AwaitsStopConfirmation(const WorkerState& worker) {
   for (const std::pair<TaskRef, std::int64_t>& key : worker.runs) {
     const RunRecord* const run = this->FindRun(key.first, key.second);
--- a/Source/Core/Jobs/step_advice.cc
+++ b/Source/Core/Jobs/step_advice.cc
@@ -34,17 +34,31 @@
   }
 }
 
-const std::string* StepAdvice::FindTicket(const WorkerName& worker) const {
+const StepAdvice::Answer* StepAdvice::FindAnswer(
+    const WorkerName& worker,
+    std::int64_t incarnation) const {
   const std::map<WorkerName, Answer>::const_iterator found =
       this->answers.find(worker);
-  return found == this->answers.end() || found->second.ticket.empty()
+  return found == this->answers.end() ||
+                 found->second.incarnation != incarnation
              ? nullptr
-             : &found->second.ticket;
+             : &found->second;
+}
+
+const std::string* StepAdvice::FindTicket(const WorkerName& worker,
+                                          std::int64_t incarnation) const {
+  const Answer* const answer = this->FindAnswer(worker, incarnation);
+  return answer == nullptr || answer->ticket.empty() ? nullptr
+                                                     : &answer->ticket;
 }
 
 void StepAdvice::Drop(const WorkerName& worker) {
-  this->tickets -= this->FindTicket(worker) == nullptr ? 0 : 1;
-  this->answers.erase(worker);
+  const std::map<WorkerName, Answer>::iterator found =
+      this->answers.find(worker);
+  if (found != this->answers.end()) {
+    this->tickets -= found->second.ticket.empty() ? 0 : 1;
+    this->answers.erase(found);
+  }
 }
 
 void StepAdvice::Withdraw(const WorkerName& worker, MonotonicTime now) {
@@ -59,23 +73,32 @@
   return *this->waiting_since;
 }
 
-void StepAdvice::OnAsked(std::vector<WorkerName> workers) {
+void StepAdvice::OnAsked(std::map<WorkerName, std::int64_t> workers) {
   this->asked = std::move(workers);
 }
 
 void StepAdvice::OnAnswer(const std::vector<PlacementTicket>& granted,
                           MonotonicTime valid_until,
                           MonotonicTime now) {
-  for (const WorkerName& worker : std::exchange(this->asked, std::nullopt)
-                                      .value_or(std::vector<WorkerName>())) {
-    this->Drop(worker);
-    this->answers[worker] = Answer{"", now + kRefusalValidity};
+  if (!this->asked) {
+    return;
+  }
+  for (const std::pair<const WorkerName, std::int64_t>& worker : *this->asked) {
+    this->Drop(worker.first);
+    this->answers[worker.first] =
+        Answer{"", worker.second, now + kRefusalValidity};
   }
   for (const PlacementTicket& ticket : granted) {
-    this->Drop(ticket.worker);
-    this->tickets += ticket.ticket.empty() ? 0 : 1;
-    this->answers[ticket.worker] = Answer{ticket.ticket, valid_until};
+    const std::map<WorkerName, Answer>::iterator answer =
+        this->answers.find(ticket.worker);
+    if (this->asked->contains(ticket.worker) && !ticket.ticket.empty() &&
+        answer->second.ticket.empty()) {
+      answer->second.ticket = ticket.ticket;
+      answer->second.valid_until = valid_until;
+      ++this->tickets;
+    }
   }
+  this->asked.reset();
   this->next_expiry = now;
   this->waiting_since.reset();
   this->failures = 0;
--- a/Source/Core/Jobs/step_advice.h
+++ b/Source/Core/Jobs/step_advice.h
@@ -1,6 +1,7 @@
 #ifndef SOURCE_CORE_JOBS_STEP_ADVICE_H_
 #define SOURCE_CORE_JOBS_STEP_ADVICE_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,11 +19,13 @@
   // Drops the answers that are no longer valid.
   void Expire(MonotonicTime now);
   bool HasTicket() const { return this->tickets > 0; }
-  // Null if there is no ticket for the worker.
-  const std::string* FindTicket(const WorkerName& worker) const;
-  // Whether the advisor has said if the step may run on the worker.
-  bool IsKnown(const WorkerName& worker) const {
-    return this->answers.contains(worker);
+  // Null if there is no ticket for this process of the worker.
+  const std::string* FindTicket(const WorkerName& worker,
+                                std::int64_t incarnation) const;
+  // Whether the advisor has said if the step may run on the worker since this
+  // process of it is known.
+  bool IsKnown(const WorkerName& worker, std::int64_t incarnation) const {
+    return this->FindAnswer(worker, incarnation) != nullptr;
   }
   // The worker does not accept its ticket.
   void Withdraw(const WorkerName& worker, MonotonicTime now);
@@ -33,7 +36,8 @@
   }
   // Since when the step waits for its request to be sent.
   MonotonicTime WaitingSince(MonotonicTime now);
-  void OnAsked(std::vector<WorkerName> workers);
+  // `workers` with their present processes.
+  void OnAsked(std::map<WorkerName, std::int64_t> workers);
   // The other workers that were asked about may not run the step.
   void OnAnswer(const std::vector<PlacementTicket>& granted,
                 MonotonicTime valid_until,
@@ -43,16 +47,20 @@
  private:
   struct Answer {
     std::string ticket;  // empty: the step may not run on the worker
+    std::int64_t incarnation = 0;
     MonotonicTime valid_until;
   };
 
+  const Answer* FindAnswer(const WorkerName& worker,
+                           std::int64_t incarnation) const;
+
   void Drop(const WorkerName& worker);
 
   std::map<WorkerName, Answer> answers;
   int tickets = 0;  // of the answers
   MonotonicTime next_expiry;
   // The workers of the request without an answer yet.
-  std::optional<std::vector<WorkerName>> asked;
+  std::optional<std::map<WorkerName, std::int64_t>> asked;
   std::optional<MonotonicTime> waiting_since;
   MonotonicTime next_request;
   int failures = 0;  // in a row
--- a/Source/Core/Jobs/worker_state.h
+++ b/Source/Core/Jobs/worker_state.h
@@ -28,6 +28,9 @@
 struct WorkerState {
   WorkerListing listing;
   bool is_listed = false;
+  // Start time of the worker's latest known process, which may not be the one
+  // that the listing describes; 0 if unknown.
+  std::int64_t incarnation = 0;
   // The worker is recorded in the store, so the next scheduler asks it for its
   // runs.
   bool is_remembered = false;
@@ -106,6 +109,12 @@
   int consecutive_failures = 0;
   MonotonicTime no_starts_before;
 
+  // Whether the listing describes the present process. A later process may have
+  // other labels and another capacity, or belong to another pool.
+  bool IsListingCurrent() const {
+    return this->listing.incarnation == 0 || this->incarnation == 0 ||
+           this->listing.incarnation == this->incarnation;
+  }
   bool IsReachable() const { return this->missed_reports < 2; }
   // Whether its runs of earlier schedulers, if any, are not known.
   bool AreRunsUnknown() const {
