--- a/Source/Core/Machines/machine_planner.cc
+++ b/Source/Core/Machines/machine_planner.cc
@@ -136,9 +136,12 @@
     const bool is_listed =
         std::find(progress.wave.machines.begin(), progress.wave.machines.end(),
                   machine.name) != progress.wave.machines.end();
-    if (is_listed && machine.state == MachineState::kUpkeep) {
+    // A reserved machine may be ordered into maintenance at any time.
+    const bool is_reserved = progress.IsReserved(machine.name);
+    if (is_listed && (machine.state == MachineState::kUpkeep || is_reserved)) {
       ++in_maintenance;
-      ++in_maintenance_by_pool[machine.pool];
+      in_maintenance_by_pool[machine.pool] +=
+          machine.state == MachineState::kUpkeep ? 1 : 0;
     }
     if (is_listed && machine.state == MachineState::kUp &&
         !progress.done.contains(machine.name)) {
@@ -157,10 +160,12 @@
       continue;
     }
     std::sort(candidates.begin(), candidates.end(),
-              [fleet](const Machine* left, const Machine* right) {
-                return std::make_tuple(fleet->ServicesOn(*left),
+              [fleet, &progress](const Machine* left, const Machine* right) {
+                return std::make_tuple(!progress.IsReserved(left->name),
+                                       fleet->ServicesOn(*left),
                                        fleet->RunsOn(*left), left->name) <
-                       std::make_tuple(fleet->ServicesOn(*right),
+                       std::make_tuple(!progress.IsReserved(right->name),
+                                       fleet->ServicesOn(*right),
                                        fleet->RunsOn(*right), right->name);
               });
     const double size = static_cast<double>(fleet->up[entry.first].size());
@@ -183,14 +188,15 @@
                   std::max(1, static_cast<int>(size * kIdlePoolFraction)));
     allowed -= in_maintenance_by_pool[entry.first];
     for (const Machine* const machine : candidates) {
-      if (allowed-- <= 0) {
+      const bool is_reserved = progress.IsReserved(machine->name);
+      if (allowed-- <= 0 && !is_reserved) {
         continue;
       }
       fleet->reserved.insert(machine->name);
       plan->vacate[machine->pool].insert(machine->worker);
       if (fleet->IsEmpty(*machine) &&
-          in_maintenance < progress.wave.most_at_once) {
-        ++in_maintenance;
+          (is_reserved || in_maintenance < progress.wave.most_at_once)) {
+        in_maintenance += is_reserved ? 0 : 1;
         plan->orders.emplace_back(
             MaintainMachine{machine->name, progress.wave.number});
       }
--- a/Source/Core/Machines/machine_planner.h
+++ b/Source/Core/Machines/machine_planner.h
@@ -11,7 +11,7 @@
 #include "Core/Common/time.h"
 #include "Core/Jobs/pool_load.h"
 #include "Core/Machines/machine_planner_settings.h"
-#include "Core/Machines/maintenance_wave.h"
+#include "Core/Machines/wave_progress.h"
 #include "Core/Platform/machine_client.h"
 
 namespace daisyroad {
@@ -34,13 +34,6 @@
   bool is_known = false;  // the load is recent
 };
 
-// A maintenance wave that is being carried out.
-struct WaveProgress {
-  MaintenanceWave wave;
-  MonotonicTime begun_at;
-  std::set<MachineName> done;
-};
-
 struct MachinePlan {
   // Workers that the scheduler of their pool should empty now.
   std::map<PoolName, std::set<WorkerName>> vacate;
--- a/Source/Core/Site/fleet_leader.cc
+++ b/Source/Core/Site/fleet_leader.cc
@@ -11,6 +11,7 @@
 #include "Core/Common/metrics_registry.h"
 #include "Core/Common/overloaded.h"
 #include "Core/Machines/machine_planner.h"
+#include "Core/Machines/sent_orders.h"
 #include "Core/Site/job_service.h"
 #include "Core/Site/pool_leader.h"
 #include "Core/Site/pool_load_codec.h"
@@ -39,9 +40,10 @@
 // have been executed or refused by then.
 constexpr Milliseconds kTakeoverDelay{3000};
 
-Json::Value NamesToJson(const std::set<WorkerName>& names) {
+template <typename Name>
+Json::Value NamesToJson(const std::set<Name>& names) {
   Json::Value json(Json::arrayValue);
-  for (const WorkerName& name : names) {
+  for (const Name& name : names) {
     json.append(name.str());
   }
   return json;
@@ -53,14 +55,6 @@
 
 }  // namespace
 
-// An order whose effect the list of machines may not show yet.
-struct SentOrder {
-  MachineState state = MachineState::kUnknown;  // after the order
-  PoolName pool;  // destination of a move; empty otherwise
-  MonotonicTime sent_at;
-  std::optional<MonotonicTime> done_at;
-};
-
 struct FleetLeader::State : std::enable_shared_from_this<State> {
   FleetLeaderContext context;
   Term term;
@@ -80,7 +74,7 @@
   std::set<std::int64_t> waves_saving;   // record being written
   std::set<std::int64_t> waves_unsaved;  // changed since
   std::map<MachineName, MonotonicTime> next_order;
-  std::map<MachineName, SentOrder> sent_orders;
+  SentOrders sent_orders;
   MonotonicTime next_load_log;
   bool is_listing = false;
   bool has_home_sizes = false;
@@ -132,12 +126,33 @@
           }
           self->machines = machines.value();
           self->listed_at = now;
+          self->ReviewWaves();
           if (!self->has_home_sizes) {
             self->LoadHomeSizes();
           }
         });
   }
 
+  // Ends the reservations of machines whose maintenance the list shows.
+  void ReviewWaves() {
+    for (std::pair<const std::int64_t, WaveProgress>& wave : this->waves) {
+      bool is_changed = false;
+      for (const Machine& machine : this->machines) {
+        const bool is_shared = std::any_of(
+            this->waves.begin(), this->waves.end(),
+            [&machine,
+             &wave](const std::pair<const std::int64_t, WaveProgress>& other) {
+              return other.first != wave.first &&
+                     other.second.IsReserved(machine.name);
+            });
+        is_changed |= wave.second.OnListed(machine, this->listed_at, is_shared);
+      }
+      if (is_changed) {
+        this->SaveWave(wave.first);
+      }
+    }
+  }
+
   // Loads the sizes that the pools had when daisyroad first saw them, or stores
   // the current ones if there is no record yet.
   void LoadHomeSizes() {
@@ -210,6 +225,9 @@
         for (const Json::Value& machine : json.value()["done"]) {
           progress.done.insert(MachineName(machine.asString()));
         }
+        for (const Json::Value& machine : json.value()["ordered"]) {
+          progress.AdoptOrder(MachineName(machine.asString()), Now());
+        }
         const WallTime begun(Milliseconds(json.value()["begun"].asInt64()));
         progress.begun_at -= std::chrono::duration_cast<Duration>(
             std::chrono::system_clock::now() - begun);
@@ -222,20 +240,6 @@
     this->SaveWave(wave.number);
   }
 
-  // Machines that the wave still has to maintain; those that no longer exist do
-  // not count.
-  std::size_t CountLeft(const WaveProgress& progress) const {
-    const std::vector<MachineName>& names = progress.wave.machines;
-    return static_cast<std::size_t>(std::count_if(
-        names.begin(), names.end(), [this, &progress](const MachineName& name) {
-          return !progress.done.contains(name) &&
-                 std::any_of(this->machines.begin(), this->machines.end(),
-                             [&name](const Machine& machine) {
-                               return machine.name == name;
-                             });
-        }));
-  }
-
   // Writes the wave again once the present write has an answer, so that an
   // older record never replaces a newer one.
   void SaveWave(std::int64_t number) {
@@ -245,7 +249,7 @@
     }
     const WaveProgress& progress = this->waves.at(number);
     const bool is_complete =
-        !this->machines.empty() && this->CountLeft(progress) == 0;
+        !this->machines.empty() && progress.CountLeft(this->machines) == 0;
     Json::Value json;
     json["begun"] = Json::Int64(
         std::chrono::duration_cast<Milliseconds>(
@@ -258,6 +262,8 @@
     for (const MachineName& machine : progress.done) {
       json["done"].append(machine.str());
     }
+    const std::set<MachineName> reserved = progress.Reserved();
+    json["ordered"] = NamesToJson(reserved);
     StoreTransaction transaction;
     transaction.expected.push_back(
         {kLeaderPrefix + this->term.duty, this->term.fence});
@@ -267,7 +273,8 @@
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.store->Commit(
         transaction, kStoreTimeout,
-        [self, number, is_complete](const Result<TransactionResult>& result) {
+        [self, number, is_complete,
+         reserved](const Result<TransactionResult>& result) {
           if (self->is_stopped) {
             return;
           }
@@ -279,8 +286,12 @@
                 self->SaveWave(number);
               }
             });
-          } else if (is_complete &&
-                     self->waves_complete.insert(number).second) {
+          } else if (std::holds_alternative<TransactionCommitted>(
+                         result.value())) {
+            self->waves.at(number).OnRecorded(reserved);
+          }
+          if (result.ok() && is_complete &&
+              self->waves_complete.insert(number).second) {
             CLOG(INFO, kFleetLog) << "event=wave_complete number=" << number;
           }
           if (result.ok() && is_unsaved) {
@@ -381,7 +392,8 @@
     for (const std::pair<const std::int64_t, WaveProgress>& wave :
          this->waves) {
       const bool is_complete = this->waves_complete.contains(wave.first);
-      const std::size_t left = is_complete ? 0 : this->CountLeft(wave.second);
+      const std::size_t left =
+          is_complete ? 0 : wave.second.CountLeft(this->machines);
       this->SetLeftGauge(wave.first, left);
       if (!is_complete) {
         CLOG(INFO, kFleetLog)
@@ -403,9 +415,8 @@
         open.insert(wave);
       }
     }
-    MachinePlan plan =
-        this->planner.Plan(this->CurrentMachines(now), this->pools, open,
-                           this->operators.zones_out, now);
+    MachinePlan plan = this->planner.Plan(this->CurrentMachines(), this->pools,
+                                          open, this->operators.zones_out, now);
     this->due = std::move(plan.due);
     this->is_due_known = this->is_due_known || (this->waves_loading.empty() &&
                                                 !this->machines.empty());
@@ -415,6 +426,7 @@
       return;
     }
     this->vacate = std::move(plan.vacate);
+    this->VacateOrdered();
     std::erase_if(plan.orders, [this, now](const MachineOrder& order) {
       return !this->IsLoadFresh(order, now);
     });
@@ -431,28 +443,18 @@
 
   // The last list of machines, with the effects of orders that it does not show
   // yet.
-  std::vector<Machine> CurrentMachines(MonotonicTime now) {
-    std::erase_if(
-        this->sent_orders,
-        [this, now](const std::pair<const MachineName, SentOrder>& entry) {
-          const SentOrder& order = entry.second;
-          return order.done_at ? *order.done_at < this->listed_at
-                               : now - order.sent_at >= kOrderRetryInterval;
-        });
-    std::vector<Machine> current = this->machines;
-    for (Machine& machine : current) {
-      const std::map<MachineName, SentOrder>::const_iterator order =
-          this->sent_orders.find(machine.name);
-      if (order == this->sent_orders.end() ||
-          machine.state != MachineState::kUp) {
-        continue;
-      }
-      machine.state = order->second.state;
-      if (!order->second.pool.empty()) {
-        machine.pool = order->second.pool;
+  std::vector<Machine> CurrentMachines() {
+    this->sent_orders.ForgetListed(this->listed_at);
+    return this->sent_orders.Apply(this->machines);
+  }
+
+  // An order may still be executed, and would end whatever runs on the machine.
+  void VacateOrdered() {
+    for (const Machine& machine : this->machines) {
+      if (this->sent_orders.Contains(machine.name)) {
+        this->vacate[machine.pool].insert(machine.worker);
       }
     }
-    return current;
   }
 
   bool IsLoadFresh(const MachineOrder& order, MonotonicTime now) const {
@@ -487,8 +489,7 @@
     CLOG(INFO, kFleetLog) << "decision=move machine=" << order.machine
                           << " pool=" << order.pool
                           << " fence=" << this->term.fence;
-    this->sent_orders[order.machine] =
-        SentOrder{MachineState::kMoving, order.pool, now, std::nullopt};
+    this->sent_orders.OnSent(order.machine, order.pool);
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.machines->Move(
         order.machine, order.pool, this->term.fence,
@@ -498,26 +499,54 @@
   }
 
   void Maintain(const MaintainMachine& order, MonotonicTime now) {
-    if (!this->TryReserveOrder(order.machine, now)) {
+    WaveProgress& progress = this->waves.at(order.wave);
+    // The next leader must count the machine, even if this one ends before the
+    // order is answered.
+    if (!progress.IsReserved(order.machine)) {
+      progress.Reserve(order.machine);
+      this->SaveWave(order.wave);
+    }
+    if (!progress.IsRecorded(order.machine) ||
+        !this->TryReserveOrder(order.machine, now)) {
       return;
     }
     CLOG(INFO, kFleetLog) << "decision=maintain machine=" << order.machine
                           << " wave=" << order.wave
                           << " fence=" << this->term.fence;
-    this->sent_orders[order.machine] =
-        SentOrder{MachineState::kUpkeep, PoolName(), now, std::nullopt};
+    this->sent_orders.OnSent(order.machine, PoolName());
+    progress.OnOrdered(order.machine);
     const std::shared_ptr<State> self = this->shared_from_this();
     this->context.machines->Upkeep(
         order.machine, order.wave, this->term.fence,
         [self, order](const Result<MachineOrderOutcome>& outcome) {
-          if (self->OnOrderOutcome("maintain", order.machine, outcome)) {
-            self->waves.at(order.wave).done.insert(order.machine);
-            self->SaveWave(order.wave);
-          }
+          self->OnOrderOutcome("maintain", order.machine, outcome);
+          self->OnMaintenanceOutcome(order, outcome);
         });
   }
 
-  bool OnOrderOutcome(const char* order,
+  void OnMaintenanceOutcome(const MaintainMachine& order,
+                            const Result<MachineOrderOutcome>& outcome) {
+    if (this->is_stopped) {
+      return;
+    }
+    WaveProgress& progress = this->waves.at(order.wave);
+    if (!outcome.ok()) {
+      if (IsCertainlyRefused(outcome.error())) {
+        progress.OnNotReceived(order.machine);
+      } else {
+        progress.OnNoAnswer(order.machine, Now());
+      }
+    } else if (progress.OnAnswer(order.machine, outcome.value())) {
+      this->SaveWave(order.wave);
+    }
+  }
+
+  static bool IsCertainlyRefused(const Error& error) {
+    return error.code == Errc::kUnavailable ||
+           error.code == Errc::kResourceExhausted;
+  }
+
+  void OnOrderOutcome(const char* order,
                       const MachineName& machine,
                       const Result<MachineOrderOutcome>& outcome) {
     const bool is_done =
@@ -533,17 +562,12 @@
           << (outcome.ok() ? std::to_string(static_cast<int>(outcome.value()))
                            : outcome.error().ToString())
           << "\"";
-      if (outcome.ok()) {
-        this->sent_orders.erase(machine);
-      }
-      return false;
     }
-    const std::map<MachineName, SentOrder>::iterator sent =
-        this->sent_orders.find(machine);
-    if (sent != this->sent_orders.end()) {
-      sent->second.done_at = Now();
+    if (is_done || (!outcome.ok() && !IsCertainlyRefused(outcome.error()))) {
+      this->sent_orders.OnSettled(machine, Now());
+    } else {
+      this->sent_orders.OnRefused(machine);
     }
-    return !this->is_stopped;
   }
 };
 
--- a/Source/UnitTests/Machines/machine_planner_test.cc
+++ b/Source/UnitTests/Machines/machine_planner_test.cc
@@ -106,6 +106,24 @@
   CHECK(fixture.Plan().orders.empty());
 }
 
+// Guards against another machine in the place of one whose order may still be
+// executed.
+TEST_CASE("A reserved machine counts against the limit of its wave") {
+  Fixture fixture;
+  fixture.AddWave(4, 1);
+  fixture.waves[1].AdoptOrder(fixture.machines[3].name, fixture.now);
+  fixture.Report().workers.erase(fixture.machines[3].worker);
+  MachinePlan plan = fixture.Plan();
+  CHECK(plan.vacate[kPool].contains(fixture.machines[3].worker));
+  fixture.ApplyVacate(plan);
+  CHECK(fixture.Plan().orders.empty());
+  fixture.Report().workers[fixture.machines[3].worker].is_vacating = true;
+  plan = fixture.Plan();
+  REQUIRE(plan.orders.size() == 1);
+  CHECK(std::get<MaintainMachine>(plan.orders[0]).machine ==
+        fixture.machines[3].name);
+}
+
 // Guards against orders for a pool whose scheduler does not report.
 TEST_CASE("A pool without a recent load report gets no orders") {
   Fixture fixture;
