--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -523,7 +523,7 @@
   int CountUnavailableTasks(const StepState& step,
                             int except,
                             MonotonicTime now) const;
-  void ThrottleIdleCapacityRuns(WorkerState* worker);
+  void ThrottleIdleCapacityRuns(WorkerState* worker, MonotonicTime now);
   void StopStalledRuns(MonotonicTime now);
 
   PoolName pool;
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -134,7 +134,7 @@
     this->DropMissingRuns(&worker, asked_at, now);
   }
   this->AcknowledgeSavedEnds(&worker);
-  this->ThrottleIdleCapacityRuns(&worker);
+  this->ThrottleIdleCapacityRuns(&worker, now);
 }
 
 void PoolScheduler::OnReportFailed(const WorkerName& name, MonotonicTime now) {
@@ -474,6 +474,8 @@
     run =
         this->AddRun(&job, active.task, active.run, worker->listing.name, now);
     run->state = RunState::kActive;
+    run->is_paced = true;
+    run->target_percent = active.percent;
     if (active.run < this->first_run &&
         this->adopted_runs.emplace(active.task, active.run).second) {
       this->adopted[job.job.team] += this->SpecOf(job, active.task).request;
--- a/Source/Core/Jobs/pool_scheduler_services.cc
+++ b/Source/Core/Jobs/pool_scheduler_services.cc
@@ -19,6 +19,8 @@
 // below kUnthrottleBelow; it loses twice as many with each one above
 // kThrottleAbove.
 constexpr int kThrottleStepPercent = 25;
+// Time until a change of speed that no report shows is ordered again.
+constexpr Milliseconds kPaceRetryInterval{500};
 
 }  // namespace
 
@@ -107,7 +109,8 @@
   return unavailable;
 }
 
-void PoolScheduler::ThrottleIdleCapacityRuns(WorkerState* worker) {
+void PoolScheduler::ThrottleIdleCapacityRuns(WorkerState* worker,
+                                             MonotonicTime now) {
   if (worker->idle_capacity_runs == 0) {
     return;
   }
@@ -138,15 +141,16 @@
     } else if (worst_latency_ratio < kUnthrottleBelow) {
       new_percent = std::min(100, new_percent + kThrottleStepPercent);
     }
-    if (new_percent == run->target_percent && new_percent == run->percent) {
-      continue;
-    }
     // A run that was never throttled may report less than full speed while it
-    // starts.
-    if (new_percent == 100 && run->target_percent == 100) {
+    // starts. Otherwise the last order may be lost.
+    const bool is_in_force = new_percent == run->percent || !run->is_paced ||
+                             now < run->pace_sent_at + kPaceRetryInterval;
+    if (new_percent == run->target_percent && is_in_force) {
       continue;
     }
     run->target_percent = new_percent;
+    run->is_paced = true;
+    run->pace_sent_at = now;
     this->orders.emplace_back(
         PaceRun{worker->listing.name, key.first, key.second, new_percent});
     this->RecordDecision("run_paced", key.first, key.second,
--- a/Source/Core/Jobs/task_state.h
+++ b/Source/Core/Jobs/task_state.h
@@ -48,6 +48,9 @@
   std::optional<MonotonicTime> last_seen_at;
   int percent = 100;
   int target_percent = 100;
+  // The speed may have been set, by this scheduler or an earlier one.
+  bool is_paced = false;
+  MonotonicTime pace_sent_at;
   std::int64_t load = 0;  // see ActiveRun::load
 };
 
