--- a/Source/Core/Jobs/pool_scheduler.cc
+++ b/Source/Core/Jobs/pool_scheduler.cc
@@ -461,8 +461,8 @@
   }
   // While the start order is unanswered it is uncertain whether the run exists:
   // the worker refuses a start order that arrives after the stop order.
-  run->state = run->state == RunState::kStartSent ? RunState::kStartUncertain
-                                                  : RunState::kStopping;
+  run->state = run->state == RunState::kActive ? RunState::kStopping
+                                               : RunState::kStartUncertain;
   run->stop_sent_at = now;
   this->has_pending_stops = true;
   this->orders.emplace_back(StopRun{run->worker, task, run->number});
--- a/Source/Core/Jobs/pool_scheduler.h
+++ b/Source/Core/Jobs/pool_scheduler.h
@@ -298,6 +298,11 @@
   // Resets the worker's clock and acknowledgement state, since both start over
   // with its new process.
   void HandleWorkerRestart(WorkerState* worker, MonotonicTime now);
+  // The start order got no answer, so the run may have begun.
+  void HandleUnknownStart(const StartRun& order,
+                          RunRecord* run,
+                          WorkerState* worker,
+                          MonotonicTime now);
   void HandleRunEnd(WorkerState* worker, const RunEnd& end, MonotonicTime now);
   // Updates the task of a run that has ended, unless its job or its occurrence
   // has.
@@ -319,8 +324,8 @@
   void AskReports(MonotonicTime now);
   // Whether a task waits for a worker with one of these labels.
   bool HasWantedLabel(const WorkerListing& worker) const;
-  // Whether a run with an unanswered start order has an answered stop order, so
-  // that the next report settles whether the run exists.
+  // Whether the next report settles whether a run with an unanswered start
+  // order exists.
   bool AwaitsStopConfirmation(const WorkerState& worker);
   void RepeatStops(MonotonicTime now);
   void RemoveUnlistedWorkers(MonotonicTime now);
--- a/Source/Core/Jobs/pool_scheduler_reports.cc
+++ b/Source/Core/Jobs/pool_scheduler_reports.cc
@@ -305,9 +305,7 @@
       run->is_process_lost = false;
       return;
     case StartOutcome::kUnknown:
-      this->RecordDecision("start_unknown", order.task, order.run, order.worker,
-                           "no answer; stopping the run");
-      this->StopRunOf(order.task, run, now);
+      this->HandleUnknownStart(order, run, &worker, now);
       return;
     case StartOutcome::kFenced:
       this->is_fenced = true;
@@ -345,6 +343,29 @@
   this->RemoveRun(order.task, order.run, PreviousRun::kRefused);
 }
 
+void PoolScheduler::HandleUnknownStart(const StartRun& order,
+                                       RunRecord* run,
+                                       WorkerState* worker,
+                                       MonotonicTime now) {
+  if (run->state != RunState::kStartSent) {
+    this->RecordDecision("start_unknown", order.task, order.run, order.worker,
+                         "no answer; the run is reported");
+    return;
+  }
+  if (!this->SpecOf(this->jobs.at(order.task.job), order.task).is_service) {
+    this->RecordDecision("start_unknown", order.task, order.run, order.worker,
+                         "no answer; stopping the run");
+    this->StopRunOf(order.task, run, now);
+    return;
+  }
+  // Stopping a service that has begun may exceed its disruption budget.
+  this->RecordDecision("start_unknown", order.task, order.run, order.worker,
+                       "no answer; asking for a report");
+  run->state = RunState::kStartUncertain;
+  run->given_up_at = now;
+  worker->next_report = std::min(worker->next_report, now);
+}
+
 void PoolScheduler::OnStop(const StopRun& order,
                            bool is_answered,
                            MonotonicTime asked_at,
@@ -494,7 +515,7 @@
   if (run->state == RunState::kStartSent) {
     run->state = RunState::kActive;
   } else if (run->state == RunState::kStartUncertain) {
-    run->state = RunState::kStopping;
+    run->state = run->stop_sent_at ? RunState::kStopping : RunState::kActive;
   }
   run->is_process_lost = false;
   run->last_report_seen = worker->report_count;
@@ -527,10 +548,16 @@
   std::vector<std::pair<TaskRef, std::int64_t>> missing;
   std::set<std::pair<TaskRef, std::int64_t>> lost;
   for (const std::pair<TaskRef, std::int64_t>& key : worker->runs) {
-    const RunRecord* const run = this->FindRun(key.first, key.second);
+    RunRecord* const run = this->FindRun(key.first, key.second);
     if (run->last_report_seen == worker->report_count) {
       continue;
     }
+    if (run->state == RunState::kStartUncertain && !run->stop_sent_at &&
+        run->given_up_at && *run->given_up_at <= asked_at) {
+      this->RecordDecision("start_not_found", key.first, key.second,
+                           worker->listing.name, "no answer; stopping the run");
+      this->StopRunOf(key.first, run, now);
+    }
     const bool was_confirmed =
         run->confirmed_at && *run->confirmed_at <= asked_at;
     const bool is_stop_confirmed =
--- a/Source/Core/Jobs/pool_scheduler_workers.cc
+++ b/Source/Core/Jobs/pool_scheduler_workers.cc
@@ -93,7 +93,8 @@
 bool PoolScheduler::AwaitsStopConfirmation(const WorkerState& worker) {
   for (const std::pair<TaskRef, std::int64_t>& key : worker.runs) {
     const RunRecord* const run = this->FindRun(key.first, key.second);
-    if (run->state == RunState::kStartUncertain && run->stop_answered_at) {
+    if (run->state == RunState::kStartUncertain &&
+        (run->stop_answered_at || !run->stop_sent_at)) {
       return true;
     }
   }
--- a/Source/Core/Jobs/task_state.h
+++ b/Source/Core/Jobs/task_state.h
@@ -17,7 +17,8 @@
 enum class RunState {
   kStartSent,       // the start order was sent and is not answered yet
   kActive,          // the worker has confirmed the run
-  kStartUncertain,  // the start order got no answer; the run is being stopped
+  kStartUncertain,  // the start order got no answer, and no report shows the
+                    // run yet
   kStopping,        // a stop order was sent
 };
 
@@ -30,6 +31,10 @@
   // When the worker confirmed the run. Every report requested later must
   // contain it.
   std::optional<MonotonicTime> confirmed_at;
+  // When the start order of a service was given up without an answer. A report
+  // requested later shows the run if it began, unless the order is executed
+  // late.
+  std::optional<MonotonicTime> given_up_at;
   std::optional<MonotonicTime> stop_sent_at;
   // When the worker's present process answered the stop order. From then on it
   // refuses a start order for this run that arrives late.
