Jobs: requests for advice pass over a step that has closed

No part of a pass closes an occurrence today, so nothing was seen; a later one that does would end the process with an exception of std::map::at. The step is looked up again, as it is for the answers. advice_burst and rebooted_worker pass.

--- a/Source/Core/Jobs/pool_scheduler_advice.cc
+++ b/Source/Core/Jobs/pool_scheduler_advice.cc
@@ -85,12 +85,11 @@
 void PoolScheduler::RequestAdviceFor(const AdviceWish& wish,
                                      MonotonicTime now,
                                      int* ahead) {
-  StepAdvice& advice = wish.job->occurrences.at(wish.step.occurrence)
-                           .steps[wish.step.step]
-                           .advice;
-  if (!advice.MayAsk(now)) {
+  StepState* const step = this->FindStep(wish.step);
+  if (step == nullptr || !step->advice.MayAsk(now)) {
     return;
   }
+  StepAdvice& advice = step->advice;
   const StepSpec& spec = this->SpecOf(*wish.job, wish.step);
   const Resources reserved = ReservedBy(spec);
   // More tickets for full workers are of no use.
